--- /dev/null
+++ b/Makefile
@@ -0,0 +1,69 @@
+# Builds ridgeridge, its stand-ins, its tests and its measurements.
+#   make            the program and the tools
+#   make tests      the test programs
+#   make SANITIZE=1 the same under build-asan with ASan and UBSan
+PACKAGES := libulfius libcurl libtirpc popt json-c libsodium libxxhash glib-2.0
+BUILD := build
+OPTIMIZE := -O2
+ifdef SANITIZE
+BUILD := build-asan
+OPTIMIZE := -O1 -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	-fno-omit-frame-pointer
+endif
+CFLAGS := -std=c11 -D_GNU_SOURCE -DU_DISABLE_JANSSON -g $(OPTIMIZE) \
+	-Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wno-cast-function-type -Wno-format-truncation -fPIE \
+	$(shell pkg-config --cflags $(PACKAGES))
+LDLIBS := $(shell pkg-config --libs $(PACKAGES)) -lev -lm -lpthread
+GENERATED_CFLAGS := -Wno-unused-variable -Wno-error -Wno-missing-prototypes
+
+SOURCES := $(wildcard *.c)
+# Everything but main() is shared with the tests and the tools.
+SHARED := $(filter-out ridgeridge.c,$(SOURCES))
+OBJECTS := $(SHARED:%.c=$(BUILD)/%.o) $(BUILD)/generated/wire_xdr.o
+TOOLS := $(patsubst tools/%.c,$(BUILD)/%,$(filter-out tools/sim.c,$(wildcard tools/*.c)))
+TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test-*.c))
+
+all: $(BUILD)/ridgeridge $(TOOLS)
+
+tests: $(TESTS)
+
+$(BUILD)/ridgeridge: $(BUILD)/ridgeridge.o $(OBJECTS)
+	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
+
+$(BUILD)/lib.a: $(OBJECTS)
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BUILD)/%: $(BUILD)/tools/%.o $(BUILD)/sim.o $(BUILD)/lib.a
+	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
+
+$(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/sim.o $(BUILD)/lib.a
+	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
+
+$(BUILD)/sim.o: tests/sim.c
+	@mkdir -p $(dir $@)
+	@$(CC) $(CFLAGS) -I. -MMD -c -o $@ $<
+
+$(BUILD)/generated/%.o: generated/%.c
+	@mkdir -p $(dir $@)
+	@$(CC) $(CFLAGS) $(GENERATED_CFLAGS) -I. -MMD -c -o $@ $<
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	@$(CC) $(CFLAGS) -I. -MMD -c -o $@ $<
+
+PREFIX ?= /usr/local
+install: all
+	install -D -m 755 $(BUILD)/ridgeridge $(DESTDIR)$(PREFIX)/bin/ridgeridge
+	install -D -m 644 docs/ridgeridge.1 \
+		$(DESTDIR)$(PREFIX)/share/man/man1/ridgeridge.1
+	install -D -m 644 docs/ridgeridge@.service \
+		$(DESTDIR)$(PREFIX)/lib/systemd/system/ridgeridge@.service
+
+clean:
+	rm -rf build build-asan
+
+.PHONY: all tests install clean
+.PRECIOUS: $(BUILD)/tests/%.o $(BUILD)/tools/%.o
+-include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d)
--- /dev/null
+++ b/claim.c
@@ -0,0 +1,306 @@
+/* The records of once-only requests at one replica. */
+#include "claim.h"
+
+#include <string.h>
+
+#include "hash.h"
+
+/* Hashes a key for the table. */
+static guint
+hash_key(gconstpointer key)
+{
+    return (guint)hash_bytes(HASH_KEY, key, WIRE_KEY);
+}
+
+/* Compares two keys. */
+static gboolean
+equal_keys(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, WIRE_KEY) == 0;
+}
+
+/* Frees a record. */
+static void
+free_record(gpointer data)
+{
+    struct claim_record *record = data;
+
+    g_free(record->outcome.body.body_val);
+    g_free(record);
+}
+
+/* Copies an outcome over another. */
+void
+claim_copy_outcome(const wire_outcome *from, wire_outcome *to)
+{
+    char *body = g_memdup2(from->body.body_val, from->body.body_len);
+
+    g_free(to->body.body_val);
+    *to = *from;
+    to->body.body_val = body;
+}
+
+/* Starts an empty table. */
+void
+claim_open(struct claim_table *table, uint64_t self)
+{
+    table->records =
+        g_hash_table_new_full(hash_key, equal_keys, NULL, free_record);
+    table->partial =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                              (GDestroyNotify)g_hash_table_destroy);
+    table->absorbed = g_array_new(FALSE, FALSE, sizeof(wire_absorbed));
+    table->self = self;
+}
+
+/* Frees a table. */
+void
+claim_close(struct claim_table *table)
+{
+    g_hash_table_destroy(table->records);
+    g_hash_table_destroy(table->partial);
+    g_array_free(table->absorbed, TRUE);
+}
+
+/* Adds a record. */
+static struct claim_record *
+add_record(struct claim_table *table, const wire_claim *claim)
+{
+    struct claim_record *record = g_new0(struct claim_record, 1);
+
+    record->claim = *claim;
+    g_hash_table_insert(table->records, record->claim.key, record);
+    return record;
+}
+
+/* Says whether a claim comes from the coordinator that holds the record. */
+static bool
+is_holder(const struct claim_record *record, const wire_claim *claim)
+{
+    return record->claim.coordinator == claim->coordinator &&
+           record->claim.token == claim->token;
+}
+
+/* Says that a key ended, and how. */
+static void
+reply_done(const struct claim_record *record, wire_claim_reply *out)
+{
+    out->result = WIRE_CLAIM_DONE;
+    out->outcome = record->outcome;
+}
+
+/* Decides about a claim on a key that has a record. */
+static void
+judge_record(struct claim_record *record, const wire_claim *claim,
+             wire_claim_reply *out)
+{
+    if (memcmp(record->claim.digest, claim->digest, WIRE_KEY) != 0) {
+        out->result = WIRE_CLAIM_CONFLICT;
+        return;
+    }
+    switch (record->state) {
+    case CLAIM_DONE:
+        reply_done(record, out);
+        return;
+    case CLAIM_RUNNING:
+        out->holder = record->claim.coordinator;
+        out->result = is_holder(record, claim) ? WIRE_CLAIM_GRANTED
+                                               : WIRE_CLAIM_HELD;
+        return;
+    case CLAIM_RELEASED:
+        if (claim->probe) {
+            reply_done(record, out);
+            return;
+        }
+        record->claim = *claim;
+        record->state = CLAIM_RUNNING;
+        out->result = WIRE_CLAIM_GRANTED;
+        return;
+    }
+}
+
+/* Says whether the epochs of replica and coordinator forbid an answer. */
+static bool
+is_fenced(const struct claim_table *table, uint64_t epoch,
+          const wire_claim *claim)
+{
+    if (table->fault_no_fence) {
+        return false;
+    }
+    return claim->probe ? epoch < claim->epoch : epoch != claim->epoch;
+}
+
+/* Decides about a claim or probe. */
+void
+claim_take(struct claim_table *table, uint64_t epoch, const wire_claim *claim,
+           wire_claim_reply *out)
+{
+    struct claim_record *record =
+        g_hash_table_lookup(table->records, claim->key);
+
+    memset(out, 0, sizeof(*out));
+    out->token = claim->token;
+    out->replica = table->self;
+    out->epoch = epoch;
+    out->probe = claim->probe;
+    out->absorbed.absorbed_len = MIN(table->absorbed->len, WIRE_ABSORBED_MAX);
+    out->absorbed.absorbed_val = (wire_absorbed *)(void *)table->absorbed->data;
+    if (is_fenced(table, epoch, claim)) {
+        out->result = WIRE_CLAIM_EPOCH;
+    }
+    else if (record != NULL) {
+        judge_record(record, claim, out);
+    }
+    else if (claim->probe) {
+        out->result = WIRE_CLAIM_NONE;
+    }
+    else {
+        (void)add_record(table, claim);
+        out->result = WIRE_CLAIM_GRANTED;
+    }
+}
+
+/* Puts an outcome into a record. */
+static void
+end_record(struct claim_record *record, const wire_outcome *outcome)
+{
+    claim_copy_outcome(outcome, &record->outcome);
+    record->state = outcome->kind == WIRE_OUTCOME_NOT_RUN ? CLAIM_RELEASED
+                                                          : CLAIM_DONE;
+}
+
+/* Ends a record, unless it belongs to another claim. */
+void
+claim_finish(struct claim_table *table, const wire_finish *finish)
+{
+    struct claim_record *record =
+        g_hash_table_lookup(table->records, finish->claim.key);
+
+    if (record == NULL) {
+        record = add_record(table, &finish->claim);
+    }
+    if (record->state == CLAIM_RUNNING && is_holder(record, &finish->claim)) {
+        end_record(record, &finish->outcome);
+    }
+}
+
+/* Notes that all records of a stopping entry were taken over. */
+static void
+note_absorbed(struct claim_table *table, uint64_t sender, uint64_t epoch)
+{
+    wire_absorbed new = {.entry = sender, .epoch = epoch};
+
+    for (guint i = 0; i < table->absorbed->len; i++) {
+        const wire_absorbed *old =
+            &g_array_index(table->absorbed, wire_absorbed, i);
+
+        if (old->entry == sender && old->epoch == epoch) {
+            return;
+        }
+    }
+    if (table->absorbed->len == WIRE_ABSORBED_MAX) {
+        g_array_remove_index(table->absorbed, 0);
+    }
+    g_array_append_val(table->absorbed, new);
+}
+
+/* Keeps a record handed over; an outcome already known is kept. */
+static void
+keep_handed(struct claim_table *table, const wire_handover *handover)
+{
+    struct claim_record *record =
+        g_hash_table_lookup(table->records, handover->claim.key);
+
+    if (record == NULL) {
+        record = add_record(table, &handover->claim);
+    }
+    else if (record->state == CLAIM_DONE) {
+        return;
+    }
+    if (handover->done) {
+        end_record(record, &handover->outcome);
+    }
+}
+
+/* Takes one record of a stopping entry. `total` 0 means there is none. */
+uint32_t
+claim_absorb(struct claim_table *table, const wire_handover *handover)
+{
+    uint64_t sender =
+        hash_pair(HASH_KEY, handover->sender, handover->epoch);
+    GHashTable *seen = g_hash_table_lookup(table->partial, &sender);
+
+    if (seen == NULL) {
+        seen = g_hash_table_new(NULL, NULL);
+        g_hash_table_insert(table->partial,
+                            g_memdup2(&sender, sizeof(sender)), seen);
+    }
+    if (handover->total > 0) {
+        g_hash_table_add(seen, GUINT_TO_POINTER(handover->sequence + 1));
+        keep_handed(table, handover);
+    }
+    if (g_hash_table_size(seen) >= handover->total) {
+        note_absorbed(table, handover->sender, handover->epoch);
+    }
+    return g_hash_table_size(seen);
+}
+
+/* Says whether an entry is among a key's replicas. */
+static bool
+is_replica(const struct member_set *members, const char *key, uint64_t id)
+{
+    const struct member *set[MEMBER_KEEPERS];
+    size_t count = member_keepers(members, hash_bytes(HASH_KEY, key, WIRE_KEY),
+                                  MEMBER_KEEPERS, set);
+
+    for (size_t i = 0; i < count; i++) {
+        if (set[i]->id == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Lists the records that another entry must take over. */
+void
+claim_list_handover(const struct claim_table *table,
+                    const struct member_set *members, uint64_t receiver,
+                    GPtrArray *out)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, table->records);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct claim_record *record = value;
+
+        if (is_replica(members, record->claim.key, receiver)) {
+            g_ptr_array_add(out, value);
+        }
+    }
+}
+
+/* Says whether a record is past its life. */
+static gboolean
+is_expired(gpointer key, gpointer value, gpointer data)
+{
+    const struct claim_record *record = value;
+    const uint64_t *wall = data;
+
+    (void)key;
+    return record->claim.deadline + CLAIM_KEEP_MS < *wall;
+}
+
+/* Drops expired records. */
+void
+claim_expire(struct claim_table *table, uint64_t wall)
+{
+    (void)g_hash_table_foreach_remove(table->records, is_expired, &wall);
+}
+
+/* Counts the records. */
+size_t
+claim_count(const struct claim_table *table)
+{
+    return g_hash_table_size(table->records);
+}
--- /dev/null
+++ b/client.c
@@ -0,0 +1,228 @@
+/* HTTP of operators' commands. */
+#include "client.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CALL_MS 5000L
+#define CONNECT_MS 500L
+#define ROUNDS 25
+#define PAUSE_US 200000
+
+#define AT(field) offsetof(struct client_credentials, field)
+static const struct schema_field credentials_fields[] = {
+    {.key = "name", .type = SCHEMA_TEXT, .required = true, .min = 1,
+     .max = SETTINGS_NAME_MAX, .offset = AT(name),
+     .help = "give the operator's name, as in the settings"},
+    {.key = "token", .type = SCHEMA_TEXT, .required = true, .min = 64,
+     .max = 64, .offset = AT(token),
+     .help = "give the bearer token from `ridgeridge keygen`"},
+    {.key = "secret_key", .type = SCHEMA_HEX, .required = true, .min = 64,
+     .max = 64, .offset = AT(secret_key),
+     .help = "give the signing key from `ridgeridge keygen`"},
+    {.key = NULL},
+};
+#undef AT
+const struct schema client_credentials_schema = {
+    .name = "Credentials", .size = sizeof(struct client_credentials),
+    .fields = credentials_fields};
+
+/* Reads a credentials file. */
+enum status_kind
+client_load_credentials(const char *path, struct client_credentials *out,
+                        struct status *st)
+{
+    size_t length = 0;
+    char *text = schema_load(path, &length, st);
+
+    if (text == NULL) {
+        return st->kind;
+    }
+    (void)schema_read(&client_credentials_schema, path, text, length, out,
+                      st);
+    g_free(text);
+    return st->kind;
+}
+
+/* Gathers the body. */
+static size_t
+on_body(char *bytes, size_t size, size_t count, void *data)
+{
+    g_string_append_len(data, bytes, (gssize)(size * count));
+    return size * count;
+}
+
+/* One HTTP call. */
+void
+client_call(const char *method, const char *url,
+            const struct client_credentials *credentials,
+            const char *submission, const char *body, size_t length,
+            struct client_reply *out)
+{
+    CURL *curl = curl_easy_init();
+    struct curl_slist *headers = NULL;
+    GString *answer = g_string_new("");
+    char line[256];
+
+    out->status = 0;
+    headers = curl_slist_append(headers, "Expect:");
+    headers = curl_slist_append(headers, "Content-Type: application/json");
+    if (credentials != NULL) {
+        (void)snprintf(line, sizeof(line), "Authorization: Bearer %s",
+                       credentials->token);
+        headers = curl_slist_append(headers, line);
+    }
+    if (submission != NULL) {
+        (void)snprintf(line, sizeof(line), "Idempotency-Key: %s", submission);
+        headers = curl_slist_append(headers, line);
+    }
+    (void)curl_easy_setopt(curl, CURLOPT_URL, url);
+    (void)curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+    (void)curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    if (body != NULL) {
+        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+                               (curl_off_t)length);
+    }
+    (void)curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+    (void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+    (void)curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, CALL_MS);
+    (void)curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
+    (void)curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    if (curl_easy_perform(curl) == CURLE_OK) {
+        (void)curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &out->status);
+    }
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(curl);
+    out->length = answer->len;
+    out->body = g_string_free(answer, FALSE);
+}
+
+/* Turns an answer into a status. */
+static enum status_kind
+judge(const struct client_reply *reply, struct status *st)
+{
+    json_object *doc = client_json(reply);
+    const char *detail = doc ? client_text(doc, "detail") : "";
+
+    if (reply->status == 200) {
+        const char *message = doc ? client_text(doc, "message") : "";
+
+        (void)status_set(st, STATUS_OK, "%s", message);
+    }
+    else if (reply->status == 409) {
+        (void)status_set(st, STATUS_CONFLICT, "%s", detail);
+    }
+    else if (reply->status == 504) {
+        (void)status_set(st, STATUS_UNCONFIRMED, "%s", detail);
+    }
+    else if (reply->status == 400) {
+        (void)status_set(st, STATUS_BAD_INPUT, "%s", detail);
+    }
+    else {
+        (void)status_set(st, STATUS_REFUSED, "%s", detail);
+    }
+    json_object_put(doc);
+    return st->kind;
+}
+
+/* Says whether another control VM should be asked. */
+static bool
+ask_next(const struct client_reply *reply)
+{
+    return reply->status == 0 || reply->status == 503;
+}
+
+/* Asks the control VMs in turn. A status page of a follower is not what
+ * was asked for, either: only a confirmed one ends the search early. */
+enum status_kind
+client_ask_control(const struct settings *settings,
+                   const struct client_credentials *credentials,
+                   const char *method, const char *path,
+                   const char *submission, const char *body, size_t length,
+                   struct client_reply *out, struct status *st)
+{
+    struct client_reply last = {0, NULL, 0};
+
+    for (int round = 0; round < ROUNDS; round++) {
+        for (size_t i = 0; i < settings->control_count; i++) {
+            const struct settings_control *c = &settings->controls[i];
+            char *url = g_strdup_printf(
+                "http://%u.%u.%u.%u:%u%s", c->address >> 24,
+                (c->address >> 16) & 255, (c->address >> 8) & 255,
+                c->address & 255, (unsigned)c->http_port, path);
+            bool unconfirmed;
+
+            client_call(method, url, credentials, submission, body, length,
+                        out);
+            g_free(url);
+            unconfirmed = strstr(out->body, "\"confirmed\": false") != NULL;
+            if (!ask_next(out) && !unconfirmed) {
+                client_free(&last);
+                return judge(out, st);
+            }
+            if (unconfirmed) {
+                client_free(&last);
+                last = *out;
+                continue;
+            }
+            client_free(out);
+        }
+        if (last.body != NULL && round >= ROUNDS / 2) {
+            break;
+        }
+        g_usleep(PAUSE_US);
+    }
+    *out = last;
+    if (last.body != NULL) {
+        return status_set(st, STATUS_UNCONFIRMED,
+                          "no quorum confirmed the answer; see whether a "
+                          "majority of control VMs is up");
+    }
+    out->body = g_strdup("");
+    return status_set(st, STATUS_NO_ANSWER,
+                      "no control VM answered as leader; see whether a "
+                      "majority of them is up, then ask again");
+}
+
+/* Reads a JSON answer. */
+json_object *
+client_json(const struct client_reply *reply)
+{
+    return json_tokener_parse(reply->body);
+}
+
+/* A string of an object. */
+const char *
+client_text(json_object *doc, const char *key)
+{
+    json_object *value = NULL;
+
+    if (doc == NULL || !json_object_object_get_ex(doc, key, &value) ||
+        !json_object_is_type(value, json_type_string)) {
+        return "";
+    }
+    return json_object_get_string(value);
+}
+
+/* A number of an object. */
+int64_t
+client_number(json_object *doc, const char *key)
+{
+    json_object *value = NULL;
+
+    if (doc == NULL || !json_object_object_get_ex(doc, key, &value)) {
+        return 0;
+    }
+    return json_object_get_int64(value);
+}
+
+/* Frees an answer's body. */
+void
+client_free(struct client_reply *reply)
+{
+    g_free(reply->body);
+    reply->body = NULL;
+}
--- /dev/null
+++ b/cmd-status.c
@@ -0,0 +1,135 @@
+/* ridgeridge status: the state of control and of the entries. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "cmd.h"
+
+#define WATCH_US 1000000
+
+/* Prints one entry. */
+static void
+print_entry(json_object *entry)
+{
+    json_object *stopping = NULL;
+
+    (void)json_object_object_get_ex(entry, "stopping", &stopping);
+    (void)printf("  %-14s %-14s version %-5lld step %-2lld epoch %-4lld "
+                 "lease %lld ms%s\n",
+                 client_text(entry, "name"), client_text(entry, "hall"),
+                 (long long)client_number(entry, "version"),
+                 (long long)client_number(entry, "step"),
+                 (long long)client_number(entry, "epoch"),
+                 (long long)client_number(entry, "lease_left_ms"),
+                 json_object_get_boolean(stopping) ? "  stopping" : "");
+}
+
+/* Prints the accepted bundle. */
+static void
+print_pending(json_object *doc)
+{
+    json_object *pending = NULL;
+
+    if (!json_object_object_get_ex(doc, "pending", &pending)) {
+        return;
+    }
+    (void)printf("accepted: version %lld by %s, digest %.16s..., waits for "
+                 "sign-off or roll-out\n",
+                 (long long)client_number(pending, "version"),
+                 client_text(pending, "operator"),
+                 client_text(pending, "digest"));
+}
+
+/* Prints the state as a table. */
+static void
+print_status(json_object *doc)
+{
+    json_object *entries = NULL;
+    json_object *in_force = NULL;
+    json_object *confirmed = NULL;
+    size_t count;
+
+    (void)json_object_object_get_ex(doc, "in_force", &in_force);
+    (void)json_object_object_get_ex(doc, "confirmed", &confirmed);
+    (void)printf("leader: replica %lld, term %lld, log %lld/%lld\n",
+                 (long long)client_number(doc, "leader"),
+                 (long long)client_number(doc, "term"),
+                 (long long)client_number(doc, "log_committed"),
+                 (long long)client_number(doc, "log_last"));
+    (void)printf("bundle: version %lld, step %s, %s (%s); last roll-out took "
+                 "%lld ms\n",
+                 (long long)client_number(doc, "version"),
+                 client_text(doc, "step"),
+                 json_object_get_boolean(in_force) ? "in force"
+                                                   : "not in force",
+                 json_object_get_boolean(confirmed) ? "confirmed by a quorum"
+                                                    : "unconfirmed",
+                 (long long)client_number(doc, "in_force_ms"));
+    if (client_text(doc, "unconfirmed_entries")[0] != '\0') {
+        (void)printf("not confirmed by: %s\n",
+                     client_text(doc, "unconfirmed_entries"));
+    }
+    print_pending(doc);
+    (void)json_object_object_get_ex(doc, "entries", &entries);
+    count = entries ? json_object_array_length(entries) : 0;
+    (void)printf("entries: %zu in epoch %lld\n", count,
+                 (long long)client_number(doc, "epoch"));
+    for (size_t i = 0; i < count; i++) {
+        print_entry(json_object_array_get_idx(entries, i));
+    }
+}
+
+/* Asks once and prints. */
+static enum status_kind
+ask_once(const struct cmd_options *options, const struct settings *settings,
+         const struct client_credentials *credentials, struct status *st)
+{
+    struct client_reply reply = {0, NULL, 0};
+    json_object *doc;
+
+    (void)client_ask_control(settings, credentials, "GET", "/v1/status", NULL,
+                             NULL, 0, &reply, st);
+    doc = reply.body != NULL ? client_json(&reply) : NULL;
+    if (doc != NULL && options->json) {
+        (void)printf("%s\n", json_object_to_json_string_ext(
+                                 doc, JSON_C_TO_STRING_PRETTY));
+    }
+    else if (doc != NULL && client_text(doc, "detail")[0] == '\0') {
+        print_status(doc);
+    }
+    json_object_put(doc);
+    client_free(&reply);
+    (void)fflush(stdout);
+    return st->kind;
+}
+
+/* Asks, again and again when watching. */
+static enum status_kind
+run(const struct cmd_options *options, const char **args, struct status *st)
+{
+    struct settings settings;
+    struct client_credentials credentials;
+
+    (void)args;
+    if (cmd_load(options, &settings, &credentials, st) != STATUS_OK) {
+        return st->kind;
+    }
+    (void)ask_once(options, &settings, &credentials, st);
+    while (options->watch) {
+        g_usleep(WATCH_US);
+        (void)printf("\n");
+        (void)ask_once(options, &settings, &credentials, st);
+    }
+    settings_free(&settings);
+    return st->kind;
+}
+
+const struct cmd cmd_status = {
+    .name = "status",
+    .args = "",
+    .takes = CMD_SETTINGS | CMD_CREDENTIALS | CMD_JSON | CMD_WATCH,
+    .help = "Show the bundle, its roll-out, the entries and their leases; "
+            "exit 3 when no quorum confirms it.",
+    .run = run,
+};
--- /dev/null
+++ b/cons-voters.c
@@ -0,0 +1,182 @@
+/*
+ * Who votes. A change of voters is in force as soon as it stands in the log;
+ * until it is committed, a quorum needs a majority of the old voters and of
+ * the new ones (joint consensus). A voter is a replica number together with
+ * the identity of its disk, so a replica that lost its disk does not count.
+ */
+#include "cons-internal.h"
+
+#include <string.h>
+
+#include "codec.h"
+
+/* Copies a list of voters over another. */
+void
+cons_copy_config(const wire_config *from, wire_config *to)
+{
+    size_t bytes = from->voters.voters_len * sizeof(wire_voter);
+
+    if (from == to) {
+        return;
+    }
+    g_free(to->voters.voters_val);
+    to->retired = from->retired;
+    to->voters.voters_len = from->voters.voters_len;
+    to->voters.voters_val = g_memdup2(from->voters.voters_val, bytes);
+}
+
+/* Sets the founders as the voters of an empty log. */
+void
+cons_voters_open(struct cons *cons, const wire_config *founders)
+{
+    cons_copy_config(founders, &cons->snapshot.config);
+    cons_copy_config(founders, &cons->latest);
+}
+
+/* Frees the voters. */
+void
+cons_voters_close(struct cons *cons)
+{
+    g_free(cons->snapshot.config.voters.voters_val);
+    g_free(cons->latest.voters.voters_val);
+}
+
+/* Decodes an entry when it changes the voters. */
+static bool
+entry_config(const struct cons *cons, uint64_t index, wire_command *out)
+{
+    const struct cons_entry *entry = cons_entry_at(cons, index);
+    gsize length = 0;
+    const unsigned char *bytes = g_bytes_get_data(entry->command, &length);
+
+    /* The kind is the first XDR word; most entries end here. */
+    if (length < 4 || bytes[3] != WIRE_CMD_CONFIG) {
+        return false;
+    }
+    return codec_decode_command(bytes, length, out);
+}
+
+/* Finds the last change of voters at or before an index. */
+static uint64_t
+last_change(const struct cons *cons, uint64_t index)
+{
+    while (index > cons->snapshot.index) {
+        wire_command command;
+
+        if (entry_config(cons, index, &command)) {
+            codec_free_command(&command);
+            return index;
+        }
+        index--;
+    }
+    return cons->snapshot.index;
+}
+
+/* Copies the voters that one entry, or the snapshot, sets. */
+static void
+config_of(const struct cons *cons, uint64_t change, wire_config *out)
+{
+    wire_command command;
+
+    if (change > cons->snapshot.index &&
+        entry_config(cons, change, &command)) {
+        cons_copy_config(&command.wire_command_u.config, out);
+        codec_free_command(&command);
+        return;
+    }
+    cons_copy_config(&cons->snapshot.config, out);
+}
+
+/* Finds the latest voters again, after the end of the log was cut. */
+void
+cons_voters_rescan(struct cons *cons)
+{
+    cons->change_index = last_change(cons, cons_last_index(cons));
+    config_of(cons, cons->change_index, &cons->latest);
+}
+
+/* Notes an appended entry when it changes the voters. */
+void
+cons_voters_appended(struct cons *cons)
+{
+    uint64_t last = cons_last_index(cons);
+    wire_command command;
+
+    if (entry_config(cons, last, &command)) {
+        cons->change_index = last;
+        cons_copy_config(&command.wire_command_u.config, &cons->latest);
+        codec_free_command(&command);
+    }
+}
+
+/* Says whether a change of voters is not yet committed. */
+bool
+cons_config_pending(const struct cons *cons)
+{
+    return cons->change_index > cons->commit;
+}
+
+/* The voters at the end of the log. */
+const wire_config *
+cons_config(const struct cons *cons)
+{
+    return &cons->latest;
+}
+
+/* Counts a majority of one list of voters. */
+static bool
+majority(const struct cons *cons, const wire_config *config, cons_test test,
+         uint64_t data)
+{
+    u_int yes = 0;
+
+    for (u_int i = 0; i < config->voters.voters_len; i++) {
+        yes += test(cons, &config->voters.voters_val[i], data);
+    }
+    return yes > config->voters.voters_len / 2;
+}
+
+/* Counts a quorum: one majority, or two while voters change. */
+bool
+cons_quorum(const struct cons *cons, cons_test test, uint64_t data)
+{
+    wire_config before = {0};
+    bool ok = majority(cons, &cons->latest, test, data);
+
+    if (ok && cons_config_pending(cons)) {
+        config_of(cons, last_change(cons, cons->change_index - 1), &before);
+        ok = majority(cons, &before, test, data);
+        g_free(before.voters.voters_val);
+    }
+    return ok;
+}
+
+/* Finds what is known of another replica. */
+struct cons_peer *
+cons_peer_of(struct cons *cons, uint32_t replica)
+{
+    for (size_t i = 0; i < cons->replica_count; i++) {
+        if (cons->replicas[i] == replica) {
+            return &cons->peers[i];
+        }
+    }
+    return NULL;
+}
+
+/* Says whether a replica with an identity is a voter. */
+bool
+cons_is_voter(const struct cons *cons, uint32_t replica, uint64_t identity)
+{
+    const wire_config *config = cons_config(cons);
+
+    for (u_int i = 0; i < config->voters.voters_len; i++) {
+        const wire_voter *voter = &config->voters.voters_val[i];
+
+        if (voter->replica == replica &&
+            (voter->identity == identity ||
+             cons->fault == CONS_FAULT_COUNT_WIPED)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/counter.h
@@ -0,0 +1,73 @@
+/**
+ * @file counter.h
+ * The project's counters: one table of name, unit and help, and one value
+ * each. Cores count into a struct counters of their own, so that many cores
+ * can live in one process; shells print it as Prometheus text.
+ */
+#ifndef RIDGERIDGE_COUNTER_H
+#define RIDGERIDGE_COUNTER_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/** X(identifier, name, help): the one table of counters. */
+#define COUNTER_TABLE(X)                                                      \
+    X(PACKETS_IN, "packets_in_total", "encapsulated packets received")        \
+    X(PACKETS_FORWARDED, "packets_forwarded_total", "sent to an upstream")    \
+    X(PACKETS_RETURNED, "packets_returned_total", "sent back to a caller")    \
+    X(PACKETS_HANDED, "packets_handed_total", "handed to another entry")      \
+    X(PACKETS_MALFORMED, "packets_malformed_total", "dropped: unreadable")    \
+    X(PACKETS_NO_SERVICE, "packets_no_service_total", "dropped: no service")  \
+    X(PACKETS_NO_UPSTREAM, "packets_no_upstream_total",                       \
+      "dropped: no upstream may take it")                                     \
+    X(PACKETS_TOO_FAR, "packets_too_far_total", "dropped: handed too often")  \
+    X(FLOWS_NEW, "flows_new_total", "flows first seen here")                  \
+    X(FLOWS_EVICTED, "flows_evicted_total", "live records pushed out")        \
+    X(RECORDS_SENT, "flow_records_sent_total", "flow records to keepers")     \
+    X(RECORDS_LEARNED, "flow_records_learned_total", "flow records taken")    \
+    X(MSGS_IN, "messages_in_total", "messages from other processes")          \
+    X(MSGS_MALFORMED, "messages_malformed_total", "dropped: unreadable")      \
+    X(MSGS_FORGED, "messages_forged_total", "dropped: key did not match")     \
+    X(MSGS_STALE, "messages_stale_total", "dropped: old term or version")     \
+    X(CONTROL_BYTES_OUT, "control_bytes_out_total", "control bytes sent")     \
+    X(CONTROL_BYTES_IN, "control_bytes_in_total", "control bytes received")   \
+    X(REQUEST_BYTES_OUT, "request_bytes_out_total",                           \
+      "bytes between entries on behalf of requests")                          \
+    X(REQUESTS, "requests_total", "requests received")                        \
+    X(REQUESTS_ANSWERED, "requests_answered_total", "answered whole")         \
+    X(REQUESTS_NOT_RUN, "requests_not_run_total", "refused, provably not run")\
+    X(REQUESTS_UNKNOWN, "requests_unknown_total", "ended with no proof")      \
+    X(REQUESTS_REPEATED, "requests_repeated_total", "served from a record")   \
+    X(REQUESTS_IN_TIME, "requests_in_time_total", "within the objective")     \
+    X(REQUESTS_RETRIED, "requests_retried_total", "sent to a second upstream")\
+    X(ANSWERS_LATE, "answers_late_total", "dropped: already answered")        \
+    X(HTTP_MALFORMED, "http_malformed_total", "HTTP requests refused as bad") \
+    X(LEASES, "leases_total", "leases taken")                                 \
+    X(BUNDLES_APPLIED, "bundles_applied_total", "bundles or steps applied")   \
+    X(ELECTIONS, "elections_total", "elections started")                      \
+    X(COMMITS, "commits_total", "log entries committed")                      \
+    X(STORE_ERRORS, "store_errors_total", "failed writes of state")
+
+/** Index of a counter. */
+enum counter_id {
+#define X(id, name, help) COUNTER_##id,
+    COUNTER_TABLE(X)
+#undef X
+    COUNTER_COUNT
+};
+
+/** A set of counters, all from zero. */
+struct counters {
+    uint64_t value[COUNTER_COUNT]; /**< by enum counter_id */
+};
+
+/** Adds to a counter; safe from any thread. */
+void counter_add(struct counters *set, enum counter_id id, uint64_t more);
+
+/** Name of a counter, without the ridgeridge_ prefix. */
+const char *counter_name(enum counter_id id);
+
+/** Writes all counters as Prometheus text; returns the bytes written. */
+size_t counter_print(const struct counters *set, char *out, size_t size);
+
+#endif
--- /dev/null
+++ b/entry-core.c
@@ -0,0 +1,460 @@
+/*
+ * One entry: hands events to the parts of the core and gathers their
+ * actions. Rules of its own: none but routing and the planned stop.
+ */
+#include "entry-core.h"
+
+#include <string.h>
+
+#include "codec.h"
+#include "entry-internal.h"
+#include "hash.h"
+
+#define FLUSH_MAX 1024
+
+/* Adds an action. */
+static struct entry_action *
+act(struct entry_core *core, enum entry_action_kind kind)
+{
+    struct entry_action action = {.kind = kind};
+
+    g_array_append_val(core->actions, action);
+    return &g_array_index(core->actions, struct entry_action,
+                          core->actions->len - 1);
+}
+
+/* Sends a message to another entry, or to itself. */
+void
+entry_send_peer(struct entry_core *core, uint64_t id, wire_msg *msg)
+{
+    const struct member *peer = member_find(&core->all, id);
+    struct entry_action *action;
+
+    if (id == core->self.id) {
+        g_queue_push_tail(&core->inbox, codec_encode(msg));
+        return;
+    }
+    if (peer == NULL) {
+        return;
+    }
+    action = act(core, ENTRY_TO_PEER);
+    action->peer = *peer;
+    action->msg_kind = msg->kind;
+    action->bytes = codec_encode(msg);
+}
+
+/* Sends a message to a control replica. */
+void
+entry_send_control(struct entry_core *core, uint32_t replica, wire_msg *msg)
+{
+    struct entry_action *action = act(core, ENTRY_TO_CONTROL);
+
+    action->replica = replica;
+    action->msg_kind = msg->kind;
+    action->bytes = codec_encode(msg);
+}
+
+/* Starts an entry. */
+struct entry_core *
+entry_core_new(const struct entry_options *options)
+{
+    struct entry_core *core = g_new0(struct entry_core, 1);
+    struct flow_options flow = {.self = options->self.id,
+                                .capacity = options->flow_capacity,
+                                .counters = options->counters,
+                                .push_off = options->push_off};
+
+    core->self = options->self;
+    core->self.name = g_strdup(options->self.name);
+    core->self.hall = g_strdup(options->self.hall);
+    core->control_count = options->control_count;
+    memcpy(core->controls, options->controls,
+           options->control_count * sizeof(*options->controls));
+    core->counters = options->counters;
+    core->push_budget = ENTRY_PUSH_BURST;
+    ring_open(&core->ring, options->ring_size);
+    flow.ring = &core->ring;
+    core->flow = flow_new(&flow);
+    request_open(&core->requests, core->self.id, core->counters, &core->ring);
+    claim_open(&core->claims, core->self.id);
+    core->gates =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                              (GDestroyNotify)gate_free);
+    core->handovers = g_ptr_array_new();
+    g_queue_init(&core->inbox);
+    core->actions = g_array_new(FALSE, FALSE, sizeof(struct entry_action));
+    if (options->saved_text != NULL) {
+        (void)entry_apply_text(core, 0, options->saved_text, NULL,
+                               FLOW_STEP_ANNOUNCE);
+    }
+    return core;
+}
+
+/* Frees an entry. */
+void
+entry_core_free(struct entry_core *core)
+{
+    entry_core_clear(core);
+    entry_forget_handovers(core);
+    g_ptr_array_free(core->handovers, TRUE);
+    while (!g_queue_is_empty(&core->inbox)) {
+        g_byte_array_unref(g_queue_pop_head(&core->inbox));
+    }
+    g_array_free(core->actions, TRUE);
+    g_hash_table_destroy(core->gates);
+    claim_close(&core->claims);
+    request_close(&core->requests);
+    flow_free(core->flow);
+    ring_close(&core->ring);
+    bundle_free(&core->bundle);
+    bundle_free(&core->before);
+    member_set_clear(&core->all);
+    member_set_clear(&core->active);
+    g_free(core->text);
+    g_free(core->self.name);
+    g_free(core->self.hall);
+    g_free(core);
+}
+
+/* Moves the actions of the requests over. */
+static void
+take_request_actions(struct entry_core *core)
+{
+    size_t count;
+    const struct request_action *all =
+        request_actions(&core->requests, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        struct request_action from = all[i];
+        struct entry_action *action;
+
+        switch (from.kind) {
+        case REQUEST_SEND:
+            entry_send_peer(core, from.peer, &from.msg);
+            break;
+        case REQUEST_DISPATCH:
+            action = act(core, ENTRY_DISPATCH);
+            action->token = from.token;
+            action->address = from.address;
+            action->port = from.port;
+            action->deadline = from.deadline;
+            break;
+        case REQUEST_ABORT:
+            act(core, ENTRY_ABORT)->token = from.token;
+            break;
+        case REQUEST_ANSWER:
+            action = act(core, ENTRY_ANSWER);
+            action->token = from.token;
+            action->rule = from.rule;
+            claim_copy_outcome(&from.outcome, &action->outcome);
+            break;
+        }
+    }
+    request_clear_actions(&core->requests);
+}
+
+/* Answers a claim as a replica of its key. */
+static void
+take_claim(struct entry_core *core, const wire_claim *claim)
+{
+    wire_msg msg = {.kind = WIRE_CLAIM_REPLY};
+
+    claim_take(&core->claims, core->epoch, claim,
+               &msg.wire_msg_u.claim_reply);
+    entry_send_peer(core, claim->coordinator, &msg);
+}
+
+/* Stores an outcome as a replica of its key. */
+static void
+take_finish(struct entry_core *core, const wire_finish *finish)
+{
+    wire_msg msg = {.kind = WIRE_FINISH_REPLY};
+
+    claim_finish(&core->claims, finish);
+    msg.wire_msg_u.finish_reply.token = finish->claim.token;
+    msg.wire_msg_u.finish_reply.replica = core->self.id;
+    entry_send_peer(core, finish->claim.coordinator, &msg);
+}
+
+/* Takes flow records. */
+static void
+take_records(struct entry_core *core, uint64_t now,
+             const wire_records *records)
+{
+    for (u_int i = 0; i < records->records.records_len; i++) {
+        const wire_flow_record *r = &records->records.records_val[i];
+
+        flow_learn(core->flow, now, r->hash, r->address, (uint16_t)r->port);
+    }
+}
+
+/* Hands one message to the part it is for. */
+static void
+dispatch(struct entry_core *core, uint64_t now, const wire_msg *msg)
+{
+    switch (msg->kind) {
+    case WIRE_LEASE:
+        entry_take_lease(core, now, &msg->wire_msg_u.lease);
+        return;
+    case WIRE_BUNDLE:
+        entry_take_bundle(core, now, &msg->wire_msg_u.bundle);
+        return;
+    case WIRE_EPOCHS:
+        entry_take_epochs(core, now, &msg->wire_msg_u.epochs);
+        return;
+    case WIRE_RECORDS:
+        take_records(core, now, &msg->wire_msg_u.records);
+        return;
+    case WIRE_CLAIM:
+        take_claim(core, &msg->wire_msg_u.claim);
+        return;
+    case WIRE_CLAIM_REPLY:
+        request_take_claim_reply(&core->requests, now,
+                                 &msg->wire_msg_u.claim_reply);
+        return;
+    case WIRE_FINISH:
+        take_finish(core, &msg->wire_msg_u.finish);
+        return;
+    case WIRE_FINISH_REPLY:
+        request_take_finish_reply(&core->requests, now,
+                                  &msg->wire_msg_u.finish_reply);
+        return;
+    case WIRE_SLOT_ASK:
+        entry_take_slot_ask(core, now, &msg->wire_msg_u.slot_ask);
+        return;
+    case WIRE_SLOT_GRANT:
+        request_take_grant(&core->requests, now, &msg->wire_msg_u.slot_grant);
+        return;
+    case WIRE_SLOT_REFUSE:
+        request_take_refusal(&core->requests, now,
+                             &msg->wire_msg_u.slot_refuse);
+        return;
+    case WIRE_SLOT_DONE:
+        entry_take_slot_done(core, now, &msg->wire_msg_u.slot_done);
+        return;
+    case WIRE_HANDOVER:
+        entry_take_handover(core, &msg->wire_msg_u.handover);
+        return;
+    case WIRE_HANDOVER_ACK:
+        entry_take_handover_ack(core, &msg->wire_msg_u.handover_ack);
+        return;
+    case WIRE_VOTE_ASK:
+    case WIRE_VOTE_REPLY:
+    case WIRE_APPEND:
+    case WIRE_APPEND_REPLY:
+    case WIRE_REPORT:
+    case WIRE_FETCH:
+    case WIRE_SNAPSHOT:
+        counter_add(core->counters, COUNTER_MSGS_MALFORMED, 1);
+        return;
+    }
+}
+
+/* Works off actions and messages to itself until none is left. */
+static void
+settle(struct entry_core *core, uint64_t now)
+{
+    take_request_actions(core);
+    while (!g_queue_is_empty(&core->inbox)) {
+        GByteArray *bytes = g_queue_pop_head(&core->inbox);
+        wire_msg msg;
+
+        if (codec_decode(bytes->data, bytes->len, &msg)) {
+            dispatch(core, now, &msg);
+            codec_free(&msg);
+        }
+        g_byte_array_unref(bytes);
+        take_request_actions(core);
+    }
+}
+
+/* Sends records, gathered by peer. */
+static void
+send_records(struct entry_core *core, const struct flow_send *sends,
+             size_t count)
+{
+    wire_flow_record records[WIRE_RECORDS_MAX];
+    bool sent[FLUSH_MAX] = {false};
+
+    for (size_t i = 0; i < count; i++) {
+        wire_msg msg = {.kind = WIRE_RECORDS};
+        u_int n = 0;
+
+        for (size_t j = i; j < count && n < WIRE_RECORDS_MAX; j++) {
+            if (!sent[j] && sends[j].peer == sends[i].peer) {
+                records[n].hash = sends[j].hash;
+                records[n].address = sends[j].address;
+                records[n].port = sends[j].port;
+                sent[j] = true;
+                n++;
+            }
+        }
+        if (n > 0) {
+            msg.wire_msg_u.records.records.records_len = n;
+            msg.wire_msg_u.records.records.records_val = records;
+            entry_send_peer(core, sends[i].peer, &msg);
+        }
+    }
+}
+
+/* Sends records that wait, paced ones within the budget. */
+static void
+flush_records(struct entry_core *core, size_t budget)
+{
+    struct flow_send sends[FLUSH_MAX];
+    size_t before = budget;
+    size_t count;
+
+    do {
+        count = flow_take(core->flow, sends, FLUSH_MAX, &budget);
+        send_records(core, sends, count);
+    } while (count == FLUSH_MAX);
+    core->push_budget -= (double)(before - budget);
+}
+
+/* Sends the records that packets caused. */
+void
+entry_core_flush(struct entry_core *core)
+{
+    flush_records(core, 0);
+}
+
+/* Scans and pushes records within the budget. */
+static void
+tick_records(struct entry_core *core, uint64_t now)
+{
+    uint64_t passed = core->ticked_at ? now - core->ticked_at : 0;
+    double most = (double)ENTRY_PUSH_RATE * (double)passed / 1000.0;
+
+    core->push_budget =
+        MIN((double)ENTRY_PUSH_BURST,
+            core->push_budget +
+                (double)ENTRY_PUSH_REFILL * (double)passed / 1000.0);
+    (void)flow_scan(core->flow, now, ENTRY_SCAN_PLACES);
+    flush_records(core,
+                  (size_t)MAX(0.0, MIN(most, core->push_budget)));
+}
+
+/* Lets time pass. */
+void
+entry_core_tick(struct entry_core *core, uint64_t now, uint64_t wall)
+{
+    entry_tick_lease(core, now);
+    tick_records(core, now);
+    entry_tick_gates(core, now);
+    request_tick(&core->requests, now);
+    /* The lists of a handover point into the records. */
+    if (core->handovers->len == 0) {
+        claim_expire(&core->claims, wall);
+    }
+    entry_tick_handover(core, now);
+    core->ticked_at = now;
+    settle(core, now);
+}
+
+/* Takes a message. */
+void
+entry_core_receive(struct entry_core *core, uint64_t now, uint64_t wall,
+                   const wire_msg *msg)
+{
+    (void)wall;
+    dispatch(core, now, msg);
+    settle(core, now);
+}
+
+/* A caller asks. */
+void
+entry_core_request(struct entry_core *core, uint64_t now, uint64_t wall,
+                   const struct request_spec *spec)
+{
+    request_begin(&core->requests, now, wall, spec);
+    settle(core, now);
+}
+
+/* An upstream's call ended. */
+void
+entry_core_upstream(struct entry_core *core, uint64_t now, uint64_t wall,
+                    uint64_t token, enum gate_result result,
+                    const struct request_reply *reply)
+{
+    (void)wall;
+    request_upstream(&core->requests, now, token, result, reply);
+    settle(core, now);
+}
+
+/* A caller went away. */
+void
+entry_core_cancel(struct entry_core *core, uint64_t now, uint64_t wall,
+                  uint64_t token)
+{
+    (void)wall;
+    request_cancel(&core->requests, now, token);
+    settle(core, now);
+}
+
+/* Begins a planned stop: control is told at once. */
+void
+entry_core_stop(struct entry_core *core, uint64_t now)
+{
+    if (core->stopping) {
+        return;
+    }
+    core->stopping = true;
+    core->self.stopping = TRUE;
+    core->report_at = now;
+    core->linger_until = now + ENTRY_LINGER_MS;
+}
+
+/* Says whether a planned stop may end. */
+bool
+entry_core_is_stopped(const struct entry_core *core, uint64_t now)
+{
+    bool out = core->epoch > 0 &&
+               member_find(&core->active, core->self.id) == NULL;
+
+    return core->stopping && now >= core->linger_until && out &&
+           request_count(&core->requests) == 0 &&
+           entry_is_handed_over(core) &&
+           flow_is_pushed(core->flow);
+}
+
+/* Finds the service of a Host, without its port. */
+const struct bundle_service *
+entry_core_find_host(const struct entry_core *core, const char *host)
+{
+    size_t length = strcspn(host, ":");
+
+    for (size_t i = 0; i < core->bundle.service_count; i++) {
+        const struct bundle_service *s = &core->bundle.services[i];
+
+        if (s->kind == BUNDLE_REQUEST && strlen(s->host) == length &&
+            g_ascii_strncasecmp(s->host, host, length) == 0) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+/* Gives the actions. */
+const struct entry_action *
+entry_core_actions(struct entry_core *core, size_t *count)
+{
+    *count = core->actions->len;
+    return (const struct entry_action *)(void *)core->actions->data;
+}
+
+/* Forgets the actions. */
+void
+entry_core_clear(struct entry_core *core)
+{
+    for (guint i = 0; i < core->actions->len; i++) {
+        struct entry_action *action =
+            &g_array_index(core->actions, struct entry_action, i);
+
+        if (action->bytes != NULL) {
+            g_byte_array_unref(action->bytes);
+        }
+        g_free(action->outcome.body.body_val);
+    }
+    g_array_set_size(core->actions, 0);
+}
--- /dev/null
+++ b/entry-internal.h
@@ -0,0 +1,43 @@
+/**
+ * @file entry-internal.h
+ * What the entry-*.c files of the core share. Nothing else includes it.
+ */
+#ifndef RIDGERIDGE_ENTRY_INTERNAL_H
+#define RIDGERIDGE_ENTRY_INTERNAL_H
+
+#include "entry-core.h"
+
+/* entry-core.c */
+void entry_send_peer(struct entry_core *core, uint64_t id, wire_msg *msg);
+void entry_send_control(struct entry_core *core, uint32_t replica,
+                        wire_msg *msg);
+
+/* entry-lease.c */
+void entry_tick_lease(struct entry_core *core, uint64_t now);
+void entry_take_lease(struct entry_core *core, uint64_t now,
+                      const wire_lease *lease);
+void entry_take_bundle(struct entry_core *core, uint64_t now,
+                       const wire_bundle *bundle);
+void entry_take_epochs(struct entry_core *core, uint64_t now,
+                       const wire_epochs *epochs);
+bool entry_apply_text(struct entry_core *core, uint64_t now, const char *text,
+                      const char *prev_text, uint32_t step);
+
+/* entry-gates.c */
+void entry_take_slot_ask(struct entry_core *core, uint64_t now,
+                         const wire_slot_ask *ask);
+void entry_take_slot_done(struct entry_core *core, uint64_t now,
+                          const wire_slot_done *done);
+void entry_tick_gates(struct entry_core *core, uint64_t now);
+void entry_update_gates(struct entry_core *core, uint64_t now);
+
+/* entry-handover.c */
+void entry_tick_handover(struct entry_core *core, uint64_t now);
+void entry_take_handover(struct entry_core *core,
+                         const wire_handover *handover);
+void entry_take_handover_ack(struct entry_core *core,
+                             const wire_handover_ack *ack);
+bool entry_is_handed_over(const struct entry_core *core);
+void entry_forget_handovers(struct entry_core *core);
+
+#endif
--- /dev/null
+++ b/entry-status.c
@@ -0,0 +1,226 @@
+/* What an entry tells operators: status, decisions, what it would decide. */
+#include <stdio.h>
+#include <string.h>
+
+#include "entry.h"
+#include "hash.h"
+#include "loop.h"
+
+#define EXPLAIN_MAX 64
+
+/* Adds a number. */
+static void
+add_number(json_object *doc, const char *key, uint64_t value)
+{
+    json_object_object_add(doc, key, json_object_new_int64((int64_t)value));
+}
+
+/* Adds a number as hex digits. */
+static void
+add_hex(json_object *doc, const char *key, uint64_t value)
+{
+    char text[24];
+
+    (void)snprintf(text, sizeof(text), "%016llx", (unsigned long long)value);
+    json_object_object_add(doc, key, json_object_new_string(text));
+}
+
+/* Adds an address and port. */
+static void
+add_endpoint(json_object *doc, const char *key, uint32_t address,
+             uint16_t port)
+{
+    char text[32];
+
+    (void)snprintf(text, sizeof(text), "%u.%u.%u.%u:%u", address >> 24,
+                   (address >> 16) & 255, (address >> 8) & 255,
+                   address & 255, port);
+    json_object_object_add(doc, key, json_object_new_string(text));
+}
+
+/* What the steering knows of a flow service's upstream. */
+static json_object *
+flow_upstream_json(const struct entry *entry,
+                   const struct bundle_upstream *upstream)
+{
+    json_object *out = json_object_new_object();
+    uint64_t placed =
+        flow_placed(entry->core->flow, upstream->address,
+                    (uint16_t)upstream->port);
+
+    json_object_object_add(out, "name",
+                           json_object_new_string(upstream->name));
+    add_endpoint(out, "endpoint", upstream->address,
+                 (uint16_t)upstream->port);
+    json_object_object_add(
+        out, "state",
+        json_object_new_string(upstream->state == BUNDLE_LEAVING ? "leaving"
+                                                                 : "serving"));
+    add_number(out, "flows_placed", placed);
+    return out;
+}
+
+/* What the gate of a request service knows of its upstreams. */
+static void
+add_gate(const struct entry *entry, const char *service, json_object *out)
+{
+    uint64_t key = hash_name(service);
+    const struct gate *gate = g_hash_table_lookup(entry->core->gates, &key);
+    json_object *list = json_object_new_array();
+    uint64_t now = loop_now();
+
+    if (gate == NULL) {
+        json_object_put(list);
+        return;
+    }
+    for (guint i = 0; i < gate->upstreams->len; i++) {
+        const struct gate_upstream *u =
+            &g_array_index(gate->upstreams, struct gate_upstream, i);
+        json_object *one = json_object_new_object();
+
+        add_endpoint(one, "endpoint", u->address, u->port);
+        add_number(one, "busy", u->busy);
+        add_number(one, "limit", u->limit);
+        add_number(one, "chosen", u->chosen);
+        json_object_object_add(one, "serving",
+                               json_object_new_boolean(u->serving));
+        json_object_object_add(
+            one, "ejected", json_object_new_boolean(now < u->ejected_until));
+        json_object_array_add(list, one);
+    }
+    json_object_object_add(out, "gate", list);
+    add_number(out, "queue", g_queue_get_length((GQueue *)&gate->queue));
+}
+
+/* All services of the bundle in force. */
+static json_object *
+services_json(const struct entry *entry)
+{
+    json_object *out = json_object_new_array();
+
+    for (size_t i = 0; i < entry->core->bundle.service_count; i++) {
+        const struct bundle_service *s = &entry->core->bundle.services[i];
+        json_object *one = json_object_new_object();
+        json_object *list = json_object_new_array();
+
+        json_object_object_add(one, "name", json_object_new_string(s->name));
+        for (size_t j = 0; j < s->upstream_count; j++) {
+            json_object_array_add(
+                list, flow_upstream_json(entry, &s->upstreams[j]));
+        }
+        json_object_object_add(one, "upstreams", list);
+        add_gate(entry, s->name, one);
+        json_object_array_add(out, one);
+    }
+    return out;
+}
+
+/* The status of an entry. */
+json_object *
+entry_status(struct entry *entry)
+{
+    struct entry_core *core = entry->core;
+    json_object *out = json_object_new_object();
+    uint64_t now = loop_now();
+
+    json_object_object_add(out, "name",
+                           json_object_new_string(entry->settings.name));
+    json_object_object_add(out, "hall",
+                           json_object_new_string(entry->settings.hall));
+    add_hex(out, "id", core->self.id);
+    add_number(out, "version", flow_version(core->flow));
+    add_number(out, "step", flow_step(core->flow));
+    add_number(out, "epoch", core->epoch);
+    add_number(out, "lease_left_ms",
+               core->lease_deadline > now ? core->lease_deadline - now : 0);
+    add_number(out, "flow_records", flow_records(core->flow));
+    add_number(out, "flow_memory", flow_memory(core->flow));
+    add_number(out, "key_records", claim_count(&core->claims));
+    add_number(out, "requests", request_count(&core->requests));
+    json_object_object_add(out, "stopping",
+                           json_object_new_boolean(core->stopping));
+    json_object_object_add(out, "services", services_json(entry));
+    return out;
+}
+
+/* One decision. */
+static json_object *
+record_json(const struct ring_record *r)
+{
+    json_object *out = json_object_new_object();
+    enum ring_rule rule = (enum ring_rule)r->rule;
+
+    add_number(out, "sequence", r->sequence);
+    add_number(out, "at", r->at);
+    json_object_object_add(
+        out, "kind",
+        json_object_new_string(r->kind == RING_FLOW ? "flow" : "request"));
+    json_object_object_add(out, "rule",
+                           json_object_new_string(ring_rule_name(rule)));
+    json_object_object_add(out, "because",
+                           json_object_new_string(ring_rule_help(rule)));
+    add_number(out, "version", r->version);
+    add_number(out, "step", r->step);
+    add_number(out, "epoch", r->epoch);
+    add_hex(out, "service", r->service);
+    add_hex(out, "table_digest", r->table_digest);
+    add_hex(out, "peer", r->peer);
+    add_number(out, "first", r->first);
+    add_number(out, "retry_ms", r->retry_ms);
+    add_endpoint(out, "upstream", r->address, r->port);
+    add_endpoint(out, "owner_now", r->new_address, r->new_port);
+    add_endpoint(out, "owner_before", r->old_address, r->old_port);
+    return out;
+}
+
+/* The decisions about a subject, newest first. */
+json_object *
+entry_explain(struct entry *entry, uint64_t subject)
+{
+    struct ring_record records[EXPLAIN_MAX];
+    size_t count =
+        ring_find(&entry->core->ring, subject, records, EXPLAIN_MAX);
+    json_object *out = json_object_new_object();
+    json_object *list = json_object_new_array();
+
+    json_object_object_add(out, "entry",
+                           json_object_new_string(entry->settings.name));
+    add_hex(out, "id", entry->core->self.id);
+    add_number(out, "kept_since", ring_since(&entry->core->ring));
+    for (size_t i = 0; i < count; i++) {
+        json_object_array_add(list, record_json(&records[i]));
+    }
+    json_object_object_add(out, "decisions", list);
+    return out;
+}
+
+/* What the tables say of a flow now. */
+json_object *
+entry_decide(struct entry *entry, const char *service, uint64_t hash)
+{
+    struct flow *flow = entry->core->flow;
+    json_object *out = json_object_new_object();
+    uint16_t index = flow_find_named(flow, service ? service : "");
+    const struct flow_upstream *u;
+    upstream_id owner;
+    upstream_id before;
+
+    json_object_object_add(out, "entry",
+                           json_object_new_string(entry->settings.name));
+    add_number(out, "version", flow_version(flow));
+    add_number(out, "step", flow_step(flow));
+    if (index == FLOW_NO_SERVICE) {
+        return out;
+    }
+    add_hex(out, "table_digest", flow_table_digest(flow, index));
+    flow_owners(flow, index, hash, &owner, &before);
+    u = flow_upstream(flow, owner);
+    if (u != NULL) {
+        add_endpoint(out, "owner_now", u->address, u->port);
+    }
+    u = flow_upstream(flow, flow_recorded(flow, hash));
+    if (u != NULL) {
+        add_endpoint(out, "recorded", u->address, u->port);
+    }
+    return out;
+}
--- /dev/null
+++ b/explain.c
@@ -0,0 +1,208 @@
+/* Asking the entries, and recomputing what they decided. */
+#include "explain.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "packet.h"
+
+/* Reads an address and port. */
+bool
+explain_read_endpoint(const char *text, uint32_t *address, uint16_t *port)
+{
+    char host[64];
+    const char *colon = strrchr(text, ':');
+    struct in_addr in;
+    char *end = NULL;
+    unsigned long number;
+
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(host)) {
+        return false;
+    }
+    memcpy(host, text, (size_t)(colon - text));
+    host[colon - text] = '\0';
+    number = strtoul(colon + 1, &end, 10);
+    if (inet_pton(AF_INET, host, &in) != 1 || *end != '\0' || number == 0 ||
+        number > UINT16_MAX) {
+        return false;
+    }
+    *address = ntohl(in.s_addr);
+    *port = (uint16_t)number;
+    return true;
+}
+
+/* Hashes a flow. */
+uint64_t
+explain_hash(const struct explain_flow *flow)
+{
+    struct packet packet = {
+        .source = flow->source,
+        .destination = flow->service->address,
+        .source_port = flow->source_port,
+        .destination_port = (uint16_t)flow->service->port,
+        .protocol = flow->service->protocol == BUNDLE_TCP ? PACKET_TCP
+                                                          : PACKET_UDP};
+
+    return packet_hash(&packet);
+}
+
+/* Asks one entry; adds its answer, or its name to the silent ones. */
+static void
+ask_entry(json_object *entry, const struct client_credentials *credentials,
+          const char *path, json_object *out, GString *silent)
+{
+    char *url =
+        g_strdup_printf("http://%s%s", client_text(entry, "http"), path);
+    struct client_reply reply = {0, NULL, 0};
+    json_object *doc = NULL;
+
+    client_call("GET", url, credentials, NULL, NULL, 0, &reply);
+    if (reply.status == 200) {
+        doc = client_json(&reply);
+    }
+    if (doc != NULL) {
+        json_object_array_add(out, doc);
+    }
+    else {
+        g_string_append_printf(silent, "%s%s", silent->len ? "," : "",
+                               client_text(entry, "name"));
+    }
+    client_free(&reply);
+    g_free(url);
+}
+
+/* Asks every entry. */
+json_object *
+explain_ask_entries(const struct settings *settings,
+                    const struct client_credentials *credentials,
+                    const char *path, GString *silent, struct status *st)
+{
+    struct client_reply reply = {0, NULL, 0};
+    json_object *out = json_object_new_array();
+    json_object *entries = NULL;
+    json_object *doc;
+
+    (void)client_ask_control(settings, credentials, "GET", "/v1/status", NULL,
+                             NULL, 0, &reply, st);
+    doc = client_json(&reply);
+    if (doc != NULL &&
+        json_object_object_get_ex(doc, "entries", &entries)) {
+        for (size_t i = 0; i < json_object_array_length(entries); i++) {
+            ask_entry(json_object_array_get_idx(entries, i), credentials,
+                      path, out, silent);
+        }
+    }
+    json_object_put(doc);
+    client_free(&reply);
+    return out;
+}
+
+/* Fetches and reads the bundle in force. */
+enum status_kind
+explain_load_bundle(const struct settings *settings,
+                    const struct client_credentials *credentials,
+                    struct bundle *out, struct status *st)
+{
+    struct client_reply reply = {0, NULL, 0};
+
+    if (client_ask_control(settings, credentials, "GET",
+                           "/v1/bundles/in-force", NULL, NULL, 0, &reply,
+                           st) == STATUS_OK) {
+        (void)bundle_read("bundle in force", reply.body, reply.length, out,
+                          st);
+    }
+    client_free(&reply);
+    return st->kind;
+}
+
+/* Writes an upstream's endpoint. */
+static void
+write_endpoint(const struct flow *flow, upstream_id id, char *out, size_t size)
+{
+    const struct flow_upstream *u = flow_upstream(flow, id);
+
+    (void)g_strlcpy(out, "0.0.0.0:0", size);
+    if (u != NULL) {
+        (void)snprintf(out, size, "%u.%u.%u.%u:%u", u->address >> 24,
+                       (u->address >> 16) & 255, (u->address >> 8) & 255,
+                       u->address & 255, u->port);
+    }
+}
+
+/* Says whether a rule takes the owner of the bucket now. */
+static bool
+takes_owner(const char *rule)
+{
+    enum ring_rule r = ring_rule_from(rule);
+
+    return r == RULE_SETTLED || r == RULE_KEEPER_NEW ||
+           r == RULE_KEEPER_DEFAULT;
+}
+
+/* Compares a decision with what the tables of the bundle say. */
+static bool
+compare(const struct flow *flow, uint16_t index, uint64_t hash,
+        json_object *decision, char *why, size_t size)
+{
+    const char *rule = client_text(decision, "rule");
+    char owner[32];
+    char digest[24];
+    upstream_id now_owner;
+    upstream_id old_owner;
+
+    flow_owners(flow, index, hash, &now_owner, &old_owner);
+    write_endpoint(flow, now_owner, owner, sizeof(owner));
+    (void)snprintf(digest, sizeof(digest), "%016llx",
+                   (unsigned long long)flow_table_digest(flow, index));
+    if (strcmp(rule, ring_rule_name(RULE_NO_LEASE)) == 0) {
+        return true;
+    }
+    if (strcmp(client_text(decision, "table_digest"), digest) != 0) {
+        (void)snprintf(why, size, "table digest: recorded %s, recomputed %s",
+                       client_text(decision, "table_digest"), digest);
+        return false;
+    }
+    if (strcmp(client_text(decision, "owner_now"), owner) != 0 &&
+        strcmp(client_text(decision, "owner_now"), "0.0.0.0:0") != 0) {
+        (void)snprintf(why, size, "owner: recorded %s, recomputed %s",
+                       client_text(decision, "owner_now"), owner);
+        return false;
+    }
+    if (takes_owner(rule) &&
+        strcmp(client_text(decision, "upstream"), owner) != 0) {
+        (void)snprintf(why, size,
+                       "upstream under rule %s: recorded %s, recomputed %s",
+                       rule, client_text(decision, "upstream"), owner);
+        return false;
+    }
+    return true;
+}
+
+/* Recomputes a decision with the core. */
+bool
+explain_verify_flow(const struct bundle *bundle, const char *service,
+                    uint64_t hash, json_object *decision, char *why,
+                    size_t size)
+{
+    struct counters counters = {{0}};
+    struct flow_options options = {
+        .self = 1, .capacity = 1024, .counters = &counters};
+    struct flow *flow = flow_new(&options);
+    uint16_t index;
+    bool ok;
+
+    why[0] = '\0';
+    (void)flow_apply(flow, 1, bundle, NULL, FLOW_STEP_SETTLED);
+    index = flow_find_named(flow, service);
+    ok = index != FLOW_NO_SERVICE &&
+         compare(flow, index, hash, decision, why, size);
+    if (index == FLOW_NO_SERVICE) {
+        (void)snprintf(why, size, "the bundle has no flow service %s",
+                       service);
+    }
+    flow_free(flow);
+    return ok;
+}
--- /dev/null
+++ b/hash.c
@@ -0,0 +1,28 @@
+/* Seeded hashes, on xxHash. */
+#include "hash.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Hashes bytes with the seed of one use. */
+uint64_t
+hash_bytes(enum hash_use use, const void *bytes, size_t length)
+{
+    return XXH3_64bits_withSeed(bytes, length, (XXH64_hash_t)use);
+}
+
+/* Hashes two numbers. */
+uint64_t
+hash_pair(enum hash_use use, uint64_t a, uint64_t b)
+{
+    uint64_t pair[2] = {a, b};
+
+    return hash_bytes(use, pair, sizeof(pair));
+}
+
+/* Hashes a name. */
+uint64_t
+hash_name(const char *name)
+{
+    return hash_bytes(HASH_NAME, name, strlen(name));
+}
--- /dev/null
+++ b/loop.c
@@ -0,0 +1,212 @@
+/* The event loop, on libev, and the queue that other threads post to. */
+#include "loop.h"
+
+#include <ev.h>
+#include <glib.h>
+#include <time.h>
+
+/* One posted piece of work. */
+struct job {
+    loop_work work;
+    void *data;
+    bool waits; /* somebody waits for `done` */
+    bool done;
+};
+
+/* A watcher with its work. */
+struct watch {
+    ev_io io;
+    ev_signal signal;
+    loop_work work;
+    void *data;
+};
+
+static struct {
+    struct ev_loop *loop;
+    ev_async wake;
+    ev_timer timer;
+    loop_work tick;
+    void *tick_data;
+    GMutex lock;
+    GCond done;
+    GQueue jobs;
+} loop_state;
+
+/* Milliseconds of a clock. */
+static uint64_t
+clock_ms(clockid_t clock)
+{
+    struct timespec now;
+
+    (void)clock_gettime(clock, &now);
+    return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
+/* Monotonic milliseconds. Goes on while a process is frozen. */
+uint64_t
+loop_now(void)
+{
+    return clock_ms(CLOCK_BOOTTIME);
+}
+
+/* Wall clock. */
+uint64_t
+loop_wall(void)
+{
+    return clock_ms(CLOCK_REALTIME);
+}
+
+/* Takes the next job, NULL when there is none. */
+static struct job *
+next_job(void)
+{
+    struct job *job;
+
+    g_mutex_lock(&loop_state.lock);
+    job = g_queue_pop_head(&loop_state.jobs);
+    g_mutex_unlock(&loop_state.lock);
+    return job;
+}
+
+/* Does all posted work. */
+static void
+on_wake(struct ev_loop *loop, ev_async *watcher, int events)
+{
+    struct job *job;
+
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    while ((job = next_job()) != NULL) {
+        job->work(job->data);
+        if (!job->waits) {
+            g_free(job);
+            continue;
+        }
+        g_mutex_lock(&loop_state.lock);
+        job->done = true;
+        g_cond_broadcast(&loop_state.done);
+        g_mutex_unlock(&loop_state.lock);
+    }
+}
+
+/* Calls the tick. */
+static void
+on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    loop_state.tick(loop_state.tick_data);
+}
+
+/* Starts the tables. */
+void
+loop_open(loop_work tick, void *data, uint64_t tick_ms)
+{
+    loop_state.loop = ev_loop_new(EVFLAG_AUTO);
+    loop_state.tick = tick;
+    loop_state.tick_data = data;
+    g_queue_init(&loop_state.jobs);
+    ev_async_init(&loop_state.wake, on_wake);
+    ev_async_start(loop_state.loop, &loop_state.wake);
+    ev_timer_init(&loop_state.timer, on_timer, 0.0, (double)tick_ms / 1000.0);
+    ev_timer_start(loop_state.loop, &loop_state.timer);
+}
+
+/* Queues a job. */
+static void
+push_job(struct job *job)
+{
+    g_mutex_lock(&loop_state.lock);
+    g_queue_push_tail(&loop_state.jobs, job);
+    g_mutex_unlock(&loop_state.lock);
+    ev_async_send(loop_state.loop, &loop_state.wake);
+}
+
+/* Posts work. */
+void
+loop_post(loop_work work, void *data)
+{
+    struct job *job = g_new0(struct job, 1);
+
+    job->work = work;
+    job->data = data;
+    push_job(job);
+}
+
+/* Posts work and waits for it. */
+void
+loop_call(loop_work work, void *data)
+{
+    struct job job = {.work = work, .data = data, .waits = true};
+
+    push_job(&job);
+    g_mutex_lock(&loop_state.lock);
+    while (!job.done) {
+        g_cond_wait(&loop_state.done, &loop_state.lock);
+    }
+    g_mutex_unlock(&loop_state.lock);
+}
+
+/* A descriptor can be read. */
+static void
+on_readable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    struct watch *watch = watcher->data;
+
+    (void)loop;
+    (void)events;
+    watch->work(watch->data);
+}
+
+/* Watches a descriptor. */
+void
+loop_watch(int fd, loop_work work, void *data)
+{
+    struct watch *watch = g_new0(struct watch, 1);
+
+    watch->work = work;
+    watch->data = data;
+    ev_io_init(&watch->io, on_readable, fd, EV_READ);
+    watch->io.data = watch;
+    ev_io_start(loop_state.loop, &watch->io);
+}
+
+/* A signal came. */
+static void
+on_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    struct watch *watch = watcher->data;
+
+    (void)loop;
+    (void)events;
+    watch->work(watch->data);
+}
+
+/* Watches a signal. */
+void
+loop_signal(int number, loop_work work, void *data)
+{
+    struct watch *watch = g_new0(struct watch, 1);
+
+    watch->work = work;
+    watch->data = data;
+    ev_signal_init(&watch->signal, on_signal, number);
+    watch->signal.data = watch;
+    ev_signal_start(loop_state.loop, &watch->signal);
+}
+
+/* Runs the loop. */
+void
+loop_run(void)
+{
+    ev_run(loop_state.loop, 0);
+}
+
+/* Ends the loop. */
+void
+loop_stop(void)
+{
+    ev_break(loop_state.loop, EVBREAK_ALL);
+}
--- /dev/null
+++ b/loop.h
@@ -0,0 +1,42 @@
+/**
+ * @file loop.h
+ * The event loop of a process (libev): one thread owns all state; others
+ * post work to it. Time for cores comes from here.
+ */
+#ifndef RIDGERIDGE_LOOP_H
+#define RIDGERIDGE_LOOP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Work done on the loop's thread. */
+typedef void (*loop_work)(void *data);
+
+/** Monotonic milliseconds. */
+uint64_t loop_now(void);
+
+/** Wall clock, ms since 1970. */
+uint64_t loop_wall(void);
+
+/** Starts the loop's tables; `tick` is called every `tick_ms`. */
+void loop_open(loop_work tick, void *data, uint64_t tick_ms);
+
+/** Calls `work` on the loop's thread, soon. From any thread. */
+void loop_post(loop_work work, void *data);
+
+/** Calls `work` on the loop's thread and waits until it returned. */
+void loop_call(loop_work work, void *data);
+
+/** Calls `work` when a descriptor can be read. */
+void loop_watch(int fd, loop_work work, void *data);
+
+/** Calls `work` on a signal. */
+void loop_signal(int number, loop_work work, void *data);
+
+/** Runs until loop_stop(). */
+void loop_run(void);
+
+/** Ends loop_run(). */
+void loop_stop(void);
+
+#endif
--- /dev/null
+++ b/packet.c
@@ -0,0 +1,314 @@
+/* Geneve, IPv4, TCP and UDP headers. No state. */
+#include "packet.h"
+
+#include <string.h>
+
+#include "hash.h"
+
+#define GENEVE_IPV4 0x0800U
+#define OPTION_CLASS 0xff52U /* experimental range of RFC 8926, 4.3 */
+#define OPTION_TYPE 0x01U
+#define OPTION_WORDS 3U /* of data, 4 bytes each */
+#define IP_HEADER 20U
+#define TCP_HEADER 20U
+#define UDP_HEADER 8U
+#define TCP_CHECKSUM 16U
+#define UDP_CHECKSUM 6U
+#define IP_CHECKSUM 10U
+#define TCP_FIN 0x01U
+#define TCP_SYN 0x02U
+#define TCP_RST 0x04U
+#define TCP_ACK 0x10U
+
+/* Reads 16 bits. */
+static uint16_t
+get16(const uint8_t *at)
+{
+    return (uint16_t)((at[0] << 8) | at[1]);
+}
+
+/* Reads 32 bits. */
+static uint32_t
+get32(const uint8_t *at)
+{
+    return ((uint32_t)get16(at) << 16) | get16(at + 2);
+}
+
+/* Writes 16 bits. */
+static void
+put16(uint8_t *at, uint16_t value)
+{
+    at[0] = (uint8_t)(value >> 8);
+    at[1] = (uint8_t)value;
+}
+
+/* Writes 32 bits. */
+static void
+put32(uint8_t *at, uint32_t value)
+{
+    put16(at, (uint16_t)(value >> 16));
+    put16(at + 2, (uint16_t)value);
+}
+
+/* Reads our option out of the options of the header. */
+static void
+parse_options(const uint8_t *at, size_t length, struct packet *out)
+{
+    while (length >= 4) {
+        size_t size = 4 + 4 * (size_t)(at[3] & 0x1f);
+
+        if (size > length) {
+            return;
+        }
+        if (get16(at) == OPTION_CLASS && at[2] == OPTION_TYPE &&
+            (at[3] & 0x1f) == OPTION_WORDS) {
+            out->handed = true;
+            out->hand.origin =
+                ((uint64_t)get32(at + 4) << 32) | get32(at + 8);
+            out->hand.position = at[12];
+            out->hand.hops = at[13];
+        }
+        at += size;
+        length -= size;
+    }
+}
+
+/* Reads the transport header. */
+static bool
+parse_transport(struct packet *out, size_t length)
+{
+    if (out->protocol == PACKET_TCP) {
+        uint8_t flags;
+
+        if (length < TCP_HEADER) {
+            return false;
+        }
+        flags = out->transport[13];
+        out->first = (flags & (TCP_SYN | TCP_ACK)) == TCP_SYN;
+        out->closing = (flags & (TCP_FIN | TCP_RST)) != 0;
+    }
+    else if (out->protocol != PACKET_UDP || length < UDP_HEADER) {
+        return false;
+    }
+    out->source_port = get16(out->transport);
+    out->destination_port = get16(out->transport + 2);
+    return true;
+}
+
+/* Reads the inner IPv4 packet. Fragments have no ports and are refused. */
+static bool
+parse_ip(uint8_t *ip, size_t length, struct packet *out)
+{
+    size_t header;
+    size_t total;
+
+    if (length < IP_HEADER || ip[0] >> 4 != 4) {
+        return false;
+    }
+    header = 4 * (size_t)(ip[0] & 0x0f);
+    total = get16(ip + 2);
+    if (header < IP_HEADER || total < header || total > length ||
+        (get16(ip + 6) & 0x3fff) != 0) {
+        return false;
+    }
+    out->ip = ip;
+    out->length = total;
+    out->transport = ip + header;
+    out->protocol = ip[9];
+    out->source = get32(ip + 12);
+    out->destination = get32(ip + 16);
+    return parse_transport(out, total - header);
+}
+
+/* Parses an encapsulated packet. */
+bool
+packet_parse(uint8_t *bytes, size_t length, struct packet *out)
+{
+    size_t options;
+
+    memset(out, 0, sizeof(*out));
+    if (length < PACKET_GENEVE || bytes[0] >> 6 != 0 ||
+        get16(bytes + 2) != GENEVE_IPV4) {
+        return false;
+    }
+    options = 4 * (size_t)(bytes[0] & 0x3f);
+    if (length < PACKET_GENEVE + options) {
+        return false;
+    }
+    parse_options(bytes + PACKET_GENEVE, options, out);
+    return parse_ip(bytes + PACKET_GENEVE + options,
+                    length - PACKET_GENEVE - options, out);
+}
+
+/* Hashes the addresses, ports and protocol. */
+uint64_t
+packet_hash(const struct packet *packet)
+{
+    uint8_t key[13];
+    uint64_t hash;
+
+    put32(key, packet->source);
+    put32(key + 4, packet->destination);
+    put16(key + 8, packet->source_port);
+    put16(key + 10, packet->destination_port);
+    key[12] = packet->protocol;
+    hash = hash_bytes(HASH_FLOW, key, sizeof(key));
+    return hash ? hash : 1;
+}
+
+/* Updates a checksum for one changed 16-bit word (RFC 1624, eqn. 3). */
+static void
+update_checksum(uint8_t *at, uint16_t before, uint16_t after)
+{
+    uint32_t sum = (uint16_t)~get16(at);
+
+    sum += (uint16_t)~before;
+    sum += after;
+    sum = (sum & 0xffff) + (sum >> 16);
+    sum = (sum & 0xffff) + (sum >> 16);
+    put16(at, (uint16_t)~sum);
+}
+
+/* Where the transport checksum stands; NULL when UDP has none. */
+static uint8_t *
+transport_checksum(const struct packet *packet)
+{
+    uint8_t *at = packet->transport + (packet->protocol == PACKET_TCP
+                                           ? TCP_CHECKSUM
+                                           : UDP_CHECKSUM);
+
+    if (packet->protocol == PACKET_UDP && get16(at) == 0) {
+        return NULL;
+    }
+    return at;
+}
+
+/* Rewrites an address and a port, and both checksums. */
+static void
+rewrite(struct packet *packet, uint8_t *address_at, uint8_t *port_at,
+        uint32_t address, uint16_t port)
+{
+    uint8_t *checksum = transport_checksum(packet);
+    uint16_t words[2] = {(uint16_t)(address >> 16), (uint16_t)address};
+
+    for (int i = 0; i < 2; i++) {
+        uint16_t before = get16(address_at + 2 * i);
+
+        update_checksum(packet->ip + IP_CHECKSUM, before, words[i]);
+        if (checksum != NULL) {
+            update_checksum(checksum, before, words[i]);
+        }
+        put16(address_at + 2 * i, words[i]);
+    }
+    if (checksum != NULL) {
+        update_checksum(checksum, get16(port_at), port);
+        /* A UDP checksum of 0 would mean none (RFC 768). */
+        if (packet->protocol == PACKET_UDP && get16(checksum) == 0) {
+            put16(checksum, 0xffff);
+        }
+    }
+    put16(port_at, port);
+}
+
+/* Rewrites the destination. */
+void
+packet_set_destination(struct packet *packet, uint32_t address, uint16_t port)
+{
+    rewrite(packet, packet->ip + 16, packet->transport + 2, address, port);
+    packet->destination = address;
+    packet->destination_port = port;
+}
+
+/* Rewrites the source. */
+void
+packet_set_source(struct packet *packet, uint32_t address, uint16_t port)
+{
+    rewrite(packet, packet->ip + 12, packet->transport, address, port);
+    packet->source = address;
+    packet->source_port = port;
+}
+
+/* Writes the encapsulation. */
+uint8_t *
+packet_wrap(struct packet *packet, const struct packet_handed *hand,
+            size_t *length)
+{
+    size_t options = hand != NULL ? PACKET_HANDED : 0;
+    uint8_t *at = packet->ip - options - PACKET_GENEVE;
+
+    memset(at, 0, PACKET_GENEVE + options);
+    at[0] = (uint8_t)(options / 4);
+    put16(at + 2, GENEVE_IPV4);
+    if (hand != NULL) {
+        uint8_t *option = at + PACKET_GENEVE;
+
+        put16(option, OPTION_CLASS);
+        option[2] = OPTION_TYPE;
+        option[3] = OPTION_WORDS;
+        put32(option + 4, (uint32_t)(hand->origin >> 32));
+        put32(option + 8, (uint32_t)hand->origin);
+        option[12] = hand->position;
+        option[13] = hand->hops;
+    }
+    *length = PACKET_GENEVE + options + packet->length;
+    return at;
+}
+
+/* Sums 16-bit words. */
+static uint32_t
+sum_words(const uint8_t *at, size_t length, uint32_t sum)
+{
+    for (size_t i = 0; i + 1 < length; i += 2) {
+        sum += get16(at + i);
+    }
+    if (length % 2 != 0) {
+        sum += (uint32_t)at[length - 1] << 8;
+    }
+    return sum;
+}
+
+/* Folds a sum to 16 bits. */
+static uint16_t
+fold(uint32_t sum)
+{
+    while (sum >> 16 != 0) {
+        sum = (sum & 0xffff) + (sum >> 16);
+    }
+    return (uint16_t)sum;
+}
+
+/* Sum over the pseudo header and the transport segment. */
+static uint16_t
+transport_sum(const uint8_t *ip, size_t length)
+{
+    size_t header = 4 * (size_t)(ip[0] & 0x0f);
+    uint32_t sum = sum_words(ip + 12, 8, 0);
+
+    sum += ip[9];
+    sum += (uint32_t)(length - header);
+    return fold(sum_words(ip + header, length - header, sum));
+}
+
+/* Fills both checksums. */
+void
+packet_fill_checksums(uint8_t *ip, size_t length)
+{
+    size_t header = 4 * (size_t)(ip[0] & 0x0f);
+    uint8_t *at = ip + header + (ip[9] == PACKET_TCP ? TCP_CHECKSUM
+                                                     : UDP_CHECKSUM);
+
+    put16(ip + IP_CHECKSUM, 0);
+    put16(ip + IP_CHECKSUM, (uint16_t)~fold(sum_words(ip, header, 0)));
+    put16(at, 0);
+    put16(at, (uint16_t)~transport_sum(ip, length));
+}
+
+/* Checks both checksums. */
+bool
+packet_check(const uint8_t *ip, size_t length)
+{
+    size_t header = 4 * (size_t)(ip[0] & 0x0f);
+
+    return fold(sum_words(ip, header, 0)) == 0xffff &&
+           transport_sum(ip, length) == 0xffff;
+}
--- /dev/null
+++ b/ridgeridge.c
@@ -0,0 +1,238 @@
+/* The program: finds the command in the table, reads options, runs it. */
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cmd.h"
+
+#define VERSION "0.1.0"
+
+/* The table of commands, in the order that help shows. */
+static const struct cmd *const commands[] = {
+    &cmd_control,        &cmd_entry,        &cmd_init_control,
+    &cmd_check_settings, &cmd_check_bundle, &cmd_keygen,
+    &cmd_submit,         &cmd_sign_off,     &cmd_status,
+    &cmd_bundle,         &cmd_explain,      &cmd_report,
+    &cmd_voters,         &cmd_reference,
+};
+
+/* One option and the bit of the commands that take it. */
+struct option_row {
+    unsigned takes;
+    struct poptOption option;
+};
+
+#define OPTIONS_MAX 10
+
+/* Lists the options that a command takes. */
+static void
+list_options(const struct cmd *cmd, struct cmd_options *o,
+             struct poptOption out[OPTIONS_MAX])
+{
+    const struct option_row rows[] = {
+        {CMD_SETTINGS, {"settings", 's', POPT_ARG_STRING, &o->settings, 0,
+                        "settings of this VM", "FILE"}},
+        {CMD_CREDENTIALS, {"credentials", 'c', POPT_ARG_STRING,
+                           &o->credentials, 0,
+                           "the operator's file from keygen", "FILE"}},
+        {CMD_SUBMISSION, {"submission", 0, POPT_ARG_STRING, &o->submission,
+                          0, "id, the same when submitting again", "ID"}},
+        {CMD_JSON, {"json", 'j', POPT_ARG_NONE, &o->json, 0,
+                    "print JSON for programs", NULL}},
+        {CMD_VERIFY, {"verify", 0, POPT_ARG_NONE, &o->verify, 0,
+                      "recompute the decisions and compare", NULL}},
+        {CMD_WATCH, {"watch", 'w', POPT_ARG_NONE, &o->watch, 0,
+                     "print again every second", NULL}},
+        {CMD_PLOT, {"plot", 0, POPT_ARG_STRING, &o->plot, 0,
+                    "write a gnuplot script that makes FILE.svg", "FILE"}},
+        {CMD_REMOVE, {"remove", 0, POPT_ARG_NONE, &o->remove, 0,
+                      "remove the voter instead of adding it", NULL}},
+    };
+    const struct poptOption end = POPT_TABLEEND;
+    size_t count = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        if (cmd->takes & rows[i].takes) {
+            out[count++] = rows[i].option;
+        }
+    }
+    out[count++] = (struct poptOption){NULL, 'h', POPT_ARG_NONE, NULL, 'h',
+                                       NULL, NULL};
+    out[count] = end;
+}
+
+/* Prints all commands. */
+static void
+print_help(FILE *out)
+{
+    (void)fprintf(out, "ridgeridge %s: a layer-4 load balancer that explains "
+                       "its decisions\n\nusage: ridgeridge COMMAND [OPTION "
+                       "...] [ARGUMENT ...]\n\n",
+                  VERSION);
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        (void)fprintf(out, "  %-15s %-26s %s\n", commands[i]->name,
+                      commands[i]->args, commands[i]->help);
+    }
+    (void)fprintf(out,
+                  "\n`ridgeridge COMMAND --help` shows a command's options.\n"
+                  "Exit codes: 0 done, 1 refused, 2 bad usage or bad input, "
+                  "3 no answer or unconfirmed.\n");
+}
+
+/* Prints one command. */
+static void
+print_command(const struct cmd *cmd)
+{
+    struct cmd_options options;
+    struct poptOption table[OPTIONS_MAX];
+
+    (void)printf("usage: ridgeridge %s [OPTION ...] %s\n\n%s\n\n", cmd->name,
+                 cmd->args, cmd->help);
+    list_options(cmd, &options, table);
+    for (size_t i = 0; table[i].longName != NULL; i++) {
+        (void)printf("  --%s%s%s\n        %s\n", table[i].longName,
+                     table[i].argDescrip ? " " : "",
+                     table[i].argDescrip ? table[i].argDescrip : "",
+                     table[i].descrip);
+    }
+}
+
+/* Prints a completion script for bash, from the table. */
+static void
+print_completion(void)
+{
+    (void)printf("complete -W \"");
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        (void)printf("%s%s", i ? " " : "", commands[i]->name);
+    }
+    (void)printf("\" ridgeridge\n");
+}
+
+/* Finds a command. */
+static const struct cmd *
+find_command(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (strcmp(commands[i]->name, name) == 0) {
+            return commands[i];
+        }
+    }
+    return NULL;
+}
+
+/* Says whether the operands are as many as the command takes. */
+static bool
+check_operands(const struct cmd *cmd, const char **args, struct status *st)
+{
+    int count = 0;
+
+    while (args != NULL && args[count] != NULL) {
+        count++;
+    }
+    if (count < cmd->min_args || count > cmd->max_args) {
+        (void)status_set(st, STATUS_BAD_INPUT,
+                         "%s takes: %s; see `ridgeridge %s --help`",
+                         cmd->name, cmd->args[0] ? cmd->args : "no argument",
+                         cmd->name);
+        return false;
+    }
+    return true;
+}
+
+/* Reads the options of a command and runs it. */
+static void
+run_command(const struct cmd *cmd, int argc, const char **argv,
+            struct status *st)
+{
+    static const char *const none[] = {NULL};
+    struct cmd_options options = {0};
+    struct poptOption table[OPTIONS_MAX];
+    const char **args;
+    poptContext context;
+    int code;
+
+    list_options(cmd, &options, table);
+    context = poptGetContext("ridgeridge", argc, argv, table, 0);
+    code = poptGetNextOpt(context);
+    args = poptGetArgs(context);
+    if (code == 'h') {
+        print_command(cmd);
+    }
+    else if (code < -1) {
+        (void)status_set(st, STATUS_BAD_INPUT,
+                         "%s: %s; see `ridgeridge %s --help`",
+                         poptBadOption(context, 0), poptStrerror(code),
+                         cmd->name);
+    }
+    else if (check_operands(cmd, args, st)) {
+        (void)cmd->run(&options, args ? args : (const char **)none, st);
+    }
+    (void)poptFreeContext(context);
+    g_free(options.settings);
+    g_free(options.credentials);
+    g_free(options.submission);
+    g_free(options.plot);
+}
+
+/* Loads settings and credentials for operators' commands. */
+enum status_kind
+cmd_load(const struct cmd_options *options, struct settings *settings,
+         struct client_credentials *credentials, struct status *st)
+{
+    if (options->settings == NULL || options->credentials == NULL) {
+        return status_set(st, STATUS_BAD_INPUT,
+                          "--settings and --credentials are both needed");
+    }
+    if (settings_load(options->settings, settings, st) != STATUS_OK) {
+        return st->kind;
+    }
+    if (client_load_credentials(options->credentials, credentials, st) !=
+        STATUS_OK) {
+        settings_free(settings);
+    }
+    return st->kind;
+}
+
+/* Runs the program. */
+int
+main(int argc, const char **argv)
+{
+    struct status st = {STATUS_OK, ""};
+    const struct cmd *cmd;
+
+    if (sodium_init() < 0) {
+        (void)fprintf(stderr, "ridgeridge: libsodium does not start\n");
+        return 2;
+    }
+    if (argc < 2) {
+        print_help(stderr);
+        return 2;
+    }
+    if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "help") == 0) {
+        print_help(stdout);
+        return 0;
+    }
+    if (strcmp(argv[1], "--version") == 0) {
+        (void)printf("ridgeridge %s\n", VERSION);
+        return 0;
+    }
+    if (strcmp(argv[1], "--completion") == 0) {
+        print_completion();
+        return 0;
+    }
+    cmd = find_command(argv[1]);
+    if (cmd == NULL) {
+        (void)fprintf(stderr,
+                      "ridgeridge: \"%s\" is no command; see `ridgeridge "
+                      "--help`\n",
+                      argv[1]);
+        return 2;
+    }
+    run_command(cmd, argc - 1, argv + 1, &st);
+    if (st.kind != STATUS_OK) {
+        (void)fprintf(stderr, "ridgeridge %s: %s: %s\n", cmd->name,
+                      status_name(st.kind), st.message);
+    }
+    return status_exit_code(st.kind);
+}
--- /dev/null
+++ b/tests/sim.c
@@ -0,0 +1,2 @@
+/* sim */
+typedef int sim_placeholder;
