--- a/control-entries.c
+++ b/control-entries.c
@@ -159,6 +159,7 @@
     entry = control_find_entry(core, report->self.id);
     if (entry == NULL) {
         entry = add_entry(core, report);
+        entry->first_at = now;
     }
     entry->self.stopping = report->self.stopping;
     entry->version = report->bundle_version;
