Prove one truth about the bundle by simulated time, and mend what it found

Change: leases name the start they are for; only the end of its lease or its own word that it is gone removes an entry; old voters may lead until a change is committed; a stop quiesces HTTP, tells control, then ends.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	-Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wno-cast-function-type -Wno-format-truncation -fPIE \
 	$(shell pkg-config --cflags $(PACKAGES))
-LDLIBS := $(shell pkg-config --libs $(PACKAGES)) -lev -lm -lpthread
+LDLIBS := $(shell pkg-config --libs $(PACKAGES)) -lmicrohttpd -lev -lm -lpthread
 GENERATED_CFLAGS := -Wno-unused-variable -Wno-error -Wno-missing-prototypes
 
 SOURCES := $(wildcard *.c)
--- a/cons-voters.c
+++ b/cons-voters.c
@@ -163,12 +163,11 @@
     return NULL;
 }
 
-/* Says whether a replica with an identity is a voter. */
-bool
-cons_is_voter(const struct cons *cons, uint32_t replica, uint64_t identity)
+/* Says whether a list of voters holds a replica with an identity. */
+static bool
+has_voter(const struct cons *cons, const wire_config *config,
+          uint32_t replica, uint64_t identity)
 {
-    const wire_config *config = cons_config(cons);
-
     for (u_int i = 0; i < config->voters.voters_len; i++) {
         const wire_voter *voter = &config->voters.voters_val[i];
 
@@ -180,3 +179,26 @@
     }
     return false;
 }
+
+/* Says whether this replica may lead: a voter, or one that an uncommitted
+ * change would remove, since without it nobody may hold the longest log. */
+bool
+cons_may_lead(const struct cons *cons)
+{
+    wire_config before = {0};
+    bool ok = has_voter(cons, &cons->latest, cons->self, cons->identity);
+
+    if (!ok && cons_config_pending(cons)) {
+        config_of(cons, last_change(cons, cons->change_index - 1), &before);
+        ok = has_voter(cons, &before, cons->self, cons->identity);
+        g_free(before.voters.voters_val);
+    }
+    return ok;
+}
+
+/* Says whether a replica with an identity is a voter. */
+bool
+cons_is_voter(const struct cons *cons, uint32_t replica, uint64_t identity)
+{
+    return has_voter(cons, &cons->latest, replica, identity);
+}
--- a/cons.c
+++ b/cons.c
@@ -294,6 +294,11 @@
 {
     uint64_t since = now > QUIET_LEADER_MS ? now - QUIET_LEADER_MS : 0;
 
+    if (!cons_may_lead(cons)) {
+        cons->role = CONS_FOLLOWER;
+        cons->leader = 0;
+        return;
+    }
     if (cons->fault != CONS_FAULT_LEASE_NO_QUORUM &&
         now > cons->elected_at + QUIET_LEADER_MS &&
         !cons_quorum(cons, heard_since, since)) {
@@ -322,7 +327,7 @@
         return;
     }
     set_election(cons, now);
-    if (cons_is_voter(cons, cons->self, cons->identity)) {
+    if (cons_may_lead(cons)) {
         ask_votes(cons, now, true);
     }
 }
--- a/control-core.h
+++ b/control-core.h
@@ -43,7 +43,7 @@
     uint64_t version;       /**< applied there */
     uint32_t step;          /**< applied there */
     uint64_t epoch;         /**< applied there */
-    uint64_t first_at;      /**< when it first reported */
+    bool gone;              /**< its planned stop is done */
     uint64_t heard_at;      /**< when it last reported */
     uint64_t behind_since;  /**< since when it lags, 0: it does not */
     uint64_t lease_until;   /**< no lease of it lasts longer */
--- a/control-entries.c
+++ b/control-entries.c
@@ -112,6 +112,7 @@
         if (is_member(core, entry->self.id) &&
             (entry->behind_since == 0 ||
              entry->waiting_at < entry->behind_since + CONTROL_BEHIND_MS)) {
+            msg->wire_msg_u.lease.entry = entry->self.id;
             msg->wire_msg_u.lease.sent_at = entry->waiting_sent;
             msg->wire_msg_u.lease.lease_ms = CONTROL_LEASE_MS;
             entry->lease_until = entry->waiting_at + CONTROL_LEASE_MS;
@@ -159,14 +160,14 @@
     entry = control_find_entry(core, report->self.id);
     if (entry == NULL) {
         entry = add_entry(core, report);
-        entry->first_at = now;
     }
     entry->self.stopping = report->self.stopping;
     entry->version = report->bundle_version;
     entry->step = report->step;
     entry->epoch = report->epoch;
     entry->heard_at = now;
-    entry->waiting_sent = report->sent_at;
+    entry->gone = entry->gone || report->gone;
+    entry->waiting_sent = entry->gone ? 0 : report->sent_at;
     entry->waiting_round = core->cons.round + 1;
     entry->waiting_at = now;
     if (!is_behind(core, entry)) {
--- a/control-rollout.c
+++ b/control-rollout.c
@@ -124,27 +124,6 @@
     }
 }
 
-/* Says whether another entry was heard later at the same address and port:
- * the process that had them before is gone. */
-static bool
-is_replaced(const struct control_core *core, const wire_member *member)
-{
-    const struct control_entry *entry = control_find_entry(core, member->id);
-
-    for (guint i = 0; i < core->entries->len; i++) {
-        const struct control_entry *other =
-            g_ptr_array_index(core->entries, i);
-
-        if (other->self.id != member->id &&
-            other->self.address == member->address &&
-            other->self.rpc_port == member->rpc_port &&
-            (entry == NULL || other->first_at > entry->heard_at)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Says whether a member must leave: unheard, and surely without a lease. */
 static bool
 must_leave(const struct control_core *core, uint64_t now,
@@ -156,7 +135,7 @@
     bool behind = entry != NULL && entry->behind_since != 0 &&
                   now >= entry->behind_since + CONTROL_BEHIND_MS;
 
-    if (is_replaced(core, member)) {
+    if (entry != NULL && entry->gone) {
         return true;
     }
     if (core->fault == CONTROL_FAULT_EVICT_EARLY) {
@@ -201,8 +180,7 @@
         }
         if (!known && now < entry->heard_at + CONTROL_LEASE_MS / 2 &&
             !entry->self.stopping && out->len < WIRE_MEMBERS_MAX &&
-            entry->behind_since == 0 &&
-            !is_replaced(core, &entry->self)) {
+            entry->behind_since == 0 && !entry->gone) {
             g_array_append_val(out, entry->self);
             changed = true;
         }
--- a/entry-core.h
+++ b/entry-core.h
@@ -141,6 +141,9 @@
 /** Says whether a planned stop has cut nothing and may end now. */
 bool entry_core_is_stopped(const struct entry_core *core, uint64_t now);
 
+/** Ends the lease and tells control that this entry is gone. */
+void entry_core_leave(struct entry_core *core, uint64_t now);
+
 /** Sends the records that packets caused; call after a batch of packets. */
 void entry_core_flush(struct entry_core *core);
 
--- a/entry-http.c
+++ b/entry-http.c
@@ -3,10 +3,12 @@
  * operators' pages under /.ridgeridge.
  */
 #include <arpa/inet.h>
+#include <microhttpd.h>
 #include <netinet/in.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "auth.h"
 #include "burn.h"
@@ -200,6 +202,9 @@
     else {
         served = serve(entry, request, response, host);
     }
+    if (entry->core->stopping) {
+        (void)u_map_put(response->map_header, "Connection", "close");
+    }
     (void)g_atomic_int_add(&entry->held_calls, -1);
     if (!served) {
         problem_fill(response, 404, ring_rule_name(RULE_NO_SERVICE),
@@ -371,6 +376,17 @@
     return STATUS_OK;
 }
 
+/* Takes no new connections; those that are open are served on. */
+void
+entry_quiesce_http(struct entry *entry)
+{
+    MHD_socket listening = MHD_quiesce_daemon(entry->http.mhd_daemon);
+
+    if (listening != MHD_INVALID_SOCKET) {
+        (void)close(listening);
+    }
+}
+
 /* Closes HTTP, after the last call was answered. */
 void
 entry_close_http(struct entry *entry)
--- a/entry-lease.c
+++ b/entry-lease.c
@@ -21,7 +21,7 @@
 
 /* Sends a report. */
 static void
-send_report(struct entry_core *core, uint64_t now)
+send_report(struct entry_core *core, uint64_t now, bool gone)
 {
     wire_msg msg = {.kind = WIRE_REPORT};
     wire_report *report = &msg.wire_msg_u.report;
@@ -36,11 +36,22 @@
     report->step = flow_step(core->flow);
     report->epoch = core->epoch;
     report->sent_at = now;
+    report->gone = gone;
     entry_send_control(core, target(core), &msg);
     core->unanswered++;
     core->report_at = now + ENTRY_REPORT_MS;
 }
 
+/* Ends the lease and tells control. */
+void
+entry_core_leave(struct entry_core *core, uint64_t now)
+{
+    core->lease_deadline = 0;
+    core->requests.lease_deadline = 0;
+    flow_set_lease(core->flow, 0);
+    send_report(core, now, true);
+}
+
 /* Fetches what control has told of and this entry lacks. */
 static void
 fetch(struct entry_core *core, uint64_t now, uint64_t version, uint64_t epoch)
@@ -74,7 +85,7 @@
         core->report_at = now;
     }
     if (now >= core->report_at) {
-        send_report(core, now);
+        send_report(core, now, false);
     }
 }
 
@@ -82,7 +93,8 @@
 static void
 extend_lease(struct entry_core *core, uint64_t now, const wire_lease *lease)
 {
-    if (lease->sent_at == 0 || lease->sent_at > now) {
+    if (lease->sent_at == 0 || lease->sent_at > now ||
+        lease->entry != core->self.id) {
         return;
     }
     core->lease_deadline =
--- a/entry.c
+++ b/entry.c
@@ -19,6 +19,8 @@
 #include "store.h"
 
 #define TICK_MS 10U
+#define QUIET_MS 300U /* for connections that were just accepted */
+#define LEAVE_MS 100U /* for the last message to control */
 #define SAVED_BUNDLE "bundle"
 
 /* Tells a waiting thread what the core decided. */
@@ -129,7 +131,46 @@
     entry_act(entry);
 }
 
-/* Lets time pass; ends the loop when a planned stop is done. */
+/* Says whether nothing is left that a stop would cut. */
+static bool
+is_idle(struct entry *entry, uint64_t now)
+{
+    return entry_core_is_stopped(entry->core, now) &&
+           g_atomic_int_get(&entry->held_calls) == 0;
+}
+
+/* Goes through the end of a planned stop: no new connections, then a pause
+ * for those just accepted, then control is told, then the process ends. */
+static void
+tick_stop(struct entry *entry, uint64_t now)
+{
+    switch (entry->stop) {
+    case STOP_RUNNING:
+        if (is_idle(entry, now)) {
+            entry_quiesce_http(entry);
+            entry->stop = STOP_QUIET;
+            entry->stop_at = now + QUIET_MS;
+        }
+        return;
+    case STOP_QUIET:
+        if (now >= entry->stop_at &&
+            g_atomic_int_get(&entry->held_calls) == 0) {
+            entry_core_leave(entry->core, now);
+            entry_act(entry);
+            entry->stop = STOP_LEFT;
+            entry->stop_at = now + LEAVE_MS;
+        }
+        return;
+    case STOP_LEFT:
+        if (now >= entry->stop_at) {
+            log_event(LOG_INFO, "stop-done", "requests_cut=0");
+            loop_stop();
+        }
+        return;
+    }
+}
+
+/* Lets time pass. */
 static void
 on_tick(void *data)
 {
@@ -139,11 +180,7 @@
     entry_core_tick(entry->core, now, loop_wall());
     entry_act(entry);
     burn_tick(entry->burn, &entry->core->bundle, &entry->counters, now);
-    if (entry_core_is_stopped(entry->core, now) &&
-        g_atomic_int_get(&entry->held_calls) == 0) {
-        log_event(LOG_INFO, "stop-done", "requests_cut=0");
-        loop_stop();
-    }
+    tick_stop(entry, now);
 }
 
 /* Begins the planned stop; a second signal changes nothing. */
--- a/entry.h
+++ b/entry.h
@@ -31,6 +31,13 @@
     uint64_t within_ms;        /**< objective of the service */
 };
 
+/** How far a planned stop has come. */
+enum entry_stop {
+    STOP_RUNNING, /**< not begun, or work is left */
+    STOP_QUIET,   /**< no new connections are taken */
+    STOP_LEFT,    /**< control was told */
+};
+
 /** The shell. */
 struct entry {
     struct settings settings;    /**< of this VM */
@@ -42,6 +49,8 @@
     bool http_open;              /**< http is running */
     GHashTable *calls;           /**< token to struct entry_call */
     uint64_t next_token;         /**< of calls */
+    enum entry_stop stop;        /**< how far a planned stop has come */
+    uint64_t stop_at;            /**< deadline of its next step */
     int held_calls;              /**< atomic: calls held now */
     GHashTable *burn;            /**< service name to struct burn */
 };
@@ -62,6 +71,7 @@
 
 /* entry-http.c */
 enum status_kind entry_open_http(struct entry *entry, struct status *st);
+void entry_quiesce_http(struct entry *entry);
 void entry_close_http(struct entry *entry);
 
 /* entry-call.c */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,2 +1,897 @@
-/* sim */
-typedef int sim_placeholder;
+/* Simulated time over the cores. */
+#include "sim.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "codec.h"
+
+#define CONTROL_TICK_MS 20
+#define ENTRY_TICK_MS 10
+#define MINUTE_MS 60000
+#define PACKET_OVERHEAD 28 /* IP and UDP, counted with every message */
+#define SEAL_BYTES 40
+
+enum event_kind { EVENT_MESSAGE, EVENT_PACKET, EVENT_CALL };
+
+/* Something that happens at a time. */
+struct event {
+    uint64_t at;
+    uint64_t sequence;
+    enum event_kind kind;
+    int node;
+    uint64_t start; /* entry's id it is for: 0 for any */
+    GByteArray *bytes;
+    struct flow_packet packet;
+    uint64_t tag;
+    void (*call)(struct sim *sim, void *data);
+    void *data;
+};
+
+/* Draws a random number (splitmix64). */
+uint64_t
+sim_random(struct sim *sim, uint64_t below)
+{
+    uint64_t z = (sim->random += 0x9e3779b97f4a7c15ULL);
+
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    z ^= z >> 31;
+    return below ? z % below : z;
+}
+
+/* Orders events by time, then by when they were made. */
+static bool
+is_before(const struct event *a, const struct event *b)
+{
+    return a->at != b->at ? a->at < b->at : a->sequence < b->sequence;
+}
+
+/* Swaps two places of the heap. */
+static void
+swap(GPtrArray *heap, guint a, guint b)
+{
+    gpointer held = heap->pdata[a];
+
+    heap->pdata[a] = heap->pdata[b];
+    heap->pdata[b] = held;
+}
+
+/* Adds an event to the heap. */
+static struct event *
+push(struct sim *sim, uint64_t at, enum event_kind kind, int node)
+{
+    struct event *event = g_new0(struct event, 1);
+    GPtrArray *heap = sim->queue;
+    guint i = heap->len;
+
+    event->at = at;
+    event->sequence = ++sim->sequence;
+    event->kind = kind;
+    event->node = node;
+    g_ptr_array_add(heap, event);
+    while (i > 0 && is_before(heap->pdata[i], heap->pdata[(i - 1) / 2])) {
+        swap(heap, i, (i - 1) / 2);
+        i = (i - 1) / 2;
+    }
+    return event;
+}
+
+/* Takes the first event off the heap. */
+static struct event *
+pop(struct sim *sim)
+{
+    GPtrArray *heap = sim->queue;
+    struct event *first = heap->pdata[0];
+    guint i = 0;
+
+    swap(heap, 0, heap->len - 1);
+    g_ptr_array_set_size(heap, (gint)heap->len - 1);
+    for (;;) {
+        guint least = i;
+
+        for (guint child = 2 * i + 1; child <= 2 * i + 2; child++) {
+            if (child < heap->len &&
+                is_before(heap->pdata[child], heap->pdata[least])) {
+                least = child;
+            }
+        }
+        if (least == i) {
+            return first;
+        }
+        swap(heap, i, least);
+        i = least;
+    }
+}
+
+/* Frees an event. */
+static void
+free_event(struct event *event)
+{
+    if (event->bytes != NULL) {
+        g_byte_array_unref(event->bytes);
+    }
+    g_free(event);
+}
+
+/* Index of an entry. */
+int
+sim_entry(const struct sim *sim, int n)
+{
+    return sim->options.controls + n;
+}
+
+/* Says whether a node runs now. */
+static bool
+is_running(const struct sim *sim, int node)
+{
+    return sim->nodes[node].up &&
+           sim->now >= sim->nodes[node].frozen_until;
+}
+
+/* Draws how long a message takes. */
+static uint64_t
+delay(struct sim *sim, int from, int to)
+{
+    uint64_t base = sim->nodes[from].hall == sim->nodes[to].hall
+                        ? 0
+                        : sim->options.delay_ms;
+
+    return base + sim_random(sim, sim->options.jitter_ms + 1);
+}
+
+/* Counts bytes that a node sent. */
+static void
+count_bytes(struct sim *sim, int from, size_t length, bool request)
+{
+    struct sim_node *node = &sim->nodes[from];
+    size_t bytes = length + SEAL_BYTES + PACKET_OVERHEAD;
+
+    if (request) {
+        node->request_bytes += bytes;
+        return;
+    }
+    node->control_bytes += bytes;
+    node->minute_bytes += bytes;
+}
+
+/* Sends a message, unless the network loses it. */
+static void
+send_bytes(struct sim *sim, int from, int to, GByteArray *bytes, bool request,
+     uint64_t start)
+{
+    struct event *event;
+
+    count_bytes(sim, from, bytes->len, request);
+    if (to < 0 || sim->cut[from][to] ||
+        sim_random(sim, 1000) < sim->options.loss) {
+        return;
+    }
+    event = push(sim, sim->now + delay(sim, from, to), EVENT_MESSAGE, to);
+    event->bytes = g_byte_array_ref(bytes);
+    event->start = start;
+}
+
+/* Sends a message that is not encoded yet. */
+static void
+send_msg(struct sim *sim, int from, int to, wire_msg *msg)
+{
+    GByteArray *bytes = codec_encode(msg);
+
+    send_bytes(sim, from, to, bytes, false, 0);
+    g_byte_array_unref(bytes);
+}
+
+/* Node of a control replica's number; -1 when there is none. */
+static int
+replica_node(const struct sim *sim, uint32_t replica)
+{
+    return replica >= 1 && (int)replica <= sim->options.controls
+               ? (int)replica - 1
+               : -1;
+}
+
+/* Node of an entry at an address; -1 when there is none. */
+static int
+address_node(const struct sim *sim, uint32_t address)
+{
+    int n = (int)(address - 1);
+
+    return n >= 0 && n < sim->options.entries ? sim_entry(sim, n) : -1;
+}
+
+/* Drops what a disk holds from an index on. */
+static void
+disk_cut(struct sim_disk *disk, uint64_t index)
+{
+    guint keep = index > disk->snapshot.index + 1
+                     ? (guint)(index - disk->snapshot.index - 1)
+                     : 0;
+
+    for (guint i = keep; i < disk->log->len; i++) {
+        g_bytes_unref(g_array_index(disk->log, struct cons_entry, i).command);
+    }
+    g_array_set_size(disk->log, MIN(keep, disk->log->len));
+}
+
+/* Copies entries of the core's log to the disk. */
+static void
+disk_append(struct sim_disk *disk, const struct cons *cons, uint64_t index,
+            uint32_t count)
+{
+    disk_cut(disk, index);
+    for (uint32_t i = 0; i < count; i++) {
+        struct cons_entry entry = *cons_entry_at(cons, index + i);
+
+        entry.command = g_bytes_ref(entry.command);
+        g_array_append_val(disk->log, entry);
+    }
+}
+
+/* Copies a snapshot struct. */
+static void
+copy_snapshot(const struct cons_snapshot *from, struct cons_snapshot *to)
+{
+    g_free(to->config.voters.voters_val);
+    g_clear_pointer(&to->state, g_bytes_unref);
+    *to = *from;
+    to->config.voters.voters_val =
+        g_memdup2(from->config.voters.voters_val,
+                  from->config.voters.voters_len * sizeof(wire_voter));
+    to->state = from->state ? g_bytes_ref(from->state) : NULL;
+}
+
+/* Stores the core's snapshot and the entries after it. */
+static void
+disk_snapshot(struct sim_disk *disk, const struct cons *cons)
+{
+    disk_cut(disk, disk->snapshot.index + 1);
+    copy_snapshot(&cons->snapshot, &disk->snapshot);
+    disk_append(disk, cons, cons->snapshot.index + 1, cons->log->len);
+}
+
+/* Carries out an action of consensus. */
+static void
+act_cons(struct sim *sim, int index, struct cons_action *action)
+{
+    struct sim_node *node = &sim->nodes[index];
+    bool unsaved = sim->options.cons_fault == CONS_FAULT_ACK_UNSAVED;
+
+    switch (action->kind) {
+    case CONS_SAVE_TERM:
+        node->disk.term = node->core.cons.term;
+        node->disk.vote = node->core.cons.vote;
+        return;
+    case CONS_SAVE_ENTRIES:
+        /* A shell that does not sync loses what it acknowledged. */
+        if (!unsaved || sim_random(sim, 3) != 0) {
+            disk_append(&node->disk, &node->core.cons, action->index,
+                        action->count);
+        }
+        return;
+    case CONS_SAVE_CUT:
+        disk_cut(&node->disk, action->index);
+        return;
+    case CONS_SAVE_SNAPSHOT:
+        disk_snapshot(&node->disk, &node->core.cons);
+        return;
+    case CONS_SEND:
+        send_msg(sim, index, replica_node(sim, action->to), &action->msg);
+        return;
+    case CONS_LOAD:
+        return;
+    }
+}
+
+/* Carries out a control replica's actions. */
+static void
+act_control(struct sim *sim, int index)
+{
+    struct sim_node *node = &sim->nodes[index];
+    size_t count;
+    const struct control_action *all =
+        control_core_actions(&node->core, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        struct control_action action = all[i];
+
+        switch (action.kind) {
+        case CONTROL_CONS:
+            act_cons(sim, index, &action.cons);
+            break;
+        case CONTROL_SEND:
+            send_msg(sim, index, address_node(sim, action.member.address),
+                     &action.msg);
+            break;
+        case CONTROL_REPLY:
+            if (sim->options.hooks.replied != NULL) {
+                sim->options.hooks.replied(sim->options.hooks.data, index,
+                                           action.token, &action.status);
+            }
+            break;
+        }
+    }
+    control_core_clear(&node->core);
+}
+
+/* Carries out an entry's actions. */
+static void
+act_entry(struct sim *sim, int index)
+{
+    struct sim_node *node = &sim->nodes[index];
+    const struct sim_hooks *hooks = &sim->options.hooks;
+    size_t count;
+    const struct entry_action *all = entry_core_actions(node->entry, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        const struct entry_action *action = &all[i];
+
+        switch (action->kind) {
+        case ENTRY_TO_CONTROL:
+            send_bytes(sim, index, replica_node(sim, action->replica),
+                 action->bytes, false, 0);
+            break;
+        case ENTRY_TO_PEER:
+            send_bytes(sim, index, address_node(sim, action->peer.address),
+                 action->bytes, action->msg_kind != WIRE_RECORDS,
+                 action->peer.id);
+            break;
+        case ENTRY_DISPATCH:
+        case ENTRY_ABORT:
+            if (hooks->dispatched != NULL) {
+                hooks->dispatched(hooks->data, index, action);
+            }
+            break;
+        case ENTRY_ANSWER:
+            if (hooks->answered != NULL) {
+                hooks->answered(hooks->data, index, action);
+            }
+            break;
+        case ENTRY_SAVE:
+            g_free(node->saved_text);
+            node->saved_text = g_strdup(node->entry->text);
+            break;
+        }
+    }
+    entry_core_clear(node->entry);
+}
+
+/* Carries out a node's actions. */
+void
+sim_act(struct sim *sim, int node)
+{
+    if (sim->nodes[node].control) {
+        act_control(sim, node);
+    }
+    else {
+        act_entry(sim, node);
+    }
+}
+
+/* Starts a control replica from its disk. */
+static void
+start_control(struct sim *sim, int index)
+{
+    struct sim_node *node = &sim->nodes[index];
+    struct sim_options *o = &sim->options;
+    uint32_t replicas[SIM_CONTROLS_MAX];
+    wire_voter voters[SIM_CONTROLS_MAX];
+    wire_config founders = {.voters = {.voters_val = voters}};
+    struct cons_stored stored = {.term = node->disk.term,
+                                 .vote = node->disk.vote};
+
+    for (int i = 0; i < o->controls; i++) {
+        replicas[i] = (uint32_t)i + 1;
+        if (o->founders == 0 || i < o->founders) {
+            voters[founders.voters.voters_len].replica = replicas[i];
+            voters[founders.voters.voters_len++].identity = replicas[i];
+        }
+    }
+    stored.log = g_array_new(FALSE, FALSE, sizeof(struct cons_entry));
+    for (guint i = 0; i < node->disk.log->len; i++) {
+        struct cons_entry entry =
+            g_array_index(node->disk.log, struct cons_entry, i);
+
+        entry.command = g_bytes_ref(entry.command);
+        g_array_append_val(stored.log, entry);
+    }
+    copy_snapshot(&node->disk.snapshot, &stored.snapshot);
+    control_core_open(&node->core, sim->now, (uint32_t)index + 1,
+                      node->disk.identity, replicas, (size_t)o->controls,
+                      &founders, sim_random(sim, 0), &stored,
+                      &sim->counters);
+    node->core.cons.fault = o->cons_fault;
+    node->core.fault = o->control_fault;
+}
+
+/* Starts an entry from what it saved. */
+static void
+start_entry(struct sim *sim, int index)
+{
+    struct sim_node *node = &sim->nodes[index];
+    uint32_t controls[SIM_CONTROLS_MAX];
+    char name[32];
+    char hall[32];
+    struct entry_options options = {
+        .controls = controls,
+        .control_count = (size_t)sim->options.controls,
+        .flow_capacity = sim->options.flow_capacity,
+        .ring_size = 64,
+        .counters = &sim->counters,
+        .saved_text = node->saved_text,
+        .push_off = sim->options.push_off};
+
+    for (int i = 0; i < sim->options.controls; i++) {
+        controls[i] = (uint32_t)i + 1;
+    }
+    (void)snprintf(name, sizeof(name), "entry-%d",
+                   index - sim->options.controls + 1);
+    (void)snprintf(hall, sizeof(hall), "hall-%u", node->hall);
+    node->id = sim_random(sim, 0);
+    options.self.id = node->id;
+    options.self.address = (u_int)(index - sim->options.controls) + 1;
+    options.self.rpc_port = 1;
+    options.self.name = name;
+    options.self.hall = hall;
+    node->entry = entry_core_new(&options);
+}
+
+/* Starts a node. */
+void
+sim_start(struct sim *sim, int index)
+{
+    struct sim_node *node = &sim->nodes[index];
+
+    if (node->up) {
+        return;
+    }
+    node->up = true;
+    node->frozen_until = 0;
+    node->tick_at = sim->now;
+    if (node->control) {
+        start_control(sim, index);
+    }
+    else {
+        start_entry(sim, index);
+    }
+}
+
+/* Kills a node; what it had not synced is gone. */
+void
+sim_kill(struct sim *sim, int index)
+{
+    struct sim_node *node = &sim->nodes[index];
+
+    if (!node->up) {
+        return;
+    }
+    node->up = false;
+    if (node->control) {
+        control_core_close(&node->core);
+    }
+    else {
+        entry_core_free(node->entry);
+        node->entry = NULL;
+    }
+}
+
+/* Kills a node and loses its disk. */
+void
+sim_wipe(struct sim *sim, int index)
+{
+    struct sim_node *node = &sim->nodes[index];
+
+    sim_kill(sim, index);
+    g_clear_pointer(&node->saved_text, g_free);
+    if (node->control) {
+        struct cons_snapshot none = {0};
+
+        disk_cut(&node->disk, node->disk.snapshot.index + 1);
+        copy_snapshot(&none, &node->disk.snapshot);
+        node->disk.term = 0;
+        node->disk.vote = 0;
+        node->disk.identity = 1000 + sim_random(sim, 0) / 2;
+    }
+}
+
+/* Freezes a node: messages wait for it. */
+void
+sim_freeze(struct sim *sim, int node, uint64_t until)
+{
+    sim->nodes[node].frozen_until = until;
+}
+
+/* Cuts or mends one direction. */
+void
+sim_cut(struct sim *sim, int from, int to, bool cut)
+{
+    sim->cut[from][to] = cut;
+}
+
+/* Cuts a node off from all others, or mends that. */
+void
+sim_isolate(struct sim *sim, int node, bool cut)
+{
+    for (int i = 0; i < sim->count; i++) {
+        sim->cut[node][i] = cut;
+        sim->cut[i][node] = cut;
+    }
+}
+
+/* Starts a simulation with all nodes up. */
+struct sim *
+sim_new(const struct sim_options *options)
+{
+    struct sim *sim = g_new0(struct sim, 1);
+
+    sim->options = *options;
+    sim->random = options->seed * 0x9e3779b97f4a7c15ULL + 1;
+    sim->now = 1000000;
+    sim->minute_at = sim->now + MINUTE_MS;
+    sim->queue = g_ptr_array_new();
+    sim->count = options->controls + options->entries;
+    for (int i = 0; i < sim->count; i++) {
+        struct sim_node *node = &sim->nodes[i];
+
+        node->control = i < options->controls;
+        node->hall = (uint32_t)(i % MAX(1, options->halls));
+        if (node->control) {
+            node->disk.identity = (uint64_t)i + 1;
+            node->disk.log =
+                g_array_new(FALSE, FALSE, sizeof(struct cons_entry));
+        }
+        sim_start(sim, i);
+    }
+    return sim;
+}
+
+/* Ends a simulation. */
+void
+sim_free(struct sim *sim)
+{
+    for (int i = 0; i < sim->count; i++) {
+        sim_wipe(sim, i);
+        if (sim->nodes[i].control) {
+            g_array_free(sim->nodes[i].disk.log, TRUE);
+        }
+    }
+    while (sim->queue->len > 0) {
+        free_event(pop(sim));
+    }
+    g_ptr_array_free(sim->queue, TRUE);
+    g_free(sim);
+}
+
+/* Hands a packet on to another entry. */
+static void
+hand_packet(struct sim *sim, int from, const struct flow_verdict *verdict,
+            const struct flow_packet *packet, uint64_t tag)
+{
+    const struct member *peer =
+        member_find(&sim->nodes[from].entry->all, verdict->peer);
+    int to = peer ? address_node(sim, peer->address) : -1;
+    struct event *event;
+
+    sim->packet_hops++;
+    if (to < 0 || sim->cut[from][to] ||
+        sim_random(sim, 1000) < sim->options.loss) {
+        sim->packets_lost++;
+        return;
+    }
+    event = push(sim, sim->now + delay(sim, from, to), EVENT_PACKET, to);
+    event->packet = *packet;
+    event->packet.handed = true;
+    event->packet.origin = verdict->origin;
+    event->packet.position = verdict->position;
+    event->packet.hops = verdict->hops;
+    event->tag = tag;
+}
+
+/* Lets an entry decide about a packet. */
+static void
+take_packet(struct sim *sim, int node, uint64_t tag,
+            const struct flow_packet *packet)
+{
+    struct flow *flow = sim->nodes[node].entry->flow;
+    struct flow_packet question = *packet;
+    const struct flow_upstream *u;
+    struct flow_verdict verdict;
+
+    sim->packets++;
+    question.service = flow_find_named(flow, "feed");
+    flow_steer(flow, sim->now, SIM_WALL + sim->now, &question, &verdict);
+    switch (verdict.action) {
+    case FLOW_FORWARD:
+        u = flow_upstream(flow, verdict.upstream);
+        sim->options.hooks.forwarded(sim->options.hooks.data, node, tag,
+                                     &question, u->address, u->port);
+        break;
+    case FLOW_HAND:
+        hand_packet(sim, node, &verdict, &question, tag);
+        break;
+    case FLOW_DROP:
+        sim->packets_lost++;
+        break;
+    }
+    entry_core_flush(sim->nodes[node].entry);
+    act_entry(sim, node);
+}
+
+/* Hands a packet to an entry, after the way from the caller. */
+void
+sim_packet(struct sim *sim, int node, uint64_t tag,
+           const struct flow_packet *packet)
+{
+    struct event *event = push(sim, sim->now, EVENT_PACKET, node);
+
+    event->packet = *packet;
+    event->tag = tag;
+}
+
+/* Calls back at a time. */
+void
+sim_at(struct sim *sim, uint64_t at,
+       void (*call)(struct sim *sim, void *data), void *data)
+{
+    struct event *event = push(sim, MAX(at, sim->now), EVENT_CALL, -1);
+
+    event->call = call;
+    event->data = data;
+}
+
+/* Delivers a message. */
+static void
+take_message(struct sim *sim, struct event *event)
+{
+    struct sim_node *node = &sim->nodes[event->node];
+    wire_msg msg;
+
+    if (event->start != 0 && event->start != node->id) {
+        return;
+    }
+    if (!codec_decode(event->bytes->data, event->bytes->len, &msg)) {
+        return;
+    }
+    if (node->control) {
+        node->core.wall = SIM_WALL + sim->now;
+        control_core_receive(&node->core, sim->now, &msg);
+    }
+    else {
+        entry_core_receive(node->entry, sim->now, SIM_WALL + sim->now, &msg);
+    }
+    codec_free(&msg);
+    sim_act(sim, event->node);
+}
+
+/* Lets one event happen; what meets a frozen node waits. */
+static void
+happen(struct sim *sim, struct event *event)
+{
+    struct sim_node *node;
+
+    if (event->kind == EVENT_CALL) {
+        event->call(sim, event->data);
+        free_event(event);
+        return;
+    }
+    node = &sim->nodes[event->node];
+    if (node->up && sim->now < node->frozen_until) {
+        struct event *later =
+            push(sim, node->frozen_until, event->kind, event->node);
+
+        later->bytes = g_steal_pointer(&event->bytes);
+        later->start = event->start;
+        later->packet = event->packet;
+        later->tag = event->tag;
+    }
+    else if (node->up && event->kind == EVENT_MESSAGE) {
+        take_message(sim, event);
+    }
+    else if (node->up) {
+        take_packet(sim, event->node, event->tag, &event->packet);
+    }
+    else {
+        sim->packets_lost += event->kind == EVENT_PACKET;
+    }
+    free_event(event);
+}
+
+/* Ticks a node when it is time. */
+static void
+tick(struct sim *sim, int index)
+{
+    struct sim_node *node = &sim->nodes[index];
+
+    if (!is_running(sim, index) || sim->now < node->tick_at) {
+        return;
+    }
+    if (node->control) {
+        node->tick_at = sim->now + CONTROL_TICK_MS;
+        node->core.wall = SIM_WALL + sim->now;
+        control_core_tick(&node->core, sim->now);
+    }
+    else {
+        node->tick_at = sim->now + ENTRY_TICK_MS;
+        entry_core_tick(node->entry, sim->now, SIM_WALL + sim->now);
+    }
+    sim_act(sim, index);
+}
+
+/* Closes a minute of byte counts. */
+static void
+close_minute(struct sim *sim)
+{
+    if (sim->now < sim->minute_at) {
+        return;
+    }
+    sim->minute_at = sim->now + MINUTE_MS;
+    for (int i = 0; i < sim->count; i++) {
+        struct sim_node *node = &sim->nodes[i];
+
+        node->worst_minute = MAX(node->worst_minute, node->minute_bytes);
+        node->minute_bytes = 0;
+    }
+}
+
+/* Runs until a time, a millisecond after the other. */
+void
+sim_run(struct sim *sim, uint64_t until)
+{
+    while (sim->now < until) {
+        while (sim->queue->len > 0 &&
+               ((struct event *)sim->queue->pdata[0])->at <= sim->now) {
+            happen(sim, pop(sim));
+        }
+        for (int i = 0; i < sim->count; i++) {
+            tick(sim, i);
+        }
+        close_minute(sim);
+        sim->now++;
+    }
+}
+
+/* The control replica that leads in the highest term. */
+int
+sim_leader(const struct sim *sim)
+{
+    int leader = -1;
+
+    for (int i = 0; i < sim->options.controls; i++) {
+        const struct sim_node *node = &sim->nodes[i];
+
+        if (is_running(sim, i) && node->core.cons.role == CONS_LEADER &&
+            (leader < 0 ||
+             node->core.cons.term > sim->nodes[leader].core.cons.term)) {
+            leader = i;
+        }
+    }
+    return leader;
+}
+
+/* Submits a bundle at the leader. */
+bool
+sim_submit(struct sim *sim, const char *text, const char *submission,
+           const char *operator_name, uint64_t token)
+{
+    int leader = sim_leader(sim);
+    wire_submit submit = {0};
+    struct bundle bundle;
+    struct status st;
+
+    if (leader < 0 || bundle_read("sim", text, strlen(text), &bundle, &st) !=
+                          STATUS_OK) {
+        return false;
+    }
+    submit.bundle_version = bundle.version;
+    submit.base = bundle.base;
+    memcpy(submit.digest, bundle.digest, sizeof(submit.digest));
+    submit.operator_name = (char *)operator_name;
+    submit.submission = (char *)submission;
+    submit.text = (char *)text;
+    control_core_submit(&sim->nodes[leader].core, sim->now, token, &submit);
+    sim_act(sim, leader);
+    bundle_free(&bundle);
+    return true;
+}
+
+/* Signs the accepted bundle off at the leader. */
+bool
+sim_sign_off(struct sim *sim, uint64_t token)
+{
+    int leader = sim_leader(sim);
+    struct control_core *core;
+    wire_sign_off sign = {0};
+
+    if (leader < 0) {
+        return false;
+    }
+    core = &sim->nodes[leader].core;
+    if (!core->state.has_pending) {
+        return false;
+    }
+    sign.bundle_version = core->state.pending.bundle_version;
+    memcpy(sign.digest, core->state.pending.digest, sizeof(sign.digest));
+    sign.operator_name = (char *)"ivo";
+    control_core_sign_off(core, sim->now, token, &sign);
+    sim_act(sim, leader);
+    return true;
+}
+
+/* Says whether the leader knows a version to be in force everywhere. */
+static bool
+is_in_force(const struct sim *sim, uint64_t version)
+{
+    int leader = sim_leader(sim);
+
+    return leader >= 0 &&
+           sim->nodes[leader].core.state.current == version &&
+           control_core_in_force(&sim->nodes[leader].core, NULL, 0);
+}
+
+/* Submits, signs off, and waits. */
+bool
+sim_roll_out(struct sim *sim, const char *text, uint64_t limit_ms)
+{
+    uint64_t end = sim->now + limit_ms;
+    struct bundle bundle;
+    struct status st;
+    uint64_t version;
+    char id[64];
+
+    if (bundle_read("sim", text, strlen(text), &bundle, &st) != STATUS_OK) {
+        return false;
+    }
+    version = bundle.version;
+    bundle_free(&bundle);
+    (void)snprintf(id, sizeof(id), "roll-out-%llu",
+                   (unsigned long long)version);
+    while (sim->now < end && !is_in_force(sim, version)) {
+        (void)sim_submit(sim, text, id, "ana", 0);
+        sim_run(sim, sim->now + 50);
+        (void)sim_sign_off(sim, 0);
+        sim_run(sim, sim->now + 50);
+    }
+    return is_in_force(sim, version);
+}
+
+/* Writes a bundle. */
+char *
+sim_bundle(uint64_t version, uint64_t base, const char *states,
+           const char *weights, unsigned slots, bool udp)
+{
+    GString *flows = g_string_new("");
+    GString *requests = g_string_new("");
+    char *text;
+
+    for (int i = 0; states[i] != '\0'; i++) {
+        const char *state = states[i] == 'l' ? "leaving" : "serving";
+        const char *comma = flows->len ? "," : "";
+        unsigned weight =
+            weights != NULL ? 10 * (unsigned)(weights[i] - '0') : 100;
+
+        if (states[i] == '-') {
+            continue;
+        }
+        g_string_append_printf(
+            flows,
+            "%s{\"name\":\"f%d\",\"address\":\"10.1.0.%d\",\"port\":80,"
+            "\"state\":\"%s\",\"weight\":%u}",
+            comma, i, i + 1, state, weight);
+        g_string_append_printf(
+            requests,
+            "%s{\"name\":\"r%d\",\"address\":\"10.2.0.%d\",\"port\":80,"
+            "\"state\":\"%s\",\"weight\":%u,\"slots\":%u}",
+            comma, i, i + 1, state, weight, slots);
+    }
+    text = g_strdup_printf(
+        "{\"version\":%llu,\"base\":%llu,\"services\":["
+        "{\"name\":\"feed\",\"kind\":\"flow\",\"address\":\"10.0.0.1\","
+        "\"port\":443,\"protocol\":\"%s\",\"upstreams\":[%s]},"
+        "{\"name\":\"save\",\"kind\":\"request\",\"host\":\"save\","
+        "\"upstreams\":[%s]}]}",
+        (unsigned long long)version, (unsigned long long)base,
+        udp ? "udp" : "tcp", flows->str, requests->str);
+    g_string_free(flows, TRUE);
+    g_string_free(requests, TRUE);
+    return text;
+}
