Measure ways of steering flows on one workload

Cause: the choice of steering had no figures. Change: flow-load drives callers' flows over the simulated cluster; bench-flow compares ours with parts of it left out, consistent hashing with private records, hash modulo upstreams, and evidence echoed by packets.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,9 @@
 # Everything but main() is shared with the tests and the tools.
 SHARED := $(filter-out ridgeridge.c,$(SOURCES))
 OBJECTS := $(SHARED:%.c=$(BUILD)/%.o) $(BUILD)/generated/wire_xdr.o
-TOOLS := $(patsubst tools/%.c,$(BUILD)/%,$(filter-out tools/sim.c,$(wildcard tools/*.c)))
+TOOLS := $(patsubst tools/%.c,$(BUILD)/%,$(wildcard tools/*.c))
+# The simulated-time driver and the loads over it, for tests and bench.
+LOAD := $(patsubst %.c,$(BUILD)/%.o,$(filter-out tests/test-%,$(wildcard tests/*.c)))
 TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test-*.c))
 
 all: $(BUILD)/ridgeridge $(TOOLS)
@@ -35,23 +37,19 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
-$(BUILD)/%: $(BUILD)/tools/%.o $(BUILD)/sim.o $(BUILD)/lib.a
+$(BUILD)/%: $(BUILD)/tools/%.o $(LOAD) $(BUILD)/lib.a
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
 
-$(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/sim.o $(BUILD)/lib.a
+$(BUILD)/test-%: $(BUILD)/tests/test-%.o $(LOAD) $(BUILD)/lib.a
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
 
-$(BUILD)/sim.o: tests/sim.c
-	@mkdir -p $(dir $@)
-	@$(CC) $(CFLAGS) -I. -MMD -c -o $@ $<
-
 $(BUILD)/generated/%.o: generated/%.c
 	@mkdir -p $(dir $@)
-	@$(CC) $(CFLAGS) $(GENERATED_CFLAGS) -I. -MMD -c -o $@ $<
+	@$(CC) $(CFLAGS) $(GENERATED_CFLAGS) -I. -Itests -MMD -c -o $@ $<
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
-	@$(CC) $(CFLAGS) -I. -MMD -c -o $@ $<
+	@$(CC) $(CFLAGS) -I. -Itests -MMD -c -o $@ $<
 
 PREFIX ?= /usr/local
 install: all
@@ -65,5 +63,6 @@
 	rm -rf build build-asan
 
 .PHONY: all tests install clean
+.SECONDARY: $(LOAD)
 .PRECIOUS: $(BUILD)/tests/%.o $(BUILD)/tools/%.o
 -include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d)
--- /dev/null
+++ b/tools/bench-flow.c
@@ -0,0 +1,182 @@
+/*
+ * Measures ways of steering flows on the same seeds and workload, in
+ * simulated time over the core, and prints one table of medians.
+ *
+ * usage: bench-flow [SEEDS [argoat|meals [SCENE]]]
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow-load.h"
+
+/* Two letters more than the fourteen upstreams of both deployments. */
+#define ALL "ssssssssssssss"
+
+static const struct flow_scene scenes[] = {
+    {.name = "calm", .length_ms = 40000},
+    {.name = "drain",
+     .acts = {{2000, ACT_STATES, 0, "slssssssssssss"}},
+     .length_ms = 40000},
+    {.name = "join",
+     .acts = {{2000, ACT_STATES, 0, ALL "s"}},
+     .length_ms = 40000},
+    {.name = "weights",
+     .acts = {{2000, ACT_WEIGHTS, 0, "55555555555559"}},
+     .length_ms = 40000},
+    {.name = "return",
+     .acts = {{1000, ACT_STATES, 0, "slssssssssssss"},
+              {12000, ACT_STATES, 0, ALL}},
+     .length_ms = 40000},
+    {.name = "stop-entry",
+     .acts = {{2000, ACT_STOP, 3, NULL}, {15000, ACT_START, 3, NULL}},
+     .length_ms = 40000},
+    {.name = "kill-entry",
+     .acts = {{2000, ACT_KILL, 3, NULL}, {15000, ACT_START, 3, NULL}},
+     .length_ms = 40000},
+    {.name = "drain+kill-2",
+     .acts = {{2000, ACT_STATES, 0, "slssssssssssss"},
+              {7000, ACT_KILL, 3, NULL},
+              {13000, ACT_KILL, 4, NULL}},
+     .length_ms = 40000},
+    {.name = "views-5s-apart",
+     .acts = {{2000, ACT_CUT, 1, NULL},
+              {2000, ACT_CUT, 5, NULL},
+              {2200, ACT_STATES, 0, "slssssssssssss"},
+              {9000, ACT_CUT, 2, NULL},
+              {9200, ACT_STATES, 0, ALL "s"}},
+     .length_ms = 40000},
+    {.name = "freeze-entry",
+     .acts = {{2000, ACT_FREEZE, 2, NULL},
+              {3000, ACT_STATES, 0, "slssssssssssss"}},
+     .length_ms = 40000},
+    {.name = "udp-drain",
+     .acts = {{2000, ACT_STATES, 0, "slssssssssssss"}},
+     .length_ms = 40000,
+     .udp = true},
+    {.name = "mix"},
+    {.name = "mix-views-apart"},
+};
+
+/* Figures that are printed, by seed. */
+enum figure {
+    BROKEN,
+    BROKEN_SHARE,
+    LATE,
+    MEDIAN,
+    WORST,
+    END,
+    HOPS,
+    CONTROL,
+    IDLE,
+    MEMORY,
+    IN_FORCE,
+    FIGURES
+};
+
+/* Orders numbers. */
+static int
+compare(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+
+    return (x > y) - (x < y);
+}
+
+/* Runs one scene in one way over the seeds, and prints a row. */
+static void
+run_row(const struct flow_load *base, const struct flow_scene *scene,
+        enum way way, int seeds)
+{
+    double *values = g_new0(double, (gsize)(FIGURES * seeds));
+    double median[FIGURES];
+    double broken = 0;
+    double established = 0;
+    int broken_seeds = 0;
+
+    for (int seed = 0; seed < seeds; seed++) {
+        struct flow_load load = *base;
+        struct flow_scene mix;
+        struct flow_result r;
+
+        load.way = way;
+        load.seed = (uint64_t)seed + 1;
+        if (strncmp(scene->name, "mix", 3) == 0) {
+            flow_load_mix(load.seed, load.entries, &mix,
+                          strcmp(scene->name, "mix") != 0);
+        }
+        flow_load_run(&load, scene->length_ms ? scene : &mix, &r);
+        values[BROKEN * seeds + seed] = r.broken;
+        values[BROKEN_SHARE * seeds + seed] =
+            100.0 * r.broken / MAX(1, r.established);
+        values[LATE * seeds + seed] = r.late_at_leaving;
+        values[MEDIAN * seeds + seed] = r.imbalance_median;
+        values[WORST * seeds + seed] = r.imbalance_worst;
+        values[END * seeds + seed] = r.imbalance_end;
+        values[HOPS * seeds + seed] = r.hops_percent;
+        values[CONTROL * seeds + seed] = r.control_worst;
+        values[IDLE * seeds + seed] = r.control_idle;
+        values[MEMORY * seeds + seed] = r.memory_per_flow;
+        values[IN_FORCE * seeds + seed] = (double)r.in_force_ms;
+        broken += r.broken;
+        broken_seeds += r.broken > 0;
+        established += r.established;
+        if (way == WAY_KEEPERS && r.broken > 0) {
+            (void)fprintf(stderr, "%s seed %d: %s\n", scene->name, seed + 1,
+                          r.first_broken);
+        }
+    }
+    for (int f = 0; f < FIGURES; f++) {
+        qsort(values + f * seeds, (size_t)seeds, sizeof(double), compare);
+        median[f] = values[f * seeds + seeds / 2];
+    }
+    (void)printf("%-15s %-15s %8.0f %7.0f %3d %8.4f %5.0f %6.3f %6.3f %6.3f "
+                 "%6.2f %6.0f %5.0f %6.0f %5.0f\n",
+                 scene->name, flow_load_way(way), median[BROKEN],
+                 values[BROKEN * seeds + seeds - 1], broken_seeds,
+                 100.0 * broken / MAX(1.0, established), median[LATE],
+                 median[MEDIAN], median[WORST], median[END], median[HOPS],
+                 median[CONTROL], median[IDLE], median[MEMORY],
+                 median[IN_FORCE]);
+    (void)fflush(stdout);
+    g_free(values);
+}
+
+/* Runs all rows. */
+int
+main(int argc, char **argv)
+{
+    int seeds = argc > 1 ? atoi(argv[1]) : 5;
+    bool meals = argc > 2 && strcmp(argv[2], "meals") == 0;
+    const char *only = argc > 3 ? argv[3] : NULL;
+    struct flow_load base = {.upstreams = 14,
+                             .entries = 11,
+                             .halls = meals ? 4 : 3,
+                             .delay_ms = 1,
+                             .rtt_ms = meals ? 3 : 8,
+                             .flows = 28000,
+                             .new_per_s = 1000};
+
+    if (getenv("BENCH_NEW_PER_S") != NULL) {
+        base.new_per_s = (unsigned)atoi(getenv("BENCH_NEW_PER_S"));
+    }
+    (void)printf("%s, %d seeds, %u long flows, %u new/s; medians\n",
+                 meals ? "meals" : "argoat", seeds, base.flows,
+                 base.new_per_s);
+    (void)printf("%-15s %-15s %8s %7s %3s %8s %5s %6s %6s %6s %6s %6s %5s "
+                 "%6s %5s\n",
+                 "scene", "way", "broken", "max", "sds", "share%", "late",
+                 "imb", "worst", "end", "hops%", "ctl/s", "idle", "B/flow",
+                 "force");
+    for (size_t i = 0; i < G_N_ELEMENTS(scenes); i++) {
+        if (only != NULL && strcmp(only, scenes[i].name) != 0) {
+            continue;
+        }
+        for (int way = 0; way < WAY_COUNT; way++) {
+            run_row(&base, &scenes[i], (enum way)way, seeds);
+        }
+    }
+    return 0;
+}
