Spend less control traffic on moved buckets, and survive views that differ

Change: copies go at once, hints are gathered for a second and only sent to an entry that asked four times, pushes are confirmed; a saved bundle is only a floor; a handed packet lists the keepers asked; the next roll-out waits until the last step is confirmed.

--- a/cons.c
+++ b/cons.c
@@ -375,6 +375,7 @@
     case WIRE_SLOT_DONE:
     case WIRE_HANDOVER:
     case WIRE_HANDOVER_ACK:
+    case WIRE_RECORDS_ACK:
         return;
     }
 }
--- a/control-rollout.c
+++ b/control-rollout.c
@@ -118,7 +118,9 @@
 
     rollout->wall = core->wall;
     if (state->has_pending && state->signed_off &&
-        (state->current == 0 || state->step == FLOW_STEP_SETTLED)) {
+        (state->current == 0 ||
+         (state->step == FLOW_STEP_SETTLED &&
+          all_confirmed(core, FLOW_STEP_SETTLED, NULL, 0)))) {
         rollout->bundle_version = state->pending.bundle_version;
         rollout->step = FLOW_STEP_ANNOUNCE;
         propose(core, now, &command);
--- a/entry-core.c
+++ b/entry-core.c
@@ -10,8 +10,6 @@
 #include "entry-internal.h"
 #include "hash.h"
 
-#define FLUSH_MAX 1024
-
 /* Adds an action. */
 static struct entry_action *
 act(struct entry_core *core, enum entry_action_kind kind)
@@ -81,11 +79,11 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                               (GDestroyNotify)gate_free);
     core->handovers = g_ptr_array_new();
+    core->batches = g_ptr_array_new();
     g_queue_init(&core->inbox);
     core->actions = g_array_new(FALSE, FALSE, sizeof(struct entry_action));
     if (options->saved_text != NULL) {
-        (void)entry_apply_text(core, 0, options->saved_text, NULL,
-                               FLOW_STEP_ANNOUNCE);
+        entry_set_floor(core, options->saved_text);
     }
     return core;
 }
@@ -97,6 +95,8 @@
     entry_core_clear(core);
     entry_forget_handovers(core);
     g_ptr_array_free(core->handovers, TRUE);
+    entry_forget_batches(core);
+    g_ptr_array_free(core->batches, TRUE);
     while (!g_queue_is_empty(&core->inbox)) {
         g_byte_array_unref(g_queue_pop_head(&core->inbox));
     }
@@ -176,18 +176,6 @@
     entry_send_peer(core, finish->claim.coordinator, &msg);
 }
 
-/* Takes flow records. */
-static void
-take_records(struct entry_core *core, uint64_t now,
-             const wire_records *records)
-{
-    for (u_int i = 0; i < records->records.records_len; i++) {
-        const wire_flow_record *r = &records->records.records_val[i];
-
-        flow_learn(core->flow, now, r->hash, r->address, (uint16_t)r->port);
-    }
-}
-
 /* Hands one message to the part it is for. */
 static void
 dispatch(struct entry_core *core, uint64_t now, const wire_msg *msg)
@@ -203,7 +191,10 @@
         entry_take_epochs(core, now, &msg->wire_msg_u.epochs);
         return;
     case WIRE_RECORDS:
-        take_records(core, now, &msg->wire_msg_u.records);
+        entry_take_records(core, now, &msg->wire_msg_u.records);
+        return;
+    case WIRE_RECORDS_ACK:
+        entry_take_records_ack(core, &msg->wire_msg_u.records_ack);
         return;
     case WIRE_CLAIM:
         take_claim(core, &msg->wire_msg_u.claim);
@@ -268,79 +259,12 @@
     }
 }
 
-/* Sends records, gathered by peer. */
-static void
-send_records(struct entry_core *core, const struct flow_send *sends,
-             size_t count)
-{
-    wire_flow_record records[WIRE_RECORDS_MAX];
-    bool sent[FLUSH_MAX] = {false};
-
-    for (size_t i = 0; i < count; i++) {
-        wire_msg msg = {.kind = WIRE_RECORDS};
-        u_int n = 0;
-
-        for (size_t j = i; j < count && n < WIRE_RECORDS_MAX; j++) {
-            if (!sent[j] && sends[j].peer == sends[i].peer) {
-                records[n].hash = sends[j].hash;
-                records[n].address = sends[j].address;
-                records[n].port = sends[j].port;
-                sent[j] = true;
-                n++;
-            }
-        }
-        if (n > 0) {
-            msg.wire_msg_u.records.records.records_len = n;
-            msg.wire_msg_u.records.records.records_val = records;
-            entry_send_peer(core, sends[i].peer, &msg);
-        }
-    }
-}
-
-/* Sends records that wait, paced ones within the budget. */
-static void
-flush_records(struct entry_core *core, size_t budget)
-{
-    struct flow_send sends[FLUSH_MAX];
-    size_t before = budget;
-    size_t count;
-
-    do {
-        count = flow_take(core->flow, sends, FLUSH_MAX, &budget);
-        send_records(core, sends, count);
-    } while (count == FLUSH_MAX);
-    core->push_budget -= (double)(before - budget);
-}
-
-/* Sends the records that packets caused. */
-void
-entry_core_flush(struct entry_core *core)
-{
-    flush_records(core, 0);
-}
-
-/* Scans and pushes records within the budget. */
-static void
-tick_records(struct entry_core *core, uint64_t now)
-{
-    uint64_t passed = core->ticked_at ? now - core->ticked_at : 0;
-    double most = (double)ENTRY_PUSH_RATE * (double)passed / 1000.0;
-
-    core->push_budget =
-        MIN((double)ENTRY_PUSH_BURST,
-            core->push_budget +
-                (double)ENTRY_PUSH_REFILL * (double)passed / 1000.0);
-    (void)flow_scan(core->flow, now, ENTRY_SCAN_PLACES);
-    flush_records(core,
-                  (size_t)MAX(0.0, MIN(most, core->push_budget)));
-}
-
 /* Lets time pass. */
 void
 entry_core_tick(struct entry_core *core, uint64_t now, uint64_t wall)
 {
     entry_tick_lease(core, now);
-    tick_records(core, now);
+    entry_tick_records(core, now);
     entry_tick_gates(core, now);
     request_tick(&core->requests, now);
     /* The lists of a handover point into the records. */
@@ -415,7 +339,7 @@
     return core->stopping && now >= core->linger_until && out &&
            request_count(&core->requests) == 0 &&
            entry_is_handed_over(core) &&
-           flow_is_pushed(core->flow);
+           entry_is_pushed(core);
 }
 
 /* Finds the service of a Host, without its port. */
--- a/entry-core.h
+++ b/entry-core.h
@@ -17,9 +17,11 @@
 
 #define ENTRY_REPORT_MS 1000U     /**< between reports to control */
 #define ENTRY_FETCH_MS 300U       /**< between fetches of the same thing */
-#define ENTRY_PUSH_RATE 6000U     /**< bytes a second of records, at most */
+#define ENTRY_PUSH_RATE 8000U     /**< bytes a second of records, at most */
 #define ENTRY_PUSH_REFILL 1500U   /**< bytes a second, in the long run */
 #define ENTRY_PUSH_BURST 30000U   /**< bytes that may gather */
+#define ENTRY_PUSH_MS 100U        /**< between pushes */
+#define ENTRY_HINT_MS 1000U       /**< between hints to entries that ask */
 #define ENTRY_SCAN_PLACES 65536U  /**< places of the table a tick looks at */
 #define ENTRY_LINGER_MS 1000U     /**< a stopping entry goes on so long */
 #define ENTRY_CONTROLS_MAX 7U
@@ -58,6 +60,15 @@
     uint64_t resend_at;  /**< deadline */
 };
 
+/** Flow records that were pushed to a keeper and not yet confirmed. */
+struct entry_batch {
+    uint64_t receiver;  /**< entry */
+    uint32_t sequence;  /**< of this entry's batches */
+    uint64_t resend_at; /**< deadline */
+    u_int count;        /**< of records */
+    wire_flow_record records[WIRE_RECORDS_MAX]; /**< as sent */
+};
+
 /** One entry. */
 struct entry_core {
     wire_member self;               /**< as reported; owned strings */
@@ -72,6 +83,7 @@
     uint64_t bundle_fetch_at;       /**< not before */
     uint64_t epoch_fetch_at;        /**< not before */
     uint64_t epoch;                 /**< in force here, 0: none */
+    uint64_t floor;                 /**< version that an earlier run had */
     uint64_t told_version;          /**< by control */
     uint32_t told_step;             /**< of that version */
     unsigned char told_digest[WIRE_DIGEST]; /**< of that version */
@@ -87,7 +99,12 @@
     GHashTable *gates;              /**< service hash to struct gate */
     struct counters *counters;      /**< of the process */
     struct ring ring;               /**< decisions */
-    double push_budget;             /**< bytes that may be pushed */
+    double push_budget;             /**< bytes that may be pushed in all */
+    double push_allowance;          /**< bytes that may be pushed now */
+    uint64_t push_at;               /**< deadline of the next push */
+    uint64_t hint_at;               /**< deadline of the next hints */
+    GPtrArray *batches;             /**< struct entry_batch, unconfirmed */
+    uint32_t next_batch;            /**< sequence of the next one */
     uint64_t ticked_at;             /**< last tick */
     bool stopping;                  /**< a planned stop began */
     uint64_t linger_until;          /**< not before the stop is done */
--- a/entry-internal.h
+++ b/entry-internal.h
@@ -23,6 +23,8 @@
 bool entry_apply_text(struct entry_core *core, uint64_t now, const char *text,
                       const char *prev_text, uint32_t step);
 
+void entry_set_floor(struct entry_core *core, const char *saved_text);
+
 /* entry-gates.c */
 void entry_take_slot_ask(struct entry_core *core, uint64_t now,
                          const wire_slot_ask *ask);
@@ -31,6 +33,15 @@
 void entry_tick_gates(struct entry_core *core, uint64_t now);
 void entry_update_gates(struct entry_core *core, uint64_t now);
 
+/* entry-records.c */
+void entry_tick_records(struct entry_core *core, uint64_t now);
+void entry_take_records(struct entry_core *core, uint64_t now,
+                        const wire_records *records);
+void entry_take_records_ack(struct entry_core *core,
+                            const wire_records_ack *ack);
+bool entry_is_pushed(const struct entry_core *core);
+void entry_forget_batches(struct entry_core *core);
+
 /* entry-handover.c */
 void entry_tick_handover(struct entry_core *core, uint64_t now);
 void entry_take_handover(struct entry_core *core,
--- a/entry-lease.c
+++ b/entry-lease.c
@@ -19,6 +19,17 @@
                : core->controls[core->control_next % core->control_count];
 }
 
+/* The step as control is told: LEARNED once all records are confirmed. */
+static enum flow_step
+reported_step(const struct entry_core *core)
+{
+    enum flow_step step = flow_step(core->flow);
+
+    return step == FLOW_STEP_MOVE && entry_is_pushed(core)
+               ? FLOW_STEP_LEARNED
+               : step;
+}
+
 /* Sends a report. */
 static void
 send_report(struct entry_core *core, uint64_t now, bool gone)
@@ -33,7 +44,7 @@
     }
     report->self = core->self;
     report->bundle_version = flow_version(core->flow);
-    report->step = flow_step(core->flow);
+    report->step = reported_step(core);
     report->epoch = core->epoch;
     report->sent_at = now;
     report->gone = gone;
@@ -78,7 +89,7 @@
 entry_tick_lease(struct entry_core *core, uint64_t now)
 {
     bool learned = core->told_step == FLOW_STEP_MOVE &&
-                   flow_step(core->flow) == FLOW_STEP_LEARNED;
+                   reported_step(core) == FLOW_STEP_LEARNED;
 
     if (learned) {
         core->told_step = FLOW_STEP_LEARNED;
@@ -130,7 +141,9 @@
 {
     bool redirected;
 
-    if (lease->term < core->term) {
+    if (lease->term < core->term ||
+        (lease->leader == lease->replica &&
+         lease->bundle_version < core->floor)) {
         counter_add(core->counters, COUNTER_MSGS_STALE, 1);
         return;
     }
@@ -214,6 +227,21 @@
     }
 }
 
+/* Remembers the version of an earlier run. Its text is not applied: without
+ * the bundle before it, flows of buckets that were moving would be lost. */
+void
+entry_set_floor(struct entry_core *core, const char *saved_text)
+{
+    struct bundle bundle;
+    struct status st;
+
+    if (bundle_read("saved bundle", saved_text, strlen(saved_text), &bundle,
+                    &st) == STATUS_OK) {
+        core->floor = bundle.version;
+        bundle_free(&bundle);
+    }
+}
+
 /* Makes members of what control sent, without stopping ones on demand. */
 static void
 read_epoch(const wire_epoch *epoch, bool with_stopping,
--- a/entry-packets.c
+++ b/entry-packets.c
@@ -72,6 +72,7 @@
     if (peer == NULL) {
         return;
     }
+    memcpy(option.asked, verdict->asked, sizeof(option.asked));
     at = packet_wrap(packet, &option, &length);
     send_to(peer->address, peer->fabric, at, length);
 }
@@ -92,6 +93,7 @@
     const struct flow_upstream *upstream;
     struct flow_verdict verdict;
 
+    memcpy(question.asked, packet->hand.asked, sizeof(question.asked));
     flow_steer(entry->core->flow, now, wall, &question, &verdict);
     switch (verdict.action) {
     case FLOW_FORWARD:
--- a/entry-peers.c
+++ b/entry-peers.c
@@ -17,7 +17,7 @@
 static bool
 is_control(enum wire_kind kind)
 {
-    return kind == WIRE_RECORDS;
+    return kind == WIRE_RECORDS || kind == WIRE_RECORDS_ACK;
 }
 
 /* Sends a message to another entry. */
--- a/flow-internal.h
+++ b/flow-internal.h
@@ -13,6 +13,8 @@
 #define FLOW_PROBE 32          /* places a record may stand from its first */
 #define FLOW_FLAG_ORIGIN 1U    /* this entry saw the flow's first packet */
 #define FLOW_FLAG_CLOSING 2U   /* FIN or RST was seen */
+#define FLOW_ASKED_SHIFT 4     /* bits 4 to 7: times asked, at a keeper */
+#define FLOW_ASKED_MAX 4U      /* then the asking entry is told */
 #define FLOW_SEEN_BITS 24      /* seconds, wraps after 194 days */
 #define FLOW_STAMP_MS 600000U  /* unit of `stamps` */
 #define FLOW_QUEUE_MAX 4096    /* paced records waiting to be sent */
@@ -67,13 +69,13 @@
     uint64_t lease_deadline;
     struct member_set members;
     struct member_set before; /* members of the epoch before */
+    uint64_t complete_at;     /* deadline: by then new keepers know all */
     uint64_t departed_until;  /* a member left; its flows may be orphans */
     enum flow_pass pass;
     bool move_pending;
     bool epoch_pending;
     size_t cursor;
-    GQueue urgent; /* struct flow_send, data path */
-    GQueue paced;  /* struct flow_send, within the budget */
+    GQueue sends[FLOW_SEND_PUSH + 1]; /* struct flow_send, by class */
 };
 
 /* flow-store.c */
@@ -95,7 +97,7 @@
 
 /* flow-push.c */
 void flow_queue(struct flow *flow, uint64_t peer, uint64_t hash,
-                upstream_id upstream, bool paced);
+                upstream_id upstream, enum flow_send_class class);
 void flow_begin_pass(struct flow *flow);
 
 #endif
--- a/flow-push.c
+++ b/flow-push.c
@@ -9,17 +9,16 @@
 
 #include "hash.h"
 
-#define RECORD_BYTES 16 /* one record in XDR */
-
 /* Puts a record in a queue. */
 void
 flow_queue(struct flow *flow, uint64_t peer, uint64_t hash,
-           upstream_id upstream, bool paced)
+           upstream_id upstream, enum flow_send_class class)
 {
     const struct flow_upstream *u = flow_upstream(flow, upstream);
     struct flow_send *send;
 
-    if (u == NULL || (paced && flow->options.push_off)) {
+    if (u == NULL ||
+        (class == FLOW_SEND_PUSH && flow->options.push_off)) {
         return;
     }
     send = g_new(struct flow_send, 1);
@@ -27,8 +26,8 @@
                                .hash = hash,
                                .address = u->address,
                                .port = u->port,
-                               .paced = paced};
-    g_queue_push_tail(paced ? &flow->paced : &flow->urgent, send);
+                               .class = class};
+    g_queue_push_tail(&flow->sends[class], send);
 }
 
 /* Starts the most urgent pass that is pending. */
@@ -58,7 +57,7 @@
 {
     return flow->pass == PASS_NONE && !flow->move_pending &&
            !flow->epoch_pending &&
-           g_queue_is_empty((GQueue *)&flow->paced);
+           flow->sends[FLOW_SEND_PUSH].length == 0;
 }
 
 /* Takes the members of a new epoch. */
@@ -82,6 +81,7 @@
     }
     member_set_assign(&flow->members, members->epoch, members->items,
                       members->count);
+    flow->complete_at = now + FLOW_REPAIR_MS;
     flow->epoch_pending = true;
     if (flow->pass == PASS_EPOCH) {
         flow->pass = PASS_NONE;
@@ -132,7 +132,7 @@
         if (!holds(old, old_count, keepers[i]->id) &&
             keepers[i]->id != flow->options.self) {
             flow_queue(flow, keepers[i]->id, record->hash, record->upstream,
-                       true);
+                       FLOW_SEND_PUSH);
         }
     }
 }
@@ -161,14 +161,14 @@
     if (flow->pass == PASS_ORPHANS) {
         if (!holds(keepers, count, flow->options.self) && count > 0) {
             flow_queue(flow, keepers[0]->id, record->hash, record->upstream,
-                       true);
+                       FLOW_SEND_PUSH);
         }
         return;
     }
     for (size_t i = 0; i < count; i++) {
         if (keepers[i]->id != flow->options.self) {
             flow_queue(flow, keepers[i]->id, record->hash, record->upstream,
-                       true);
+                       FLOW_SEND_PUSH);
         }
     }
 }
@@ -220,7 +220,7 @@
         return true;
     }
     while (flow->cursor < end &&
-           g_queue_get_length(&flow->paced) < FLOW_QUEUE_MAX) {
+           flow->sends[FLOW_SEND_PUSH].length < FLOW_QUEUE_MAX) {
         scan_place(flow, &flow->store.records[flow->cursor]);
         flow->cursor++;
     }
@@ -230,34 +230,18 @@
     return flow->pass == PASS_NONE;
 }
 
-/* Takes one record from a queue. */
-static bool
-take_one(GQueue *queue, struct flow_send *out)
-{
-    struct flow_send *send = g_queue_pop_head(queue);
-
-    if (send == NULL) {
-        return false;
-    }
-    *out = *send;
-    g_free(send);
-    return true;
-}
-
-/* Takes records to send: urgent ones, then paced ones in the budget. */
+/* Takes records of one class. */
 size_t
-flow_take(struct flow *flow, struct flow_send *out, size_t max,
-          size_t *budget)
+flow_take(struct flow *flow, enum flow_send_class class,
+          struct flow_send *out, size_t max)
 {
     size_t count = 0;
 
-    while (count < max && take_one(&flow->urgent, &out[count])) {
-        count++;
-    }
-    while (count < max && *budget >= RECORD_BYTES &&
-           take_one(&flow->paced, &out[count])) {
-        *budget -= RECORD_BYTES;
-        count++;
+    while (count < max && flow->sends[class].length > 0) {
+        struct flow_send *send = g_queue_pop_head(&flow->sends[class]);
+
+        out[count++] = *send;
+        g_free(send);
     }
     counter_add(flow->options.counters, COUNTER_RECORDS_SENT, count);
     return count;
--- a/flow-steer.c
+++ b/flow-steer.c
@@ -142,12 +142,13 @@
 
         origin_told = origin_told || id == s->packet->origin;
         if (id != self) {
-            flow_queue(s->flow, id, s->packet->hash, upstream, false);
+            flow_queue(s->flow, id, s->packet->hash, upstream,
+                       FLOW_SEND_COPY);
         }
     }
     if (!origin_told) {
         flow_queue(s->flow, s->packet->origin, s->packet->hash, upstream,
-                   false);
+                   FLOW_SEND_HINT);
     }
 }
 
@@ -173,35 +174,84 @@
         upstream = s->old_owner;
     }
     place(s, rule, upstream);
-    if (s->out->action == FLOW_FORWARD) {
+    /* Once unknown flows follow the table, a flow that does needs no record
+     * at other keepers. */
+    if (s->out->action == FLOW_FORWARD && s->moved && !flipped) {
         tell_others(s, upstream);
     }
 }
 
+/* Says whether this keeper's not knowing a flow is final: the step before
+ * waited until all records were confirmed, and no keeper is new. */
+static bool
+is_complete(const struct steering *s)
+{
+    return s->flow->step >= FLOW_STEP_FLIP && s->now >= s->flow->complete_at;
+}
+
+/* Says whether a keeper was asked before, by whatever view. */
+static bool
+was_asked(const struct steering *s, uint64_t id)
+{
+    size_t count = MIN(s->packet->position, FLOW_ASKED_KEEPERS);
+
+    for (size_t i = 0; i < count; i++) {
+        if (s->packet->asked[i] == (uint16_t)id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Finds the next keeper to ask: in this view, not this entry, not asked. */
+static const struct member *
+next_keeper(const struct steering *s)
+{
+    if (s->packet->position >= FLOW_ASKED_KEEPERS) {
+        return NULL;
+    }
+    for (size_t i = 0; i < s->keeper_count; i++) {
+        if (s->keepers[i]->id != s->flow->options.self &&
+            !was_asked(s, s->keepers[i]->id)) {
+            return s->keepers[i];
+        }
+    }
+    return NULL;
+}
+
+/* Hands the packet to a keeper, which looks and then asks the next. */
+static void
+hand_to_keeper(struct steering *s, const struct member *keeper)
+{
+    uint8_t position = s->packet->position;
+
+    for (size_t i = 0; i < position; i++) {
+        s->out->asked[i] = s->packet->asked[i];
+    }
+    s->out->asked[position] = (uint16_t)keeper->id;
+    hand(s, RULE_ASK_KEEPER, keeper->id, (uint8_t)(position + 1));
+}
+
 /* Asks the next keeper that has not looked, or decides after the last. */
 static void
 ask_keepers(struct steering *s)
 {
     uint64_t self = s->flow->options.self;
-    size_t position = s->packet->handed ? s->packet->position : 0;
+    const struct member *next;
+    bool first_keeper;
 
     s->keeper_count = member_keepers(
         &s->flow->members, hash_pair(HASH_BUCKET, s->packet->hash, 0),
         MEMBER_KEEPERS, s->keepers);
-    if (s->packet->first && s->packet->handed && position > 0) {
+    first_keeper = s->packet->position > 0 ||
+                   (s->keeper_count > 0 && s->keepers[0]->id == self);
+    if (first_keeper && (s->packet->first || is_complete(s))) {
         decide_as_keeper(s);
         return;
     }
-    while (position < s->keeper_count && s->keepers[position]->id == self) {
-        position++;
-        if (s->packet->first) {
-            decide_as_keeper(s);
-            return;
-        }
-    }
-    if (position < s->keeper_count) {
-        hand(s, RULE_ASK_KEEPER, s->keepers[position]->id,
-             (uint8_t)(position + 1));
+    next = next_keeper(s);
+    if (next != NULL) {
+        hand_to_keeper(s, next);
         return;
     }
     decide_as_keeper(s);
@@ -228,6 +278,22 @@
     place(s, RULE_SETTLED, s->now_owner);
 }
 
+/* Tells an entry that asks again and again. Short flows are answered packet
+ * by packet, which costs a hop but no message. */
+static void
+tell_asker(struct steering *s, struct flow_record *record)
+{
+    uint32_t asked = (record->flags >> FLOW_ASKED_SHIFT) + 1;
+
+    if (asked == FLOW_ASKED_MAX) {
+        asked = 0;
+        flow_queue(s->flow, s->packet->origin, s->packet->hash,
+                   record->upstream, FLOW_SEND_HINT);
+    }
+    record->flags = (record->flags & ((1U << FLOW_ASKED_SHIFT) - 1)) |
+                    (asked << FLOW_ASKED_SHIFT);
+}
+
 /* Forwards a flow that has a record. */
 static void
 steer_recorded(struct steering *s, struct flow_record *record)
@@ -241,8 +307,7 @@
     s->out->upstream = record->upstream;
     if (s->packet->handed && s->packet->position > 0 &&
         s->packet->origin != s->flow->options.self) {
-        flow_queue(s->flow, s->packet->origin, s->packet->hash,
-                   record->upstream, false);
+        tell_asker(s, record);
     }
 }
 
--- a/flow-view.c
+++ b/flow-view.c
@@ -483,8 +483,9 @@
     flow_store_open(&flow->store, options->capacity);
     flow->by_address = g_hash_table_new(NULL, NULL);
     flow->by_upstream = g_hash_table_new(NULL, NULL);
-    g_queue_init(&flow->urgent);
-    g_queue_init(&flow->paced);
+    for (int i = 0; i <= FLOW_SEND_PUSH; i++) {
+        g_queue_init(&flow->sends[i]);
+    }
     return flow;
 }
 
@@ -499,8 +500,9 @@
     g_free(flow->upstreams);
     g_hash_table_destroy(flow->by_address);
     g_hash_table_destroy(flow->by_upstream);
-    g_queue_clear_full(&flow->urgent, g_free);
-    g_queue_clear_full(&flow->paced, g_free);
+    for (int i = 0; i <= FLOW_SEND_PUSH; i++) {
+        g_queue_clear_full(&flow->sends[i], g_free);
+    }
     member_set_clear(&flow->members);
     member_set_clear(&flow->before);
     flow_store_close(&flow->store);
@@ -521,13 +523,10 @@
     return flow->version;
 }
 
-/* Step as control is told: LEARNED once all records were pushed. */
+/* Step in force here. */
 enum flow_step
 flow_step(const struct flow *flow)
 {
-    if (flow->step == FLOW_STEP_MOVE && flow_is_pushed(flow)) {
-        return FLOW_STEP_LEARNED;
-    }
     return flow->step;
 }
 
@@ -555,8 +554,9 @@
     }
     bytes += (flow->members.count + flow->before.count) *
              sizeof(struct member);
-    bytes += (g_queue_get_length((GQueue *)&flow->urgent) +
-              g_queue_get_length((GQueue *)&flow->paced)) *
-             (sizeof(struct flow_send) + 3 * sizeof(void *));
+    for (int i = 0; i <= FLOW_SEND_PUSH; i++) {
+        bytes += flow->sends[i].length *
+                 (sizeof(struct flow_send) + 3 * sizeof(void *));
+    }
     return bytes;
 }
--- a/flow.h
+++ b/flow.h
@@ -26,7 +26,9 @@
 #define FLOW_IDLE_S 3600U          /**< a record unused this long may go */
 #define FLOW_CLOSING_S 60U         /**< the same after FIN or RST */
 #define FLOW_EXCEPTION_S 86400U    /**< a moved bucket asks keepers so long */
-#define FLOW_UDP_FLIP_MS 1500U     /**< UDP: unknown flows are new after it */
+#define FLOW_UDP_FLIP_MS 2500U     /**< UDP: unknown flows are new after it */
+#define FLOW_REPAIR_MS 30000U   /**< after an epoch: ask all keepers */
+#define FLOW_ASKED_KEEPERS 4   /**< keepers asked, in views that differ */
 #define FLOW_HOPS_MAX 6U           /**< packets handed more often are dropped */
 #define FLOW_STALE_MS 30000U       /**< after the lease: forward nothing */
 
@@ -51,8 +53,9 @@
     bool first;       /**< TCP SYN without ACK */
     bool closing;     /**< TCP FIN or RST */
     bool handed;      /**< came from another entry */
-    uint8_t position; /**< keepers that have looked so far */
+    uint8_t position; /**< keepers asked so far, this one included */
     uint8_t hops;     /**< entries it has passed */
+    uint16_t asked[FLOW_ASKED_KEEPERS]; /**< low bits of their ids */
 };
 
 /** What to do with a packet. */
@@ -67,6 +70,14 @@
     uint64_t origin;         /**< HAND: pass on as origin */
     uint8_t position;        /**< HAND: pass on as position */
     uint8_t hops;            /**< HAND: pass on as hops */
+    uint16_t asked[FLOW_ASKED_KEEPERS]; /**< HAND: pass on */
+};
+
+/** How urgent a record is. */
+enum flow_send_class {
+    FLOW_SEND_COPY, /**< a keeper's decision, for the other keepers: now */
+    FLOW_SEND_HINT, /**< spares an entry from asking again: gathered */
+    FLOW_SEND_PUSH, /**< for keepers after a change: within a budget */
 };
 
 /** A record for another entry. */
@@ -75,7 +86,7 @@
     uint64_t hash;    /**< flow */
     uint32_t address; /**< upstream's address */
     uint16_t port;    /**< upstream's port */
-    bool paced;       /**< waits for the push budget */
+    enum flow_send_class class; /**< how urgent */
 };
 
 /** One upstream as the steering knows it. */
@@ -150,21 +161,18 @@
  */
 bool flow_scan(struct flow *flow, uint64_t now, size_t places);
 
-/**
- * Takes records to send, at most `max`: those for the data path first, then
- * paced ones while `budget` bytes allow.
- */
-size_t flow_take(struct flow *flow, struct flow_send *out, size_t max,
-                 size_t *budget);
+/** Takes records of one class to send, at most `max`. */
+size_t flow_take(struct flow *flow, enum flow_send_class class,
+                 struct flow_send *out, size_t max);
 
-/** Says whether every record that others must hold was sent. */
+/** Says whether every record that others must hold was taken to be sent. */
 bool flow_is_pushed(const struct flow *flow);
 
 /** Looks an upstream up by handle; NULL when the handle is dead. */
 const struct flow_upstream *flow_upstream(const struct flow *flow,
                                           upstream_id id);
 
-/** Bundle version, step as told to control, and table digest of a service. */
+/** Bundle version, step and table digest of a service. */
 uint64_t flow_version(const struct flow *flow);
 enum flow_step flow_step(const struct flow *flow);
 uint64_t flow_table_digest(const struct flow *flow, uint16_t service);
--- a/packet.c
+++ b/packet.c
@@ -8,7 +8,7 @@
 #define GENEVE_IPV4 0x0800U
 #define OPTION_CLASS 0xff52U /* experimental range of RFC 8926, 4.3 */
 #define OPTION_TYPE 0x01U
-#define OPTION_WORDS 3U /* of data, 4 bytes each */
+#define OPTION_WORDS 5U /* of data, 4 bytes each */
 #define IP_HEADER 20U
 #define TCP_HEADER 20U
 #define UDP_HEADER 8U
@@ -67,6 +67,9 @@
                 ((uint64_t)get32(at + 4) << 32) | get32(at + 8);
             out->hand.position = at[12];
             out->hand.hops = at[13];
+            for (size_t i = 0; i < PACKET_ASKED; i++) {
+                out->hand.asked[i] = get16(at + 14 + 2 * i);
+            }
         }
         at += size;
         length -= size;
@@ -249,6 +252,9 @@
         put32(option + 8, (uint32_t)hand->origin);
         option[12] = hand->position;
         option[13] = hand->hops;
+        for (size_t i = 0; i < PACKET_ASKED; i++) {
+            put16(option + 14 + 2 * i, hand->asked[i]);
+        }
     }
     *length = PACKET_GENEVE + options + packet->length;
     return at;
--- a/packet.h
+++ b/packet.h
@@ -14,7 +14,8 @@
 #define PACKET_MAX 2048      /**< largest encapsulated packet */
 #define PACKET_HEADROOM 32   /**< free bytes before a received packet */
 #define PACKET_GENEVE 8      /**< bytes of the header without options */
-#define PACKET_HANDED 16     /**< bytes of our option, with its header */
+#define PACKET_HANDED 24     /**< bytes of our option, with its header */
+#define PACKET_ASKED 4
 
 #define PACKET_TCP 6
 #define PACKET_UDP 17
@@ -22,8 +23,9 @@
 /** How a packet came from another entry. */
 struct packet_handed {
     uint64_t origin;  /**< entry that the fabric gave it to */
-    uint8_t position; /**< keepers that have looked */
+    uint8_t position; /**< keepers asked */
     uint8_t hops;     /**< entries it has passed */
+    uint16_t asked[PACKET_ASKED]; /**< low bits of their ids */
 };
 
 /** One received packet, parsed; points into the caller's buffer. */
