Keep flows that only a lost entry knew while a bucket moves

Change: only a first packet makes an origin; a loss during a move starts a scan for orphans; a confirmation counts only under the epoch in force; after a loss the roll-out lingers 8 s before unknown flows follow the new table; UDP waits for the same step, 8 s at most.

--- a/control-core.h
+++ b/control-core.h
@@ -17,6 +17,8 @@
 #define CONTROL_SUSPECT_MS 3500U  /**< an unheard entry leaves the epoch */
 #define CONTROL_BEHIND_MS 5000U   /**< an entry that lags so long as well */
 #define CONTROL_LEARN_MS 30000U   /**< longest wait for records to be pushed */
+#define CONTROL_LINGER_MS 8000U   /**< after a loss, flows that only the lost
+                                       entry knew may still show themselves */
 #define CONTROL_ANSWER_MS 3000U   /**< longest wait of an operator */
 #define CONTROL_COMPACT 256U      /**< entries of the log before a snapshot */
 
@@ -90,6 +92,7 @@
     struct counters *counters;   /**< of the process */
     uint64_t lead_term;          /**< term in which entries were cleared */
     uint64_t step_at;            /**< when the step was reached here */
+    uint64_t departed_at;        /**< when an entry was last given up */
     uint64_t step_seen;          /**< version * 8 + step of `step_at` */
     uint64_t proposed;           /**< last STEP, EPOCH or CONFIG proposed */
     uint64_t proposed_term;      /**< its term */
--- a/control-rollout.c
+++ b/control-rollout.c
@@ -33,13 +33,15 @@
     }
 }
 
-/* Says whether an entry has confirmed a step of the bundle in force. */
+/* Says whether an entry has confirmed a step of the bundle in force. An
+ * entry that does not know the epoch may not have pushed what it must. */
 static bool
 has_confirmed(const struct control_core *core, uint64_t id, uint32_t step)
 {
     const struct control_entry *entry = control_find_entry(core, id);
 
     return entry != NULL &&
+           entry->epoch >= control_state_epoch(&core->state)->number &&
            (entry->version > core->state.current ||
             (entry->version == core->state.current && entry->step >= step));
 }
@@ -96,6 +98,9 @@
     case FLOW_STEP_ANNOUNCE:
         return FLOW_STEP_MOVE;
     case FLOW_STEP_MOVE:
+        if (now < core->departed_at + CONTROL_LINGER_MS) {
+            return FLOW_STEP_NONE;
+        }
         if (all_confirmed(core, FLOW_STEP_LEARNED, NULL, 0) ||
             now >= core->step_at + CONTROL_LEARN_MS) {
             return FLOW_STEP_FLIP;
@@ -170,6 +175,9 @@
             control_find_entry(core, member.id);
 
         if (must_leave(core, now, &member)) {
+            core->departed_at = entry != NULL && entry->gone
+                                    ? core->departed_at
+                                    : now;
             g_array_append_val(dropping, member.id);
             changed = true;
             continue;
--- a/entry-core.h
+++ b/entry-core.h
@@ -17,11 +17,11 @@
 
 #define ENTRY_REPORT_MS 1000U     /**< between reports to control */
 #define ENTRY_FETCH_MS 300U       /**< between fetches of the same thing */
-#define ENTRY_PUSH_RATE 8000U     /**< bytes a second of records, at most */
+#define ENTRY_PUSH_RATE 12000U    /**< bytes a second of records, at most */
 #define ENTRY_PUSH_REFILL 1500U   /**< bytes a second, in the long run */
 #define ENTRY_PUSH_BURST 30000U   /**< bytes that may gather */
-#define ENTRY_PUSH_MS 100U        /**< between pushes */
-#define ENTRY_HINT_MS 1000U       /**< between hints to entries that ask */
+#define ENTRY_PUSH_MS 250U        /**< between pushes */
+#define ENTRY_HINT_MS 4000U       /**< between hints to entries that ask */
 #define ENTRY_SCAN_PLACES 65536U  /**< places of the table a tick looks at */
 #define ENTRY_LINGER_MS 1000U     /**< a stopping entry goes on so long */
 #define ENTRY_CONTROLS_MAX 7U
--- a/flow-internal.h
+++ b/flow-internal.h
@@ -73,6 +73,7 @@
     uint64_t departed_until;  /* a member left; its flows may be orphans */
     enum flow_pass pass;
     bool move_pending;
+    bool orphans_pending;
     bool epoch_pending;
     size_t cursor;
     GQueue sends[FLOW_SEND_PUSH + 1]; /* struct flow_send, by class */
--- a/flow-push.c
+++ b/flow-push.c
@@ -44,6 +44,11 @@
         flow->pass = PASS_MOVE;
         flow->cursor = 0;
     }
+    else if (flow->orphans_pending) {
+        flow->orphans_pending = false;
+        flow->pass = PASS_ORPHANS;
+        flow->cursor = 0;
+    }
     else if (flow->epoch_pending) {
         flow->epoch_pending = false;
         flow->pass = PASS_EPOCH;
@@ -56,7 +61,7 @@
 flow_is_pushed(const struct flow *flow)
 {
     return flow->pass == PASS_NONE && !flow->move_pending &&
-           !flow->epoch_pending &&
+           !flow->epoch_pending && !flow->orphans_pending &&
            flow->sends[FLOW_SEND_PUSH].length == 0;
 }
 
@@ -71,6 +76,8 @@
     for (size_t i = 0; i < flow->members.count; i++) {
         if (member_find(members, flow->members.items[i].id) == NULL) {
             flow->departed_until = now + FLOW_IDLE_S * 1000ULL;
+            /* It may not have pushed what it was the origin of. */
+            flow->orphans_pending = flow->step < FLOW_STEP_FLIP;
         }
     }
     /* While a pass is unfinished, its keepers before stay those to compare
@@ -124,8 +131,7 @@
         &flow->before, hash_pair(HASH_BUCKET, record->hash, 0),
         MEMBER_KEEPERS, old);
 
-    if (!(record->flags & FLOW_FLAG_ORIGIN) &&
-        !is_first_survivor(flow, old, old_count)) {
+    if (!is_first_survivor(flow, old, old_count)) {
         return;
     }
     for (size_t i = 0; i < count; i++) {
@@ -159,11 +165,9 @@
         return;
     }
     if (flow->pass == PASS_ORPHANS) {
-        if (!holds(keepers, count, flow->options.self) && count > 0) {
-            flow_queue(flow, keepers[0]->id, record->hash, record->upstream,
-                       FLOW_SEND_PUSH);
-        }
-        return;
+        /* Every holder pushes, so two of the keepers must do. */
+        count = holds(keepers, count, flow->options.self) ? 0
+                                                          : MIN(count, 2);
     }
     for (size_t i = 0; i < count; i++) {
         if (keepers[i]->id != flow->options.self) {
@@ -201,13 +205,12 @@
 static void
 end_pass(struct flow *flow, uint64_t now)
 {
-    bool orphans = flow->pass == PASS_MOVE && now < flow->departed_until;
-
-    flow->cursor = 0;
-    flow->pass = orphans ? PASS_ORPHANS : PASS_NONE;
-    if (flow->pass == PASS_NONE) {
-        flow_begin_pass(flow);
+    if (flow->pass == PASS_MOVE && now < flow->departed_until) {
+        flow->orphans_pending = true;
     }
+    flow->cursor = 0;
+    flow->pass = PASS_NONE;
+    flow_begin_pass(flow);
 }
 
 /* Scans some places of the table. */
--- a/flow-steer.c
+++ b/flow-steer.c
@@ -118,7 +118,9 @@
         return;
     }
     record = flow_store_put(s->flow, s->now, s->packet->hash, upstream);
-    if (!s->packet->handed || s->packet->position == 0) {
+    /* Only a first packet makes an origin; UDP does not mark any. */
+    if ((s->packet->first || s->service->protocol == BUNDLE_UDP) &&
+        s->packet->position == 0) {
         record->flags |= FLOW_FLAG_ORIGIN;
     }
     u = (struct flow_upstream *)flow_upstream(s->flow, upstream);
--- a/flow.h
+++ b/flow.h
@@ -26,7 +26,7 @@
 #define FLOW_IDLE_S 3600U          /**< a record unused this long may go */
 #define FLOW_CLOSING_S 60U         /**< the same after FIN or RST */
 #define FLOW_EXCEPTION_S 86400U    /**< a moved bucket asks keepers so long */
-#define FLOW_UDP_FLIP_MS 2500U     /**< UDP: unknown flows are new after it */
+#define FLOW_UDP_FLIP_MS 8000U     /**< UDP: unknown flows are new after it */
 #define FLOW_REPAIR_MS 30000U   /**< after an epoch: ask all keepers */
 #define FLOW_ASKED_KEEPERS 4   /**< keepers asked, in views that differ */
 #define FLOW_HOPS_MAX 6U           /**< packets handed more often are dropped */
--- a/tests/flow-load.c
+++ b/tests/flow-load.c
@@ -394,6 +394,9 @@
                    (unsigned long long)r->version + 1);
     if (sim_submit(r->sim, text, id, "ana", 0)) {
         r->version++;
+        for (uint32_t u = 1; r->states[u - 1] != '\0'; u++) {
+            r->left_at[u] = is_leaving(r, u) ? r->left_at[u] : 0;
+        }
     }
     g_free(text);
 }
