--- a/claim.c
+++ b/claim.c
@@ -83,10 +83,10 @@
 
 /* Says that a key ended, and how. */
 static void
-reply_done(const struct claim_record *record, wire_claim_reply *out)
+reply_done(struct claim_record *record, wire_claim_reply *out)
 {
     out->result = WIRE_CLAIM_DONE;
-    out->outcome = record->outcome;
+    out->outcome = &record->outcome;
 }
 
 /* Decides about a claim on a key that has a record. */
@@ -98,12 +98,13 @@
         out->result = WIRE_CLAIM_CONFLICT;
         return;
     }
+    out->holder = record->claim.coordinator;
+    out->holder_token = record->claim.token;
     switch (record->state) {
     case CLAIM_DONE:
         reply_done(record, out);
         return;
     case CLAIM_RUNNING:
-        out->holder = record->claim.coordinator;
         out->result = is_holder(record, claim) ? WIRE_CLAIM_GRANTED
                                                : WIRE_CLAIM_HELD;
         return;
--- a/claim.h
+++ b/claim.h
@@ -49,7 +49,7 @@
 /**
  * Decides about a claim or probe.
  * @param epoch the replica's own; another one fences the claim
- * @param out its outcome's body is borrowed from the record
+ * @param out its outcome is borrowed from the record
  */
 void claim_take(struct claim_table *table, uint64_t epoch,
                 const wire_claim *claim, wire_claim_reply *out);
--- a/entry-gates.c
+++ b/entry-gates.c
@@ -1,17 +1,24 @@
-/* The gates that an entry runs: one for each service it ranks first for. */
+/* The gates that an entry runs: for each service that it ranks first for, or
+ * stands in for while the first is silent. */
 #include <string.h>
 
 #include "entry-internal.h"
 #include "hash.h"
 
-/* Says whether this entry gates a service. */
+/* Says whether this entry gates a service, or may stand in for its gate. */
 static bool
 is_gate(const struct entry_core *core, uint64_t service)
 {
     const struct member *set[MEMBER_KEEPERS];
+    size_t count =
+        member_keepers(&core->active, service, MEMBER_KEEPERS, set);
 
-    return member_keepers(&core->active, service, 1, set) == 1 &&
-           set[0]->id == core->self.id;
+    for (size_t i = 0; i < count; i++) {
+        if (set[i]->id == core->self.id) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* Finds a request service by the hash of its name. */
--- a/gate.c
+++ b/gate.c
@@ -38,6 +38,8 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     gate->promises =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    gate->waiting =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     g_queue_init(&gate->queue);
     return gate;
 }
@@ -49,6 +51,7 @@
     g_array_free(gate->upstreams, TRUE);
     g_array_free(gate->answers, TRUE);
     g_hash_table_destroy(gate->holds);
+    g_hash_table_destroy(gate->waiting);
     g_hash_table_destroy(gate->promises);
     g_queue_clear_full(&gate->queue, g_free);
     g_free(gate);
@@ -294,6 +297,9 @@
 enqueue(struct gate *gate, uint64_t now, const wire_slot_ask *ask, bool first)
 {
     struct gate_ask *waiting = g_new(struct gate_ask, 1);
+    uint64_t key = hold_key(ask->entry, ask->token);
+
+    g_hash_table_add(gate->waiting, g_memdup2(&key, sizeof(key)));
 
     *waiting = (struct gate_ask){.token = ask->token,
                                  .entry = ask->entry,
@@ -307,6 +313,16 @@
     }
 }
 
+/* Forgets a request that leaves the queue. */
+static void
+free_ask(struct gate *gate, struct gate_ask *ask)
+{
+    uint64_t key = hold_key(ask->entry, ask->token);
+
+    g_hash_table_remove(gate->waiting, &key);
+    g_free(ask);
+}
+
 /* Grants free slots to those that wait. */
 static void
 serve_queue(struct gate *gate, uint64_t now)
@@ -320,7 +336,7 @@
         }
         ask = g_queue_pop_head(&gate->queue);
         grant(gate, ask->entry, ask->token, ask->deadline, (guint)upstream);
-        g_free(ask);
+        free_ask(gate, ask);
     }
 }
 
@@ -328,14 +344,9 @@
 static bool
 is_waiting(struct gate *gate, uint64_t entry, uint64_t token)
 {
-    for (GList *l = gate->queue.head; l != NULL; l = l->next) {
-        const struct gate_ask *ask = l->data;
+    uint64_t key = hold_key(entry, token);
 
-        if (ask->entry == entry && ask->token == token) {
-            return true;
-        }
-    }
-    return false;
+    return g_hash_table_contains(gate->waiting, &key);
 }
 
 /* Repeats a grant whose message was lost. */
@@ -503,7 +514,7 @@
         struct gate_ask *ask = l->data;
 
         if (ask->entry == entry) {
-            g_free(ask);
+            free_ask(gate, ask);
             g_queue_delete_link(&gate->queue, l);
         }
         l = next;
@@ -539,7 +550,7 @@
         if (now + (uint64_t)gate->service_ms > ask->deadline) {
             refuse(gate, now, ask->entry, ask->token, ask->subject,
                    RULE_TOO_LATE);
-            g_free(ask);
+            free_ask(gate, ask);
             g_queue_delete_link(&gate->queue, l);
         }
         l = next;
--- a/gate.h
+++ b/gate.h
@@ -80,6 +80,7 @@
     uint64_t open_at;   /**< deadline before which nothing is granted */
     GArray *upstreams;  /**< struct gate_upstream */
     GQueue queue;       /**< struct gate_ask, oldest first */
+    GHashTable *waiting; /**< key of entry and token of each in the queue */
     GHashTable *holds;  /**< key of entry and token to struct gate_hold */
     GHashTable *promises; /**< subject to the time it was told (gint64) */
     uint64_t promised_until; /**< capacity is set aside up to then */
--- a/request-claim.c
+++ b/request-claim.c
@@ -324,6 +324,20 @@
     return false;
 }
 
+/* Remembers who holds the key. */
+static void
+note_holder(struct request *request)
+{
+    for (size_t i = 0; i < request->replica_count; i++) {
+        const struct request_replica *replica = &request->replicas[i];
+
+        if (replica->heard && replica->result == WIRE_CLAIM_HELD) {
+            request->holder = replica->holder;
+            request->holder_token = replica->holder_token;
+        }
+    }
+}
+
 /* Gives back grants, and waits for the one that holds the key. */
 static void
 wait_for_holder(struct request_core *core, uint64_t now,
@@ -346,6 +360,7 @@
         finish->outcome.reason = RULE_KEY_RUNNING;
         finish->outcome.retry_ms = REQUEST_RESEND_MS;
     }
+    note_holder(request);
     request->state = REQUEST_WAITING;
     request->resend_at = now + REQUEST_RESEND_MS;
 }
@@ -359,9 +374,15 @@
     case VERDICT_OPEN:
         return;
     case VERDICT_OURS:
-        if (request->state == REQUEST_CLAIMING) {
-            request_ask_gate(core, now, request);
+        if (request->state != REQUEST_CLAIMING) {
+            return;
+        }
+        if (request->holder != 0 && request->released != 0) {
+            request_end(core, now, request, WIRE_OUTCOME_NOT_RUN,
+                        request->released, request->released_retry_ms);
+            return;
         }
+        request_ask_gate(core, now, request);
         return;
     case VERDICT_DONE:
         request_end(core, now, request, request->outcome.kind, RULE_KEY_DONE,
@@ -387,6 +408,42 @@
     }
 }
 
+/* Takes the outcome of a record. A record that was released holds nothing;
+ * only the release by the holder that is waited for says something. */
+static void
+take_done(struct request *request, struct request_replica *replica,
+          const wire_claim_reply *reply)
+{
+    if (reply->outcome->kind != WIRE_OUTCOME_NOT_RUN) {
+        claim_copy_outcome(reply->outcome, &request->outcome);
+        request->outcome.reason = MAX(request->outcome.reason, 1);
+        return;
+    }
+    replica->result = WIRE_CLAIM_NONE;
+    if (request->state == REQUEST_WAITING &&
+        reply->holder == request->holder &&
+        reply->holder_token == request->holder_token) {
+        request->released = (enum ring_rule)reply->outcome->reason;
+        request->released_retry_ms = reply->outcome->retry_ms;
+    }
+}
+
+/* Says whether every current replica that is alive answered, and none of
+ * them is held. */
+static bool
+is_free_again(const struct request *request)
+{
+    for (size_t i = 0; i < request->replica_count; i++) {
+        const struct request_replica *replica = &request->replicas[i];
+
+        if (replica->alive && replica->current &&
+            (!replica->heard || replica->result == WIRE_CLAIM_HELD)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Takes what one replica said. */
 void
 request_take_claim_reply(struct request_core *core, uint64_t now,
@@ -411,6 +468,7 @@
     replica->heard = true;
     replica->result = reply->result;
     replica->holder = reply->holder;
+    replica->holder_token = reply->holder_token;
     for (u_int i = 0; i < reply->absorbed.absorbed_len; i++) {
         struct request_absorbed a = {
             .replica = reply->replica,
@@ -419,17 +477,16 @@
 
         g_array_append_val(request->absorbed, a);
     }
-    if (reply->result == WIRE_CLAIM_DONE) {
-        bool released = reply->outcome.kind == WIRE_OUTCOME_NOT_RUN;
-
-        if (released && request->state == REQUEST_CLAIMING) {
-            replica->result = WIRE_CLAIM_NONE;
-        }
-        else {
-            claim_copy_outcome(&reply->outcome, &request->outcome);
-            request->outcome.reason =
-                MAX(request->outcome.reason, 1);
-        }
+    if (reply->result == WIRE_CLAIM_DONE && reply->outcome != NULL) {
+        take_done(request, replica, reply);
+    }
+    if (request->state == REQUEST_WAITING && request->outcome.reason == 0 &&
+        is_free_again(request)) {
+        /* Claimed once more, so that what is said next is surely true. */
+        request->claim_deadline =
+            MIN(request->spec.deadline, now + REQUEST_CLAIM_MS);
+        request_start_claim(core, now, request);
+        return;
     }
     request_act_on_claim(core, now, request);
 }
--- a/request.c
+++ b/request.c
@@ -30,6 +30,7 @@
     core->counters = counters;
     core->ring = ring;
     core->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+    core->by_slot = g_hash_table_new(g_int64_hash, g_int64_equal);
     core->ended = g_ptr_array_new_with_free_func(free_request);
     core->actions = g_array_new(FALSE, FALSE, sizeof(struct request_action));
     core->retry_budget = RETRY_BUDGET_MAX;
@@ -47,6 +48,7 @@
         free_request(value);
     }
     g_hash_table_destroy(core->requests);
+    g_hash_table_destroy(core->by_slot);
     g_ptr_array_free(core->ended, TRUE);
     g_array_free(core->actions, TRUE);
     for (size_t i = 0; i < core->epoch_count; i++) {
@@ -145,6 +147,7 @@
     deliver(core, request);
     request->state = REQUEST_ENDED;
     g_hash_table_remove(core->requests, &request->spec.token);
+    g_hash_table_remove(core->by_slot, &request->slot_token);
     g_ptr_array_add(core->ended, request);
 }
 
@@ -228,17 +231,19 @@
     finish(core, now, request);
 }
 
-/* The entry that gates a service; 0 when there is none. */
+/* The entry that gates a service, or stands in for its gate; 0 when there
+ * is none of that rank. */
 static uint64_t
-gate_of(const struct request_core *core, uint64_t service)
+gate_of(const struct request_core *core, uint64_t service, unsigned rank)
 {
     const struct member *set[MEMBER_KEEPERS];
 
     if (core->epoch_count == 0 ||
-        member_keepers(&core->epochs[0].members, service, 1, set) == 0) {
+        member_keepers(&core->epochs[0].members, service, rank + 1, set) <=
+            rank) {
         return 0;
     }
-    return set[0]->id;
+    return set[rank]->id;
 }
 
 /* Milliseconds left until a deadline. */
@@ -272,8 +277,12 @@
                  struct request *request)
 {
     request->state = REQUEST_QUEUED;
-    request->gate = gate_of(core, request->spec.service);
+    request->gate =
+        gate_of(core, request->spec.service, request->gate_rank);
+    request->gate_asked = 1;
+    g_hash_table_remove(core->by_slot, &request->slot_token);
     request->slot_token = ++core->next_slot_token;
+    g_hash_table_insert(core->by_slot, &request->slot_token, request);
     request->resend_at = now + REQUEST_RESEND_MS;
     send_slot_ask(core, now, request, false);
 }
@@ -341,30 +350,13 @@
     request_ask_gate(core, now, request);
 }
 
-/* Finds the request that asked a gate with a token. */
-static struct request *
-find_by_slot(const struct request_core *core, uint64_t slot_token)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, core->requests);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct request *request = value;
-
-        if (request->slot_token == slot_token) {
-            return request;
-        }
-    }
-    return NULL;
-}
-
 /* Takes a slot; gives it back when it is no use any more. */
 void
 request_take_grant(struct request_core *core, uint64_t now,
                    const wire_slot_grant *grant)
 {
-    struct request *request = find_by_slot(core, grant->token);
+    struct request *request = 
+        g_hash_table_lookup(core->by_slot, &grant->token);
     struct request_action *action;
 
     if (request != NULL && request->state == REQUEST_RUNNING) {
@@ -400,7 +392,8 @@
 request_take_refusal(struct request_core *core, uint64_t now,
                      const wire_slot_refuse *refuse)
 {
-    struct request *request = find_by_slot(core, refuse->token);
+    struct request *request = 
+        g_hash_table_lookup(core->by_slot, &refuse->token);
 
     if (request == NULL || request->state != REQUEST_QUEUED) {
         return;
@@ -545,6 +538,25 @@
     }
 }
 
+/* Asks a gate again; one that stays silent has a stand-in, which knows fewer
+ * of the slots in use, so that the upstreams themselves may shed. */
+static void
+ask_again(struct request_core *core, uint64_t now, struct request *request)
+{
+    unsigned next = (request->gate_rank + 1) % MEMBER_KEEPERS;
+
+    request->resend_at = now + REQUEST_RESEND_MS;
+    if (request->gate_asked++ < REQUEST_GATE_TRIES ||
+        gate_of(core, request->spec.service, next) == 0) {
+        send_slot_ask(core, now, request, false);
+        return;
+    }
+    send_slot_done(core, request->gate, request->slot_token, request,
+                   GATE_UNUSED, 0);
+    request->gate_rank = next;
+    request_ask_gate(core, now, request);
+}
+
 /* Asks again, or another gate after an epoch change. */
 static void
 tick_queued(struct request_core *core, uint64_t now, struct request *request)
@@ -555,12 +567,13 @@
         request_end(core, now, request, WIRE_OUTCOME_NOT_RUN, RULE_TOO_LATE,
                     NO_LEASE_RETRY_MS);
     }
-    else if (request->gate != gate_of(core, request->spec.service)) {
+    else if (request->gate !=
+             gate_of(core, request->spec.service, request->gate_rank)) {
+        request->gate_rank = 0;
         request_ask_gate(core, now, request);
     }
     else if (now >= request->resend_at) {
-        request->resend_at = now + REQUEST_RESEND_MS;
-        send_slot_ask(core, now, request, false);
+        ask_again(core, now, request);
     }
 }
 
@@ -568,7 +581,7 @@
 static void
 tick_running(struct request_core *core, uint64_t now, struct request *request)
 {
-    uint64_t gate = gate_of(core, request->spec.service);
+    uint64_t gate = gate_of(core, request->spec.service, 0);
 
     if (now >= request->spec.deadline) {
         abort_call(core, now, request, RULE_UPSTREAM_FAILED);
--- a/request.h
+++ b/request.h
@@ -25,6 +25,7 @@
 #define REQUEST_RESEND_MS 100U  /**< unanswered messages go again */
 #define REQUEST_CLAIM_MS 1500U  /**< longest claim */
 #define REQUEST_FINISH_MS 300U  /**< longest wait for the outcome's copies */
+#define REQUEST_GATE_TRIES 3U   /**< questions before a stand-in is asked */
 #define REQUEST_EPOCHS 16       /**< epochs kept for the window */
 #define REQUEST_RETRY_PERCENT 10 /**< retries add at most this load */
 
@@ -80,6 +81,7 @@
     bool heard;       /**< answered in this epoch */
     wire_claim_result result; /**< its answer */
     uint64_t holder;  /**< HELD: by whom */
+    uint64_t holder_token; /**< HELD: its request */
     bool finished;    /**< stored the outcome */
 };
 
@@ -95,6 +97,12 @@
     uint64_t claim_deadline;      /**< CLAIMING: give up then */
     uint64_t resend_at;           /**< deadline: send again */
     uint64_t finish_deadline;     /**< FINISHING: answer anyway then */
+    uint64_t holder;              /**< WAITING: for whom */
+    uint64_t holder_token;        /**< WAITING: for its request */
+    enum ring_rule released;      /**< the holder was refused, and why */
+    uint32_t released_retry_ms;   /**< as the holder was told */
+    unsigned gate_rank;           /**< 0: the gate, 1 and 2: stand-ins */
+    unsigned gate_asked;          /**< times it was asked in vain */
     uint64_t gate;                /**< entry asked for a slot */
     uint64_t slot_token;          /**< of this try at the gate */
     uint32_t address;             /**< RUNNING: upstream */
@@ -117,6 +125,7 @@
 struct request_core {
     uint64_t self;              /**< this entry's id */
     GHashTable *requests;       /**< token to struct request */
+    GHashTable *by_slot;        /**< slot_token to struct request */
     GPtrArray *ended;           /**< to be freed when actions are cleared */
     struct request_epoch epochs[REQUEST_EPOCHS]; /**< [0] in force */
     size_t epoch_count;         /**< of epochs */
