--- a/claim.c
+++ b/claim.c
@@ -100,6 +100,7 @@
     }
     out->holder = record->claim.coordinator;
     out->holder_token = record->claim.token;
+    out->holder_epoch = record->claim.epoch;
     switch (record->state) {
     case CLAIM_DONE:
         reply_done(record, out);
--- a/control-entries.c
+++ b/control-entries.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "bundle.h"
+#include "claim.h"
 #include "control-internal.h"
 
 /* Finds an entry that reported. */
@@ -213,6 +214,27 @@
     return NULL;
 }
 
+/* Counts the epochs that an entry lacks: those after the one it has, and
+ * for one that has none, those that may still matter to its requests. */
+static u_int
+epochs_wanted(struct control_core *core, uint64_t now, uint64_t have)
+{
+    const wire_epoch *all = core->state.epochs.epochs_val;
+    u_int count = 1;
+
+    core->ended_ago[0] = 0;
+    while (count < core->state.epochs.epochs_len) {
+        core->ended_ago[count] = now - core->epoch_ended[count];
+        if (have != 0 ? all[count].number <= have
+                      : core->ended_ago[count] >
+                            CLAIM_HORIZON_MS + CLAIM_KEEP_MS) {
+            break;
+        }
+        count++;
+    }
+    return count;
+}
+
 /* Sends what an entry lacks. */
 void
 control_take_fetch(struct control_core *core, uint64_t now,
@@ -237,15 +259,13 @@
     if (fetch->epoch != 0 && core->state.epochs.epochs_len > 0) {
         wire_msg *msg = control_send(core, member);
         wire_epochs *out = &msg->wire_msg_u.epochs;
+        u_int count = epochs_wanted(core, now, fetch->have_epoch);
 
-        for (u_int i = 1; i < core->state.epochs.epochs_len; i++) {
-            core->ended_ago[i] = now - core->epoch_ended[i];
-        }
         msg->kind = WIRE_EPOCHS;
         out->term = core->cons.term;
-        out->epochs.epochs_len = core->state.epochs.epochs_len;
+        out->epochs.epochs_len = count;
         out->epochs.epochs_val = core->state.epochs.epochs_val;
-        out->ended_ago.ended_ago_len = core->state.epochs.epochs_len;
+        out->ended_ago.ended_ago_len = count;
         out->ended_ago.ended_ago_val = core->ended_ago;
     }
 }
--- a/control-rollout.c
+++ b/control-rollout.c
@@ -9,6 +9,8 @@
 #include "control-internal.h"
 #include "flow.h"
 
+#define FIRST_EPOCH_MS 1500U /* after the election of the first leader */
+
 /* Says whether the last command proposed here is still on its way. */
 static bool
 is_proposing(const struct control_core *core)
@@ -233,6 +235,12 @@
     GArray *members = g_array_new(FALSE, FALSE, sizeof(wire_member));
     GArray *dropping = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
+    /* The first epoch waits for those that start together. */
+    if (epoch == NULL && now < core->cons.elected_at + FIRST_EPOCH_MS) {
+        g_array_free(dropping, TRUE);
+        g_array_free(members, TRUE);
+        return;
+    }
     if (!is_proposing(core) && next_members(core, now, members, dropping)) {
         wire_epoch *next = &command.wire_command_u.epoch;
 
--- a/entry-lease.c
+++ b/entry-lease.c
@@ -76,6 +76,7 @@
     }
     if (epoch > core->epoch && now >= core->epoch_fetch_at) {
         out->epoch = epoch;
+        out->have_epoch = core->epoch;
         core->epoch_fetch_at = now + ENTRY_FETCH_MS;
     }
     if (out->bundle_version != 0 || out->epoch != 0) {
--- a/request-claim.c
+++ b/request-claim.c
@@ -34,6 +34,7 @@
 list_replicas(const struct request_core *core, struct request *request)
 {
     request->replica_count = 0;
+    request->too_many = false;
     for (size_t e = 0; e < core->epoch_count; e++) {
         const struct request_epoch *epoch = &core->epochs[e];
         const struct member *set[MEMBER_KEEPERS];
@@ -49,6 +50,10 @@
             if (find_replica(request, set[i]->id) != NULL) {
                 continue;
             }
+            if (request->replica_count == REQUEST_REPLICAS) {
+                request->too_many = true;
+                return;
+            }
             replica = &request->replicas[request->replica_count++];
             *replica = (struct request_replica){
                 .id = set[i]->id,
@@ -112,6 +117,16 @@
                               replica->result == WIRE_CLAIM_NONE);
 }
 
+/* Says whether a replica shows that it granted nothing in an epoch: it holds
+ * nothing, or what it holds was granted later. */
+static bool
+is_clean_for(const struct request_replica *replica, uint64_t epoch)
+{
+    return is_clean_answer(replica) ||
+           (replica->heard && replica->result == WIRE_CLAIM_HELD &&
+            replica->holder_epoch > epoch);
+}
+
 /* Says whether an entry of this id is in a key's set of an epoch. */
 static bool
 in_set_of(const struct request_core *core, const struct request *request,
@@ -159,6 +174,7 @@
           size_t epoch, size_t *size, size_t *clean, size_t *open)
 {
     const struct member *set[MEMBER_KEEPERS];
+    uint64_t number = core->epochs[epoch].members.epoch;
 
     *size = replicas_of(&core->epochs[epoch].members, request, set);
     *clean = 0;
@@ -170,7 +186,8 @@
         if (replica == NULL) {
             continue;
         }
-        if (is_clean_answer(replica) ||
+        if ((epoch == 0 ? is_clean_answer(replica)
+                        : is_clean_for(replica, number)) ||
             is_absorbed(core, (struct request *)request, set[i]->id)) {
             (*clean)++;
         }
@@ -226,7 +243,7 @@
     if (core->fault_no_old) {
         return verdict;
     }
-    if (core->history_cut) {
+    if (core->history_cut || request->too_many) {
         return VERDICT_OLD_LOST;
     }
     for (size_t e = 1; e < core->epoch_count; e++) {
@@ -238,7 +255,8 @@
         if (clean > size / 2 || size == 0) {
             continue;
         }
-        if (clean + open <= size / 2) {
+        /* One that still answers may know the outcome. */
+        if (open == 0) {
             return is_held_in(core, request, e) ? VERDICT_HELD
                                                 : VERDICT_OLD_LOST;
         }
@@ -306,7 +324,7 @@
             return false;
         }
     }
-    return core->epoch_count > 0 && !core->history_cut;
+    return core->epoch_count > 0 && !core->history_cut && !request->too_many;
 }
 
 /* Finds a holder that is not a member of the epoch in force any more. */
@@ -469,6 +487,7 @@
     replica->result = reply->result;
     replica->holder = reply->holder;
     replica->holder_token = reply->holder_token;
+    replica->holder_epoch = reply->holder_epoch;
     for (u_int i = 0; i < reply->absorbed.absorbed_len; i++) {
         struct request_absorbed a = {
             .replica = reply->replica,
--- a/request.c
+++ b/request.c
@@ -182,19 +182,23 @@
     }
 }
 
-/* Says whether a majority of the replicas stored the outcome. */
+/* Says whether so many of the replicas stored the outcome: a majority, or
+ * all that are alive. */
 static bool
-is_finished(const struct request *request)
+is_finished(const struct request *request, bool all)
 {
     size_t finished = 0;
     size_t current = 0;
+    size_t alive = 0;
 
     for (size_t i = 0; i < request->replica_count; i++) {
-        current += request->replicas[i].current;
-        finished += request->replicas[i].current &&
-                    request->replicas[i].finished;
+        const struct request_replica *replica = &request->replicas[i];
+
+        current += replica->current;
+        alive += replica->current && replica->alive;
+        finished += replica->current && replica->finished;
     }
-    return finished > current / 2;
+    return all ? finished >= alive : finished > current / 2;
 }
 
 /* Records the outcome at the replicas. Only a whole answer waits for that,
@@ -533,7 +537,10 @@
             request->replicas[i].finished = true;
         }
     }
-    if (is_finished(request)) {
+    if (is_finished(request, false)) {
+        deliver(core, request);
+    }
+    if (is_finished(request, true)) {
         retire(core, request);
     }
 }
@@ -673,12 +680,49 @@
     g_list_free(all);
 }
 
+/* Puts the epochs that are known behind those just taken. */
+static size_t
+keep_known(struct request_core *core, struct request_epoch *next,
+           size_t count, uint64_t oldest, uint64_t now)
+{
+    for (size_t i = 0; i < core->epoch_count; i++) {
+        struct request_epoch *known = &core->epochs[i];
+
+        if (known->members.epoch >= oldest || count == REQUEST_EPOCHS) {
+            member_set_clear(&known->members);
+            continue;
+        }
+        if (i == 0) {
+            known->until = now + CLAIM_HORIZON_MS + CLAIM_KEEP_MS;
+        }
+        next[count++] = *known;
+    }
+    return count;
+}
+
+/* Says whether an epoch that still matters is missing from the list. */
+static bool
+has_gap(const struct request_core *core, uint64_t now)
+{
+    const struct request_epoch *last = &core->epochs[core->epoch_count - 1];
+
+    for (size_t i = 1; i < core->epoch_count; i++) {
+        if (core->epochs[i].members.epoch + 1 !=
+            core->epochs[i - 1].members.epoch) {
+            return true;
+        }
+    }
+    return core->epoch_count == REQUEST_EPOCHS && last->members.epoch > 1 &&
+           last->until > now;
+}
+
 /* Takes the epochs; one that ended matters until its records expired. */
 void
 request_set_epochs(struct request_core *core, uint64_t now,
                    const struct member_set *epochs, const uint64_t *ended_ago,
                    size_t count)
 {
+    struct request_epoch next[REQUEST_EPOCHS] = {0};
     uint64_t window = CLAIM_HORIZON_MS + CLAIM_KEEP_MS;
     size_t kept = MIN(count, REQUEST_EPOCHS);
 
@@ -686,23 +730,19 @@
                        epochs[0].epoch <= core->epochs[0].members.epoch)) {
         return;
     }
-    for (size_t i = 0; i < MAX(kept, core->epoch_count); i++) {
-        if (i >= kept) {
-            member_set_clear(&core->epochs[i].members);
-            continue;
-        }
-        member_set_assign(&core->epochs[i].members, epochs[i].epoch,
-                          epochs[i].items, epochs[i].count);
-        core->epochs[i].until = now + window;
+    for (size_t i = 0; i < kept; i++) {
+        member_set_assign(&next[i].members, epochs[i].epoch, epochs[i].items,
+                          epochs[i].count);
+        next[i].until = now + window;
         if (i > 0) {
-            core->epochs[i].until -= MIN(window, ended_ago[i]);
+            next[i].until -= MIN(window, ended_ago[i]);
         }
     }
+    kept = keep_known(core, next, kept, epochs[kept - 1].epoch, now);
+    memcpy(core->epochs, next, sizeof(next));
     core->epoch_count = kept;
-    core->history_cut = kept == REQUEST_EPOCHS &&
-                        epochs[kept - 1].epoch > 1 &&
-                        core->epochs[kept - 1].until > now;
     expire_epochs(core, now);
+    core->history_cut = has_gap(core, now);
     restart_claims(core, now);
 }
 
--- a/request.h
+++ b/request.h
@@ -26,7 +26,8 @@
 #define REQUEST_CLAIM_MS 1500U  /**< longest claim */
 #define REQUEST_FINISH_MS 300U  /**< longest wait for the outcome's copies */
 #define REQUEST_GATE_TRIES 3U   /**< questions before a stand-in is asked */
-#define REQUEST_EPOCHS 16       /**< epochs kept for the window */
+#define REQUEST_EPOCHS WIRE_EPOCHS_MAX /**< epochs kept for the window */
+#define REQUEST_REPLICAS 48     /**< distinct replicas of a key in them */
 #define REQUEST_RETRY_PERCENT 10 /**< retries add at most this load */
 
 /** Where a request stands. */
@@ -82,17 +83,17 @@
     wire_claim_result result; /**< its answer */
     uint64_t holder;  /**< HELD: by whom */
     uint64_t holder_token; /**< HELD: its request */
+    uint64_t holder_epoch; /**< HELD: when it was granted */
     bool finished;    /**< stored the outcome */
 };
 
-#define REQUEST_REPLICAS (MEMBER_KEEPERS * REQUEST_EPOCHS)
-
 /** One request. */
 struct request {
     struct request_spec spec;     /**< what was asked */
     enum request_state state;     /**< where it stands */
     struct request_replica replicas[REQUEST_REPLICAS]; /**< union of sets */
     size_t replica_count;         /**< of replicas */
+    bool too_many;                /**< replicas; earlier ones cannot be read */
     GArray *absorbed;             /**< struct request_absorbed */
     uint64_t claim_deadline;      /**< CLAIMING: give up then */
     uint64_t resend_at;           /**< deadline: send again */
@@ -151,7 +152,7 @@
 
 /**
  * Takes the epochs that control sent, the one in force first, and how long
- * ago each ended (ms, a lower bound).
+ * ago each ended (ms, a lower bound). Older ones that are known are kept.
  */
 void request_set_epochs(struct request_core *core, uint64_t now,
                         const struct member_set *epochs,
