Carry records of keys over planned stops in a row

Cause (first lost keys of stop-entries, printed with all their sets): a verdict fell before replicas that had taken records over had answered; a stopping entry, alive, was not asked; keys that a join had displaced were handed to nobody; a second stop lost what the first had handed over. Change: handovers name the epochs before and after, go to new replicas (or to all, for displaced keys) and carry what was taken over earlier; claims may last longer than it takes to give up an entry.

--- a/claim.c
+++ b/claim.c
@@ -49,7 +49,8 @@
     table->partial =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                               (GDestroyNotify)g_hash_table_destroy);
-    table->absorbed = g_array_new(FALSE, FALSE, sizeof(wire_absorbed));
+    table->absorbed = 
+        g_array_new(FALSE, FALSE, sizeof(struct claim_absorbed));
     table->self = self;
 }
 
@@ -145,8 +146,8 @@
     out->replica = table->self;
     out->epoch = epoch;
     out->probe = claim->probe;
-    out->absorbed.absorbed_len = MIN(table->absorbed->len, WIRE_ABSORBED_MAX);
-    out->absorbed.absorbed_val = (wire_absorbed *)(void *)table->absorbed->data;
+    out->absorbed.absorbed_len = claim_list_absorbed(table, table->replied);
+    out->absorbed.absorbed_val = table->replied;
     if (is_fenced(table, epoch, claim)) {
         out->result = WIRE_CLAIM_EPOCH;
     }
@@ -186,17 +187,19 @@
     }
 }
 
-/* Notes that all records of a stopping entry were taken over. */
+/* Remembers what was taken over. */
 static void
-note_absorbed(struct claim_table *table, uint64_t sender, uint64_t epoch)
+note_absorbed(struct claim_table *table, uint64_t wall,
+              const wire_absorbed *what)
 {
-    wire_absorbed new = {.entry = sender, .epoch = epoch};
+    struct claim_absorbed new = {
+        .what = *what, .until = wall + CLAIM_HORIZON_MS + CLAIM_KEEP_MS};
 
     for (guint i = 0; i < table->absorbed->len; i++) {
-        const wire_absorbed *old =
-            &g_array_index(table->absorbed, wire_absorbed, i);
+        const struct claim_absorbed *old =
+            &g_array_index(table->absorbed, struct claim_absorbed, i);
 
-        if (old->entry == sender && old->epoch == epoch) {
+        if (memcmp(&old->what, what, sizeof(*what)) == 0) {
             return;
         }
     }
@@ -206,6 +209,20 @@
     g_array_append_val(table->absorbed, new);
 }
 
+/* Lists what was taken over. */
+u_int
+claim_list_absorbed(const struct claim_table *table,
+                    wire_absorbed out[WIRE_ABSORBED_MAX])
+{
+    u_int count = MIN(table->absorbed->len, WIRE_ABSORBED_MAX);
+
+    for (u_int i = 0; i < count; i++) {
+        out[i] =
+            g_array_index(table->absorbed, struct claim_absorbed, i).what;
+    }
+    return count;
+}
+
 /* Keeps a record handed over; an outcome already known is kept. */
 static void
 keep_handed(struct claim_table *table, const wire_handover *handover)
@@ -226,8 +243,13 @@
 
 /* Takes one record of a stopping entry. `total` 0 means there is none. */
 uint32_t
-claim_absorb(struct claim_table *table, const wire_handover *handover)
+claim_absorb(struct claim_table *table, uint64_t wall,
+             const wire_handover *handover)
 {
+    wire_absorbed what = {.entry = handover->sender,
+                          .holder = table->self,
+                          .epoch = handover->epoch,
+                          .before = handover->before};
     uint64_t sender =
         hash_pair(HASH_KEY, handover->sender, handover->epoch);
     GHashTable *seen = g_hash_table_lookup(table->partial, &sender);
@@ -237,12 +259,15 @@
         g_hash_table_insert(table->partial,
                             g_memdup2(&sender, sizeof(sender)), seen);
     }
+    for (u_int i = 0; i < handover->absorbed.absorbed_len; i++) {
+        note_absorbed(table, wall, &handover->absorbed.absorbed_val[i]);
+    }
     if (handover->total > 0) {
         g_hash_table_add(seen, GUINT_TO_POINTER(handover->sequence + 1));
         keep_handed(table, handover);
     }
     if (g_hash_table_size(seen) >= handover->total) {
-        note_absorbed(table, handover->sender, handover->epoch);
+        note_absorbed(table, wall, &what);
     }
     return g_hash_table_size(seen);
 }
@@ -266,7 +291,8 @@
 /* Lists the records that another entry must take over. */
 void
 claim_list_handover(const struct claim_table *table,
-                    const struct member_set *members, uint64_t receiver,
+                    const struct member_set *before,
+                    const struct member_set *after, uint64_t receiver,
                     GPtrArray *out)
 {
     GHashTableIter iter;
@@ -276,7 +302,11 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct claim_record *record = value;
 
-        if (is_replica(members, record->claim.key, receiver)) {
+        /* Keys that this entry kept in an earlier epoch only have no new
+         * replica for it; then all of theirs get the record. */
+        if (is_replica(after, record->claim.key, receiver) &&
+            (!is_replica(before, record->claim.key, receiver) ||
+             !is_replica(before, record->claim.key, table->self))) {
             g_ptr_array_add(out, value);
         }
     }
@@ -298,6 +328,11 @@
 claim_expire(struct claim_table *table, uint64_t wall)
 {
     (void)g_hash_table_foreach_remove(table->records, is_expired, &wall);
+    while (table->absorbed->len > 0 &&
+           g_array_index(table->absorbed, struct claim_absorbed, 0).until <
+               wall) {
+        g_array_remove_index(table->absorbed, 0);
+    }
 }
 
 /* Counts the records. */
--- a/claim.h
+++ b/claim.h
@@ -31,10 +31,17 @@
     wire_outcome outcome;   /**< DONE and RELEASED; its body is owned */
 };
 
+/** What was taken over from a stopped entry. */
+struct claim_absorbed {
+    wire_absorbed what; /**< whose records, and for which keys */
+    uint64_t until;     /**< deadline, wall ms: records of then are expired */
+};
+
 /** The records of one replica. */
 struct claim_table {
     GHashTable *records; /**< wire_key to struct claim_record */
-    GArray *absorbed;    /**< wire_absorbed: stopped entries taken over */
+    GArray *absorbed;    /**< struct claim_absorbed */
+    wire_absorbed replied[WIRE_ABSORBED_MAX]; /**< borrowed by replies */
     GHashTable *partial; /**< sender and epoch to sequences received */
     uint64_t self;       /**< this entry's id */
     bool fault_no_fence; /**< trial: grant in any epoch */
@@ -58,14 +65,23 @@
 void claim_finish(struct claim_table *table, const wire_finish *finish);
 
 /** Takes one record of a stopping entry; says how many came so far. */
-uint32_t claim_absorb(struct claim_table *table,
+uint32_t claim_absorb(struct claim_table *table, uint64_t wall,
                       const wire_handover *handover);
 
-/** Lists what a stopping entry owes another one under the new members. */
+/**
+ * Lists what a stopping entry owes another one: records of the keys that the
+ * receiver keeps after the stop, and that it or the stopping entry did not
+ * keep before.
+ */
 void claim_list_handover(const struct claim_table *table,
-                         const struct member_set *members, uint64_t receiver,
+                         const struct member_set *before,
+                         const struct member_set *after, uint64_t receiver,
                          GPtrArray *out);
 
+/** Writes what was taken over into an array; returns how many. */
+u_int claim_list_absorbed(const struct claim_table *table,
+                          wire_absorbed out[WIRE_ABSORBED_MAX]);
+
 /** Drops expired records; `wall` is ms since 1970. */
 void claim_expire(struct claim_table *table, uint64_t wall);
 
--- a/entry-core.c
+++ b/entry-core.c
@@ -110,6 +110,7 @@
     bundle_free(&core->before);
     member_set_clear(&core->all);
     member_set_clear(&core->active);
+    member_set_clear(&core->active_before);
     g_free(core->text);
     g_free(core->self.name);
     g_free(core->self.hall);
@@ -178,7 +179,8 @@
 
 /* Hands one message to the part it is for. */
 static void
-dispatch(struct entry_core *core, uint64_t now, const wire_msg *msg)
+dispatch(struct entry_core *core, uint64_t now, uint64_t wall,
+         const wire_msg *msg)
 {
     switch (msg->kind) {
     case WIRE_LEASE:
@@ -224,7 +226,7 @@
         entry_take_slot_done(core, now, &msg->wire_msg_u.slot_done);
         return;
     case WIRE_HANDOVER:
-        entry_take_handover(core, &msg->wire_msg_u.handover);
+        entry_take_handover(core, wall, &msg->wire_msg_u.handover);
         return;
     case WIRE_HANDOVER_ACK:
         entry_take_handover_ack(core, &msg->wire_msg_u.handover_ack);
@@ -243,7 +245,7 @@
 
 /* Works off actions and messages to itself until none is left. */
 static void
-settle(struct entry_core *core, uint64_t now)
+settle(struct entry_core *core, uint64_t now, uint64_t wall)
 {
     take_request_actions(core);
     while (!g_queue_is_empty(&core->inbox)) {
@@ -251,7 +253,7 @@
         wire_msg msg;
 
         if (codec_decode(bytes->data, bytes->len, &msg)) {
-            dispatch(core, now, &msg);
+            dispatch(core, now, wall, &msg);
             codec_free(&msg);
         }
         g_byte_array_unref(bytes);
@@ -273,7 +275,7 @@
     }
     entry_tick_handover(core, now);
     core->ticked_at = now;
-    settle(core, now);
+    settle(core, now, wall);
 }
 
 /* Takes a message. */
@@ -281,9 +283,8 @@
 entry_core_receive(struct entry_core *core, uint64_t now, uint64_t wall,
                    const wire_msg *msg)
 {
-    (void)wall;
-    dispatch(core, now, msg);
-    settle(core, now);
+    dispatch(core, now, wall, msg);
+    settle(core, now, wall);
 }
 
 /* A caller asks. */
@@ -292,7 +293,7 @@
                    const struct request_spec *spec)
 {
     request_begin(&core->requests, now, wall, spec);
-    settle(core, now);
+    settle(core, now, wall);
 }
 
 /* An upstream's call ended. */
@@ -301,9 +302,8 @@
                     uint64_t token, enum gate_result result,
                     const struct request_reply *reply)
 {
-    (void)wall;
     request_upstream(&core->requests, now, token, result, reply);
-    settle(core, now);
+    settle(core, now, wall);
 }
 
 /* A caller went away. */
@@ -311,9 +311,8 @@
 entry_core_cancel(struct entry_core *core, uint64_t now, uint64_t wall,
                   uint64_t token)
 {
-    (void)wall;
     request_cancel(&core->requests, now, token);
-    settle(core, now);
+    settle(core, now, wall);
 }
 
 /* Begins a planned stop: control is told at once. */
--- a/entry-core.h
+++ b/entry-core.h
@@ -93,6 +93,7 @@
     char *text;                     /**< of the bundle in force */
     struct member_set all;          /**< of the epoch, with stopping ones */
     struct member_set active;       /**< of the epoch, without them */
+    struct member_set active_before; /**< the last that had this entry */
     struct flow *flow;              /**< steering */
     struct request_core requests;   /**< as coordinator */
     struct claim_table claims;      /**< as replica */
--- a/entry-handover.c
+++ b/entry-handover.c
@@ -33,7 +33,8 @@
 
         handover->receiver = core->active.items[i].id;
         handover->records = g_ptr_array_new();
-        claim_list_handover(&core->claims, &core->active, handover->receiver,
+        claim_list_handover(&core->claims, &core->active_before,
+                            &core->active, handover->receiver,
                             handover->records);
         g_ptr_array_add(core->handovers, handover);
     }
@@ -44,11 +45,18 @@
 send_one(struct entry_core *core, const struct entry_handover *handover,
          guint sequence)
 {
+    wire_absorbed absorbed[WIRE_ABSORBED_MAX];
     wire_msg msg = {.kind = WIRE_HANDOVER};
     wire_handover *out = &msg.wire_msg_u.handover;
 
     out->sender = core->self.id;
     out->epoch = core->handover_epoch;
+    out->before = core->active_before.epoch;
+    if (sequence == 0) {
+        out->absorbed.absorbed_len =
+            claim_list_absorbed(&core->claims, absorbed);
+        out->absorbed.absorbed_val = absorbed;
+    }
     out->sequence = sequence;
     out->total = handover->records->len;
     if (sequence < handover->records->len) {
@@ -102,12 +110,13 @@
 
 /* Takes a record of a stopping entry. */
 void
-entry_take_handover(struct entry_core *core, const wire_handover *handover)
+entry_take_handover(struct entry_core *core, uint64_t wall,
+                    const wire_handover *handover)
 {
     wire_msg msg = {.kind = WIRE_HANDOVER_ACK};
     wire_handover_ack *ack = &msg.wire_msg_u.handover_ack;
 
-    ack->received = claim_absorb(&core->claims, handover);
+    ack->received = claim_absorb(&core->claims, wall, handover);
     ack->receiver = core->self.id;
     ack->epoch = handover->epoch;
     entry_send_peer(core, handover->sender, &msg);
--- a/entry-internal.h
+++ b/entry-internal.h
@@ -44,7 +44,7 @@
 
 /* entry-handover.c */
 void entry_tick_handover(struct entry_core *core, uint64_t now);
-void entry_take_handover(struct entry_core *core,
+void entry_take_handover(struct entry_core *core, uint64_t wall,
                          const wire_handover *handover);
 void entry_take_handover_ack(struct entry_core *core,
                              const wire_handover_ack *ack);
--- a/entry-lease.c
+++ b/entry-lease.c
@@ -286,12 +286,16 @@
     }
     core->epoch = all[0].number;
     read_epoch(&all[0], true, &core->all);
+    if (member_find(&core->active, core->self.id) != NULL) {
+        member_set_assign(&core->active_before, core->active.epoch,
+                          core->active.items, core->active.count);
+    }
     read_epoch(&all[0], false, &core->active);
     for (u_int i = 0; i < count; i++) {
         read_epoch(&all[i], false, &sets[i]);
     }
     flow_set_members(core->flow, now, &core->active);
-    request_set_epochs(&core->requests, now, sets,
+    request_set_epochs(&core->requests, now, &core->all, sets,
                        epochs->ended_ago.ended_ago_val, count);
     entry_update_gates(core, now);
     for (u_int i = 0; i < count; i++) {
--- a/request-claim.c
+++ b/request-claim.c
@@ -7,6 +7,8 @@
 #include "hash.h"
 #include "request-internal.h"
 
+#define ABSORBED_DEPTH 6 /* planned stops in a row that are followed */
+
 /* Finds what is known of one replica. */
 static struct request_replica *
 find_replica(struct request *request, uint64_t id)
@@ -58,8 +60,7 @@
             *replica = (struct request_replica){
                 .id = set[i]->id,
                 .current = e == 0,
-                .alive = member_find(&core->epochs[0].members, set[i]->id) !=
-                         NULL};
+                .alive = member_find(&core->alive, set[i]->id) != NULL};
         }
     }
 }
@@ -149,36 +150,42 @@
     return false;
 }
 
-/* Says whether a clean replica took over the records of a stopped entry. */
+/* Says whether the records of a stopped entry for this key were taken over
+ * by a clean replica, or by one that stopped in turn and was taken over. */
 static bool
 is_absorbed(const struct request_core *core, struct request *request,
-            uint64_t id)
+            uint64_t id, int depth)
 {
     for (guint i = 0; i < request->absorbed->len; i++) {
-        const struct request_absorbed *a =
-            &g_array_index(request->absorbed, struct request_absorbed, i);
-        const struct request_replica *replica =
-            find_replica(request, a->replica);
-
-        if (a->entry == id && replica != NULL && is_clean_answer(replica) &&
-            in_set_of(core, request, a->epoch, a->replica)) {
+        const wire_absorbed *a =
+            &g_array_index(request->absorbed, wire_absorbed, i);
+        const struct request_replica *holder;
+
+        if (a->entry != id ||
+            !in_set_of(core, request, a->epoch, a->holder) ||
+            (in_set_of(core, request, a->before, a->holder) &&
+             in_set_of(core, request, a->before, id))) {
+            continue;
+        }
+        holder = find_replica(request, a->holder);
+        if ((holder != NULL && is_clean_answer(holder)) ||
+            (depth > 0 && is_absorbed(core, request, a->holder, depth - 1))) {
             return true;
         }
     }
     return false;
 }
 
-/* Counts, for one epoch's set, who is clean and who may still answer. */
+/* Counts, for one epoch's set, who is clean. */
 static void
 count_set(const struct request_core *core, const struct request *request,
-          size_t epoch, size_t *size, size_t *clean, size_t *open)
+          size_t epoch, size_t *size, size_t *clean)
 {
     const struct member *set[MEMBER_KEEPERS];
     uint64_t number = core->epochs[epoch].members.epoch;
 
     *size = replicas_of(&core->epochs[epoch].members, request, set);
     *clean = 0;
-    *open = 0;
     for (size_t i = 0; i < *size; i++) {
         const struct request_replica *replica =
             find_replica((struct request *)request, set[i]->id);
@@ -188,12 +195,10 @@
         }
         if ((epoch == 0 ? is_clean_answer(replica)
                         : is_clean_for(replica, number)) ||
-            is_absorbed(core, (struct request *)request, set[i]->id)) {
+            is_absorbed(core, (struct request *)request, set[i]->id,
+                        ABSORBED_DEPTH)) {
             (*clean)++;
         }
-        else if (!replica->heard && replica->alive) {
-            (*open)++;
-        }
     }
 }
 
@@ -234,6 +239,18 @@
     return false;
 }
 
+/* Says whether a replica of any epoch that is alive has not answered. */
+static bool
+is_any_open(const struct request *request)
+{
+    for (size_t i = 0; i < request->replica_count; i++) {
+        if (request->replicas[i].alive && !request->replicas[i].heard) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Judges the earlier epochs: all clean, some open, held, or one lost. */
 static enum claim_verdict
 judge_old(const struct request_core *core, const struct request *request)
@@ -249,14 +266,14 @@
     for (size_t e = 1; e < core->epoch_count; e++) {
         size_t size;
         size_t clean;
-        size_t open;
 
-        count_set(core, request, e, &size, &clean, &open);
+        count_set(core, request, e, &size, &clean);
         if (clean > size / 2 || size == 0) {
             continue;
         }
-        /* One that still answers may know the outcome. */
-        if (open == 0) {
+        /* One that still answers may know the outcome, or have taken over
+         * the records of one that stopped. */
+        if (!is_any_open(request)) {
             return is_held_in(core, request, e) ? VERDICT_HELD
                                                 : VERDICT_OLD_LOST;
         }
@@ -317,9 +334,8 @@
     for (size_t e = 0; e < core->epoch_count; e++) {
         size_t size;
         size_t clean;
-        size_t open;
 
-        count_set(core, request, e, &size, &clean, &open);
+        count_set(core, request, e, &size, &clean);
         if (clean <= size / 2) {
             return false;
         }
@@ -335,7 +351,7 @@
         const struct request_replica *replica = &request->replicas[i];
 
         if (replica->heard && replica->result == WIRE_CLAIM_HELD &&
-            member_find(&core->epochs[0].members, replica->holder) == NULL) {
+            member_find(&core->alive, replica->holder) == NULL) {
             return true;
         }
     }
@@ -488,14 +504,8 @@
     replica->holder = reply->holder;
     replica->holder_token = reply->holder_token;
     replica->holder_epoch = reply->holder_epoch;
-    for (u_int i = 0; i < reply->absorbed.absorbed_len; i++) {
-        struct request_absorbed a = {
-            .replica = reply->replica,
-            .entry = reply->absorbed.absorbed_val[i].entry,
-            .epoch = reply->absorbed.absorbed_val[i].epoch};
-
-        g_array_append_val(request->absorbed, a);
-    }
+    g_array_append_vals(request->absorbed, reply->absorbed.absorbed_val,
+                        reply->absorbed.absorbed_len);
     if (reply->result == WIRE_CLAIM_DONE && reply->outcome != NULL) {
         take_done(request, replica, reply);
     }
--- a/request-internal.h
+++ b/request-internal.h
@@ -7,13 +7,6 @@
 
 #include "request.h"
 
-/* A stopped entry whose records a replica took over. */
-struct request_absorbed {
-    uint64_t replica; /* that said so */
-    uint64_t entry;   /* that stopped */
-    uint64_t epoch;   /* the first without it */
-};
-
 /* What the replicas' answers add up to. */
 enum claim_verdict {
     VERDICT_OPEN,     /* more answers are needed */
--- a/request.c
+++ b/request.c
@@ -54,6 +54,7 @@
     for (size_t i = 0; i < core->epoch_count; i++) {
         member_set_clear(&core->epochs[i].members);
     }
+    member_set_clear(&core->alive);
 }
 
 /* Adds an action. */
@@ -320,8 +321,7 @@
     struct request *request = g_new0(struct request, 1);
 
     request->spec = *spec;
-    request->absorbed =
-        g_array_new(FALSE, FALSE, sizeof(struct request_absorbed));
+    request->absorbed = g_array_new(FALSE, FALSE, sizeof(wire_absorbed));
     request->claim_deadline = MIN(spec->deadline, now + REQUEST_CLAIM_MS);
     g_hash_table_insert(core->requests, &request->spec.token, request);
     counter_add(core->counters, COUNTER_REQUESTS, 1);
@@ -719,6 +719,7 @@
 /* Takes the epochs; one that ended matters until its records expired. */
 void
 request_set_epochs(struct request_core *core, uint64_t now,
+                   const struct member_set *alive,
                    const struct member_set *epochs, const uint64_t *ended_ago,
                    size_t count)
 {
@@ -738,6 +739,7 @@
             next[i].until -= MIN(window, ended_ago[i]);
         }
     }
+    member_set_assign(&core->alive, alive->epoch, alive->items, alive->count);
     kept = keep_known(core, next, kept, epochs[kept - 1].epoch, now);
     memcpy(core->epochs, next, sizeof(next));
     core->epoch_count = kept;
--- a/request.h
+++ b/request.h
@@ -23,7 +23,7 @@
 #include "ring.h"
 
 #define REQUEST_RESEND_MS 100U  /**< unanswered messages go again */
-#define REQUEST_CLAIM_MS 1500U  /**< longest claim */
+#define REQUEST_CLAIM_MS 4500U  /**< longest claim: past a lost entry's end */
 #define REQUEST_FINISH_MS 300U  /**< longest wait for the outcome's copies */
 #define REQUEST_GATE_TRIES 3U   /**< questions before a stand-in is asked */
 #define REQUEST_EPOCHS WIRE_EPOCHS_MAX /**< epochs kept for the window */
@@ -94,7 +94,7 @@
     struct request_replica replicas[REQUEST_REPLICAS]; /**< union of sets */
     size_t replica_count;         /**< of replicas */
     bool too_many;                /**< replicas; earlier ones cannot be read */
-    GArray *absorbed;             /**< struct request_absorbed */
+    GArray *absorbed;             /**< wire_absorbed, of all replicas */
     uint64_t claim_deadline;      /**< CLAIMING: give up then */
     uint64_t resend_at;           /**< deadline: send again */
     uint64_t finish_deadline;     /**< FINISHING: answer anyway then */
@@ -130,6 +130,7 @@
     GPtrArray *ended;           /**< to be freed when actions are cleared */
     struct request_epoch epochs[REQUEST_EPOCHS]; /**< [0] in force */
     size_t epoch_count;         /**< of epochs */
+    struct member_set alive;    /**< epoch in force, with stopping ones */
     bool history_cut;           /**< more epochs mattered than are kept */
     uint64_t lease_deadline;    /**< no dispatch after it */
     uint64_t next_slot_token;   /**< for tries at gates */
@@ -153,8 +154,11 @@
 /**
  * Takes the epochs that control sent, the one in force first, and how long
  * ago each ended (ms, a lower bound). Older ones that are known are kept.
+ * @param alive members of the epoch in force, with those that are stopping:
+ *        they hold no new records, and can still be asked for old ones
  */
 void request_set_epochs(struct request_core *core, uint64_t now,
+                        const struct member_set *alive,
                         const struct member_set *epochs,
                         const uint64_t *ended_ago, size_t count);
 
