Keep promises to callers who come back, and tell a waiting request apart

Cause: requests waiting in the gate's queue took its silence for a loss after 300 ms and asked stand-ins, which knew no slots in use; promised times were rounded down to whole milliseconds, 19% more than capacity; while promises stood, a new request was refused as soon as every slot was busy. Ruled out: refusals of promised callers by their deadline (5 s budgets). Change: a gate answers a repeated question with "wait"; promises are kept in fractions with 10% room; new requests may queue for a quarter of the slots.

--- a/cons.c
+++ b/cons.c
@@ -376,6 +376,7 @@
     case WIRE_HANDOVER:
     case WIRE_HANDOVER_ACK:
     case WIRE_RECORDS_ACK:
+    case WIRE_SLOT_WAIT:
         return;
     }
 }
--- a/entry-gates.c
+++ b/entry-gates.c
@@ -68,6 +68,10 @@
             msg.wire_msg_u.slot_grant.address = a->address;
             msg.wire_msg_u.slot_grant.port = a->port;
         }
+        else if (a->waiting) {
+            msg.kind = WIRE_SLOT_WAIT;
+            msg.wire_msg_u.slot_wait.token = a->token;
+        }
         else {
             msg.wire_msg_u.slot_refuse.token = a->token;
             msg.wire_msg_u.slot_refuse.reason = a->rule;
--- a/gate.c
+++ b/gate.c
@@ -13,6 +13,10 @@
 #define HOLD_SLACK_MS 2000U    /* a slot is freed this long after a deadline */
 #define PROMISE_SLACK_MS 3000U /* a caller may come back this much late */
 #define PROMISE_MAX_MS 120000U /* nobody is told to come back later */
+#define PROMISE_MIN_MS 1000.0  /* nobody is told to come back sooner */
+#define PROMISE_MARGIN 1.1     /* room left between those who come back */
+#define NEW_QUEUE_SHARE 4      /* while some come back, so many slots in a
+                                  queue place for a new request */
 #define SHED_PAUSE_MS 100U     /* an upstream that shed is left alone */
 #define RAISE_AFTER 20U        /* answers in a row that raise the limit */
 
@@ -232,17 +236,16 @@
 promise(struct gate *gate, uint64_t now, uint64_t subject)
 {
     double queue = drain_ms(gate, now, g_queue_get_length(&gate->queue));
-    uint64_t earliest = now + (uint64_t)queue + 1000;
-    uint64_t at = MAX(earliest, gate->promised_until);
-    gint64 told;
+    double earliest = (double)now + queue + PROMISE_MIN_MS;
+    double at = MIN(MAX(earliest, gate->promised_until),
+                    (double)now + PROMISE_MAX_MS);
+    gint64 told = (gint64)at;
 
-    at = MIN(at, now + PROMISE_MAX_MS);
-    gate->promised_until = at + (uint64_t)(drain_ms(gate, now, 1.0) + 0.5);
-    told = (gint64)at;
+    gate->promised_until = at + drain_ms(gate, now, 1.0) * PROMISE_MARGIN;
     g_hash_table_replace(gate->promises,
                          g_memdup2(&subject, sizeof(subject)),
                          g_memdup2(&told, sizeof(told)));
-    return (uint32_t)(at - now);
+    return (uint32_t)((uint64_t)told - now);
 }
 
 /* Refuses a request, at once. */
@@ -285,11 +288,11 @@
     return kept;
 }
 
-/* Share of capacity that is set aside for callers told to come back now. */
+/* Says whether capacity is set aside for callers who come back. */
 static bool
 is_reserved(const struct gate *gate, uint64_t now)
 {
-    return gate->promised_until > now + 1000;
+    return gate->promised_until > (double)now + PROMISE_MIN_MS;
 }
 
 /* Puts a request into the queue; one that was promised goes first. */
@@ -385,7 +388,9 @@
                RULE_QUEUE_FULL);
     }
     else if (wait + gate->service_ms > ask->budget_ms ||
-             (!promised && wait > 0 && is_reserved(gate, now))) {
+             (!promised && is_reserved(gate, now) &&
+              g_queue_get_length(&gate->queue) >=
+                  capacity(gate, now) / NEW_QUEUE_SHARE)) {
         refuse(gate, now, ask->entry, ask->token, ask->subject,
                RULE_TOO_LATE);
     }
@@ -410,10 +415,14 @@
         }
         return;
     }
-    if (!repeat_grant(gate, ask) &&
-        !is_waiting(gate, ask->entry, ask->token)) {
-        admit(gate, now, ask);
+    if (repeat_grant(gate, ask)) {
+        return;
+    }
+    if (is_waiting(gate, ask->entry, ask->token)) {
+        answer(gate, ask->entry, ask->token)->waiting = true;
+        return;
     }
+    admit(gate, now, ask);
 }
 
 /* Usable upstreams, for the floor of ejection. */
--- a/gate.h
+++ b/gate.h
@@ -67,7 +67,8 @@
 struct gate_answer {
     uint64_t entry;      /**< coordinator */
     uint64_t token;      /**< of the coordinator */
-    bool granted;        /**< a slot, else a refusal */
+    bool granted;        /**< a slot */
+    bool waiting;        /**< it waits in the queue; else a refusal */
     uint32_t address;    /**< granted: upstream */
     uint16_t port;       /**< granted: upstream */
     enum ring_rule rule; /**< refused: why */
@@ -83,7 +84,7 @@
     GHashTable *waiting; /**< key of entry and token of each in the queue */
     GHashTable *holds;  /**< key of entry and token to struct gate_hold */
     GHashTable *promises; /**< subject to the time it was told (gint64) */
-    uint64_t promised_until; /**< capacity is set aside up to then */
+    double promised_until; /**< capacity is set aside up to then, ms */
     double service_ms;  /**< moving mean of an answer's time */
     GArray *answers;    /**< struct gate_answer, to be taken */
 };
--- a/request.c
+++ b/request.c
@@ -391,6 +391,18 @@
     action->deadline = request->spec.deadline;
 }
 
+/* The gate is there; it needs no stand-in. */
+void
+request_take_wait(struct request_core *core, const wire_slot_wait *wait)
+{
+    struct request *request =
+        g_hash_table_lookup(core->by_slot, &wait->token);
+
+    if (request != NULL && request->state == REQUEST_QUEUED) {
+        request->gate_asked = 0;
+    }
+}
+
 /* Takes a refusal of the gate. */
 void
 request_take_refusal(struct request_core *core, uint64_t now,
--- a/request.h
+++ b/request.h
@@ -173,6 +173,7 @@
                                const wire_finish_reply *reply);
 void request_take_grant(struct request_core *core, uint64_t now,
                         const wire_slot_grant *grant);
+void request_take_wait(struct request_core *core, const wire_slot_wait *wait);
 void request_take_refusal(struct request_core *core, uint64_t now,
                           const wire_slot_refuse *refuse);
 
