--- a/request.c
+++ b/request.c
@@ -606,6 +606,8 @@
         abort_call(core, now, request, RULE_UPSTREAM_FAILED);
     }
     else if (request->gate != gate) {
+        send_slot_done(core, request->gate, request->slot_token, request,
+                       GATE_UNUSED, 0);
         request->gate = gate;
         send_slot_ask(core, now, request, true);
     }
--- a/tests/test-control.c
+++ b/tests/test-control.c
@@ -599,6 +599,7 @@
     char path[128];
 
     g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
     for (size_t i = 0; i < G_N_ELEMENTS(scenes); i++) {
         (void)snprintf(path, sizeof(path), "/control/%s", scenes[i].name);
         g_test_add_data_func(path, &scenes[i], test_scene);
--- a/tests/test-flow.c
+++ b/tests/test-flow.c
@@ -260,6 +260,7 @@
     char path[128];
 
     g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
     g_test_add_func("/flow/table", test_table);
     g_test_add_func("/flow/keepers", test_keepers);
     g_test_add_func("/flow/handles", test_handles);
--- /dev/null
+++ b/tests/test-input.c
@@ -0,0 +1,571 @@
+/*
+ * Input from outside: settings and bundles with every kind of fault, packets
+ * and messages mutated at random from fixed seeds, checksums, burn rates.
+ */
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bundle.h"
+#include "burn.h"
+#include "codec.h"
+#include "explain.h"
+#include "packet.h"
+#include "seal.h"
+#include "settings.h"
+
+#define KEY                                                                   \
+    "0000000000000000000000000000000000000000000000000000000000000000"
+#define SETTINGS(more)                                                        \
+    "{\"name\":\"e\",\"role\":\"entry\",\"hall\":\"h\",\"address\":"          \
+    "\"127.0.0.1\",\"data\":\"d\",\"cluster_key\":\"" KEY "\",\"fabric\":"    \
+    "{\"address\":\"127.0.0.2\"},\"controls\":[{\"id\":1,\"address\":"        \
+    "\"127.0.0.3\"}]" more "}"
+#define UPSTREAM(name, address, port)                                         \
+    "{\"name\":\"" name "\",\"address\":\"" address "\",\"port\":" port "}"
+#define FLOW(name, address, ups)                                              \
+    "{\"name\":\"" name "\",\"kind\":\"flow\",\"address\":\"" address         \
+    "\",\"port\":1,\"upstreams\":[" ups "]}"
+#define BUNDLE(services)                                                      \
+    "{\"version\":2,\"base\":1,\"services\":[" services "]}"
+
+/* A document and a part of the message it must meet; NULL: accepted. */
+struct document {
+    const char *name;
+    const char *text;
+    const char *fault;
+};
+
+static const struct document settings_cases[] = {
+    {"good", SETTINGS(""), NULL},
+    {"comments", "// one\n/* two */" SETTINGS(""), NULL},
+    {"empty", "", "empty"},
+    {"only-comments", "// nothing\n", "empty"},
+    {"not-an-object", "[1]", "not an object"},
+    {"truncated", "{\"name\": \"e\", \"role\": \"en", "ends inside a string"},
+    {"truncated-later", "{\"name\": \"e\"", "ends too early"},
+    {"two-values", SETTINGS("") " {}", "more text"},
+    {"unknown-key", SETTINGS(",\"color\":1"), "\"color\" is not a known key"},
+    {"duplicate-key", SETTINGS(",\"hall\":\"x\""), "stands twice"},
+    {"escaped-key", SETTINGS(",\"h\\u0061ll\":\"x\""), "backslash"},
+    {"single-quotes", "{'name': 1}", "double quotes"},
+    {"wrong-type", SETTINGS(",\"log\":5"), "\"log\" is not a string"},
+    {"number-as-text", SETTINGS(",\"rpc_port\":\"7\""), "whole number"},
+    {"fraction", SETTINGS(",\"rpc_port\":7.5"), "whole number"},
+    {"port-too-high", SETTINGS(",\"rpc_port\":65536"), "out of range"},
+    {"port-zero", SETTINGS(",\"rpc_port\":0"), "out of range"},
+    {"port-negative", SETTINGS(",\"rpc_port\":-1"), "out of range"},
+    {"equal-ports", SETTINGS(",\"rpc_port\":80,\"http_port\":80"),
+     "different TCP ports"},
+    {"word", SETTINGS(",\"log_level\":\"loud\""), "allowed words"},
+    {"no-role", "{\"name\":\"e\"}", "\"role\" is missing"},
+    {"bad-address",
+     "{\"name\":\"e\",\"role\":\"entry\",\"hall\":\"h\",\"address\":"
+     "\"127.0.0.256\"}",
+     "not an IPv4 address"},
+    {"hex", SETTINGS(",\"operators\":[{\"name\":\"a\",\"public_key\":\"zz\","
+                     "\"token\":\"\"}]"),
+     "operators[0].public_key"},
+    {"not-utf8", "{\"name\": \"\xff\"}", "UTF-8"},
+};
+
+#define U1 UPSTREAM("a", "10.0.0.1", "80")
+#define U2 UPSTREAM("b", "10.0.0.2", "80")
+
+static const struct document bundle_cases[] = {
+    {"good", BUNDLE(FLOW("s", "10.1.0.1", U1 "," U2)), NULL},
+    {"no-services", BUNDLE(""), "too few"},
+    {"no-upstream", BUNDLE(FLOW("s", "10.1.0.1", "")), "too few"},
+    {"same-name", BUNDLE(FLOW("s", "10.1.0.1", U1) "," FLOW(
+                             "s", "10.1.0.2", U2)),
+     "rename one"},
+    {"same-address", BUNDLE(FLOW("s", "10.1.0.1", U1) "," FLOW(
+                                "t", "10.1.0.1", U2)),
+     "each service its own"},
+    {"upstream-in-two", BUNDLE(FLOW("s", "10.1.0.1", U1) "," FLOW(
+                                   "t", "10.1.0.2", U1)),
+     "exactly one service"},
+    {"upstream-twice", BUNDLE(FLOW("s", "10.1.0.1", U1 "," UPSTREAM(
+                                       "c", "10.0.0.1", "80"))),
+     "exactly one service"},
+    {"weight", BUNDLE(FLOW("s", "10.1.0.1",
+                           "{\"name\":\"a\",\"address\":\"10.0.0.1\","
+                           "\"port\":80,\"weight\":1001}")),
+     "services[0].upstreams[0].weight"},
+    {"no-host", BUNDLE("{\"name\":\"r\",\"kind\":\"request\","
+                       "\"upstreams\":[" U1 "]}"),
+     "lacks \"host\""},
+    {"no-port", BUNDLE("{\"name\":\"r\",\"kind\":\"flow\",\"address\":"
+                       "\"10.1.0.1\",\"upstreams\":[" U1 "]}"),
+     "lacks \"address\" or \"port\""},
+    {"base", "{\"version\":1,\"base\":1,\"services\":[" FLOW(
+                 "s", "10.1.0.1", U1) "]}",
+     "not below"},
+};
+
+/* Checks one result. */
+static void
+check(const struct document *d, const struct status *st)
+{
+    g_test_message("%s: %s", d->name, st->message);
+    if (d->fault == NULL) {
+        g_assert_cmpint(st->kind, ==, STATUS_OK);
+        return;
+    }
+    g_assert_cmpint(st->kind, ==, STATUS_BAD_INPUT);
+    g_assert_nonnull(strstr(st->message, d->fault));
+}
+
+/* Reads settings. */
+static void
+test_settings(gconstpointer data)
+{
+    const struct document *d = data;
+    struct settings settings;
+    struct status st;
+
+    (void)settings_read("f.json", d->text, strlen(d->text), &settings, &st);
+    check(d, &st);
+    if (st.kind == STATUS_OK) {
+        settings_free(&settings);
+    }
+}
+
+/* Reads a bundle. */
+static void
+test_bundle(gconstpointer data)
+{
+    const struct document *d = data;
+    struct bundle bundle;
+    struct status st;
+
+    (void)bundle_read("f.json", d->text, strlen(d->text), &bundle, &st);
+    check(d, &st);
+    if (st.kind == STATUS_OK) {
+        bundle_free(&bundle);
+    }
+}
+
+/* Texts too large, too deep, or with NUL bytes. */
+static void
+test_hostile(void)
+{
+    size_t size = 20 * 1024 * 1024;
+    char *brackets = g_malloc(size);
+    struct settings settings;
+    struct status st;
+
+    memset(brackets, '[', size);
+    (void)settings_read("f", brackets, size, &settings, &st);
+    g_assert_cmpint(st.kind, ==, STATUS_BAD_INPUT);
+    g_assert_nonnull(strstr(st.message, "larger than"));
+    (void)settings_read("f", brackets, 1000, &settings, &st);
+    g_assert_nonnull(strstr(st.message, "nested deeper"));
+    (void)settings_read("f", "{\"a\0b\":1}", 9, &settings, &st);
+    g_assert_nonnull(strstr(st.message, "NUL"));
+    (void)settings_load("/nowhere/at/all", &settings, &st);
+    g_assert_nonnull(strstr(st.message, "name a readable file"));
+    (void)settings_load("/", &settings, &st);
+    g_assert_cmpint(st.kind, ==, STATUS_BAD_INPUT);
+    g_free(brackets);
+}
+
+/* A bundle and the one it may or may not follow. */
+struct successor {
+    const char *name;
+    const char *before, *after;
+    const char *fault;
+};
+
+#define LEAVING                                                               \
+    "{\"name\":\"a\",\"address\":\"10.0.0.1\",\"port\":80,\"state\":"         \
+    "\"leaving\"}"
+
+static const struct successor successors[] = {
+    {"same", BUNDLE(FLOW("s", "10.1.0.1", U1)),
+     BUNDLE(FLOW("s", "10.1.0.1", U1)), NULL},
+    {"drop-a-serving-one", BUNDLE(FLOW("s", "10.1.0.1", U1 "," U2)),
+     BUNDLE(FLOW("s", "10.1.0.1", U2)), "leaving"},
+    {"drop-a-leaving-one", BUNDLE(FLOW("s", "10.1.0.1", LEAVING "," U2)),
+     BUNDLE(FLOW("s", "10.1.0.1", U2)), NULL},
+    {"move-an-upstream", BUNDLE(FLOW("s", "10.1.0.1", U1) "," FLOW(
+                                    "t", "10.1.0.2", U2)),
+     BUNDLE(FLOW("s", "10.1.0.1", U2) "," FLOW("t", "10.1.0.2", U1)),
+     "rest first"},
+};
+
+/* Checks a successor. */
+static void
+test_successor(gconstpointer data)
+{
+    const struct successor *s = data;
+    struct bundle before;
+    struct bundle after;
+    struct status st;
+
+    g_assert_cmpint(bundle_read("b", s->before, strlen(s->before), &before,
+                                &st),
+                    ==, STATUS_OK);
+    g_assert_cmpint(
+        bundle_read("a", s->after, strlen(s->after), &after, &st), ==,
+        STATUS_OK);
+    (void)bundle_check_successor(&before, &after, &st);
+    g_assert_cmpint(st.kind, ==, s->fault ? STATUS_REFUSED : STATUS_OK);
+    if (s->fault != NULL) {
+        g_assert_nonnull(strstr(st.message, s->fault));
+    }
+    bundle_free(&before);
+    bundle_free(&after);
+}
+
+/* Builds an encapsulated packet; returns its length. */
+static size_t
+build_packet(uint8_t *out, uint8_t protocol)
+{
+    size_t header = protocol == PACKET_TCP ? 20 : 8;
+    size_t total = 20 + header + 11;
+    uint8_t *ip = out + PACKET_GENEVE;
+
+    memset(out, 0, PACKET_GENEVE + total);
+    out[2] = 0x08;
+    ip[0] = 0x45;
+    ip[3] = (uint8_t)total;
+    ip[8] = 64;
+    ip[9] = protocol;
+    memcpy(ip + 12, "\x0a\x00\x00\x01\x0a\x00\x00\x02", 8);
+    memcpy(ip + 20, "\x12\x34\x00\x50", 4);
+    if (protocol == PACKET_UDP) {
+        ip[25] = (uint8_t)(header + 11);
+    }
+    memcpy(ip + 20 + header, "odd payload", 11);
+    packet_fill_checksums(ip, total);
+    return PACKET_GENEVE + total;
+}
+
+/* Rewriting keeps both checksums right, and the wrap of a handed packet
+ * gives back what was put in. */
+static void
+test_rewrite(void)
+{
+    static const uint8_t protocols[] = {PACKET_TCP, PACKET_UDP};
+
+    for (uint32_t i = 0; i < 20000; i++) {
+        uint8_t buffer[PACKET_HEADROOM + 256];
+        uint8_t *bytes = buffer + PACKET_HEADROOM;
+        size_t length = build_packet(bytes, protocols[i % 2]);
+        struct packet_handed hand = {
+            .origin = i * 77ULL, .position = 2, .hops = 1, .asked = {5, 6}};
+        struct packet packet;
+        struct packet again;
+        uint8_t *at;
+
+        g_assert_true(packet_parse(bytes, length, &packet));
+        g_assert_true(packet_check(packet.ip, packet.length));
+        packet_set_destination(&packet, i * 2654435761U, (uint16_t)(i * 31));
+        packet_set_source(&packet, i * 40503U, (uint16_t)(i * 7));
+        g_assert_true(packet_check(packet.ip, packet.length));
+        at = packet_wrap(&packet, &hand, &length);
+        g_assert_true(packet_parse(at, length, &again));
+        g_assert_true(again.handed);
+        g_assert_cmpuint(again.hand.origin, ==, hand.origin);
+        g_assert_cmpuint(again.hand.position, ==, 2);
+        g_assert_cmpuint(again.hand.asked[1], ==, 6);
+    }
+}
+
+/* Mutated packets are parsed within their bounds, or refused. */
+static void
+test_fuzz_packets(void)
+{
+    GRand *random = g_rand_new_with_seed(20261202);
+    unsigned parsed = 0;
+
+    for (int i = 0; i < 200000; i++) {
+        uint8_t good[256];
+        size_t length =
+            build_packet(good, i % 2 ? PACKET_TCP : PACKET_UDP);
+        size_t cut = (size_t)g_rand_int_range(random, 0,
+                                              (gint)length + 1);
+        uint8_t *bytes = g_memdup2(good, cut);
+        struct packet packet;
+
+        for (int flips = g_rand_int_range(random, 0, 4);
+             flips > 0 && cut > 0; flips--) {
+            bytes[g_rand_int_range(random, 0, (gint)cut)] ^=
+                (uint8_t)(1U << g_rand_int_range(random, 0, 8));
+        }
+        if (packet_parse(bytes, cut, &packet)) {
+            parsed++;
+            g_assert_true(packet.ip >= bytes);
+            g_assert_true(packet.ip + packet.length <= bytes + cut);
+            packet_set_source(&packet, 1, 1);
+        }
+        g_free(bytes);
+    }
+    g_assert_cmpuint(parsed, >, 1000);
+    g_rand_free(random);
+}
+
+/* A message of each kind, as a start for mutations. */
+static GByteArray *
+some_message(int i)
+{
+    wire_log_entry entry = {.term = 3,
+                            .command = {.command_len = 4,
+                                        .command_val = "\0\0\0\0"}};
+    wire_flow_record record = {1, 2, 3};
+    wire_msg msg = {.kind = (wire_kind)(WIRE_VOTE_ASK + i % WIRE_SLOT_WAIT)};
+    wire_outcome outcome = {.body = {.body_len = 3, .body_val = "abc"}};
+
+    switch (msg.kind) {
+    case WIRE_APPEND:
+        msg.wire_msg_u.append.entries.entries_len = 1;
+        msg.wire_msg_u.append.entries.entries_val = &entry;
+        break;
+    case WIRE_REPORT:
+        msg.wire_msg_u.report.self.name = "entry-1";
+        msg.wire_msg_u.report.self.hall = "hall";
+        break;
+    case WIRE_BUNDLE:
+        msg.wire_msg_u.bundle.text = "{}";
+        msg.wire_msg_u.bundle.prev_text = "";
+        break;
+    case WIRE_RECORDS:
+        msg.wire_msg_u.records.records.records_len = 1;
+        msg.wire_msg_u.records.records.records_val = &record;
+        break;
+    case WIRE_CLAIM_REPLY:
+        msg.wire_msg_u.claim_reply.outcome = &outcome;
+        break;
+    case WIRE_FINISH:
+        msg.wire_msg_u.finish.outcome = outcome;
+        break;
+    default:
+        break;
+    }
+    return codec_encode(&msg);
+}
+
+/* Mutated messages are decoded or refused, and freed. */
+static void
+test_fuzz_messages(void)
+{
+    GRand *random = g_rand_new_with_seed(4711);
+    unsigned decoded = 0;
+
+    for (int i = 0; i < 100000; i++) {
+        GByteArray *bytes = some_message(i);
+        wire_msg msg;
+
+        g_assert_cmpuint(bytes->len, >, 0);
+        if (i % 3 == 0) {
+            g_byte_array_set_size(
+                bytes, (guint)g_rand_int_range(random, 0,
+                                               (gint)bytes->len + 1));
+        }
+        for (int flips = g_rand_int_range(random, 0, 4);
+             flips > 0 && bytes->len > 0; flips--) {
+            bytes->data[g_rand_int_range(random, 0, (gint)bytes->len)] ^=
+                (uint8_t)g_rand_int_range(random, 1, 256);
+        }
+        if (codec_decode(bytes->data, bytes->len, &msg)) {
+            decoded++;
+            codec_free(&msg);
+        }
+        g_byte_array_unref(bytes);
+    }
+    g_assert_cmpuint(decoded, >, 1000);
+    g_rand_free(random);
+}
+
+/* Mutated JSON never crashes, and whatever is accepted is whole. */
+static void
+test_fuzz_json(void)
+{
+    GRand *random = g_rand_new_with_seed(99);
+    const char *good = bundle_cases[0].text;
+    unsigned accepted = 0;
+
+    for (int i = 0; i < 20000; i++) {
+        char *text = g_strdup(good);
+        size_t length = strlen(text);
+        struct bundle bundle;
+        struct status st;
+
+        for (int n = g_rand_int_range(random, 0, 3); n > 0; n--) {
+            text[g_rand_int_range(random, 0, (gint)length)] =
+                (char)g_rand_int_range(random, 1, 128);
+        }
+        if (bundle_read("f", text, length, &bundle, &st) == STATUS_OK) {
+            accepted++;
+            g_assert_cmpuint(bundle.service_count, >, 0);
+            bundle_free(&bundle);
+        }
+        g_free(text);
+    }
+    g_assert_cmpuint(accepted, >, 1000);
+    g_rand_free(random);
+}
+
+/* A sealed message opens with its key only, and unchanged only. */
+static void
+test_seal(void)
+{
+    unsigned char key[SEAL_KEY_BYTES] = {1};
+    GByteArray *sealed;
+    GByteArray *plain;
+
+    g_assert_true(seal_open(key));
+    sealed = seal_close_message("message", 7);
+    plain = seal_open_message(sealed->data, sealed->len);
+    g_assert_cmpuint(plain->len, ==, 7);
+    g_byte_array_unref(plain);
+    sealed->data[30] ^= 1;
+    g_assert_null(seal_open_message(sealed->data, sealed->len));
+    sealed->data[30] ^= 1;
+    g_assert_null(seal_open_message(sealed->data, 20));
+    key[0] = 2;
+    g_assert_true(seal_open(key));
+    g_assert_null(seal_open_message(sealed->data, sealed->len));
+    g_byte_array_unref(sealed);
+}
+
+/* Burn rates: a hundredth of bad events against a thousandth allowed. */
+static void
+test_burn(void)
+{
+    GHashTable *table = burn_new();
+    struct counters counters = {{0}};
+    struct bundle bundle;
+    struct status st;
+    const char *text =
+        "{\"version\":1,\"base\":0,\"services\":[{\"name\":\"r\",\"kind\":"
+        "\"request\",\"host\":\"r\",\"objective\":{\"good_per_ten_thousand\":"
+        "9990},\"upstreams\":[" U1 "]}]}";
+    struct burn *burn;
+    uint64_t good;
+    uint64_t all;
+
+    g_assert_cmpint(bundle_read("b", text, strlen(text), &bundle, &st), ==,
+                    STATUS_OK);
+    burn_tick(table, &bundle, &counters, 10000000);
+    for (int i = 0; i < 1000; i++) {
+        burn_count(table, "r", i % 100 != 0);
+    }
+    burn = g_hash_table_lookup(table, "r");
+    burn_sum(burn, 30, &good, &all);
+    g_assert_cmpuint(all, ==, 1000);
+    g_assert_cmpuint(good, ==, 990);
+    g_assert_cmpfloat_with_epsilon(burn_rate(good, all, burn->budget), 10.0,
+                                   0.001);
+    burn_tick(table, &bundle, &counters, 10000000 + 400000);
+    burn_sum(burn, 30, &good, &all);
+    g_assert_cmpuint(all, ==, 0);
+    bundle_free(&bundle);
+    g_hash_table_destroy(table);
+}
+
+/* Verification passes a true record of a decision and catches false ones. */
+static void
+test_verify(void)
+{
+    struct counters counters = {{0}};
+    struct ring ring;
+    struct flow_options options = {
+        .self = 1, .capacity = 1024, .counters = &counters, .ring = &ring};
+    struct flow_packet packet = {.hash = 12345, .first = true};
+    struct flow_verdict verdict;
+    struct ring_record record;
+    struct bundle bundle;
+    struct status st;
+    json_object *doc = json_object_new_object();
+    struct flow *flow;
+    char text[64];
+    char why[256];
+
+    ring_open(&ring, 16);
+    flow = flow_new(&options);
+    g_assert_cmpint(bundle_read("b", bundle_cases[0].text,
+                                strlen(bundle_cases[0].text), &bundle, &st),
+                    ==, STATUS_OK);
+    (void)flow_apply(flow, 1, &bundle, NULL, FLOW_STEP_SETTLED);
+    flow_set_lease(flow, 1000000);
+    packet.service = flow_find_named(flow, "s");
+    flow_steer(flow, 10, 10, &packet, &verdict);
+    g_assert_cmpuint(ring_find(&ring, 12345, &record, 1), ==, 1);
+    json_object_object_add(
+        doc, "rule",
+        json_object_new_string(
+            ring_rule_name((enum ring_rule)record.rule)));
+    (void)snprintf(text, sizeof(text), "%016llx",
+                   (unsigned long long)record.table_digest);
+    json_object_object_add(doc, "table_digest",
+                           json_object_new_string(text));
+    (void)snprintf(text, sizeof(text), "%u.%u.%u.%u:%u",
+                   record.address >> 24, (record.address >> 16) & 255,
+                   (record.address >> 8) & 255, record.address & 255,
+                   record.port);
+    json_object_object_add(doc, "owner_now", json_object_new_string(text));
+    json_object_object_add(doc, "upstream", json_object_new_string(text));
+    g_assert_true(explain_verify_flow(&bundle, "s", 12345, doc, why,
+                                      sizeof(why)));
+    json_object_object_add(doc, "upstream",
+                           json_object_new_string("10.0.0.9:80"));
+    g_assert_false(explain_verify_flow(&bundle, "s", 12345, doc, why,
+                                       sizeof(why)));
+    g_assert_nonnull(strstr(why, "10.0.0.9:80"));
+    json_object_object_add(doc, "table_digest",
+                           json_object_new_string("0000000000000000"));
+    g_assert_false(explain_verify_flow(&bundle, "s", 12345, doc, why,
+                                       sizeof(why)));
+    json_object_put(doc);
+    bundle_free(&bundle);
+    flow_free(flow);
+    ring_close(&ring);
+}
+
+/* Adds a table of documents. */
+static void
+add_documents(const char *prefix, const struct document *all, size_t count,
+              void (*test)(gconstpointer data))
+{
+    char path[128];
+
+    for (size_t i = 0; i < count; i++) {
+        (void)snprintf(path, sizeof(path), "/input/%s/%s", prefix,
+                       all[i].name);
+        g_test_add_data_func(path, &all[i], test);
+    }
+}
+
+/* Adds the tables. */
+int
+main(int argc, char **argv)
+{
+    char path[128];
+
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
+    if (sodium_init() < 0) {
+        return 2;
+    }
+    add_documents("settings", settings_cases, G_N_ELEMENTS(settings_cases),
+                  test_settings);
+    add_documents("bundle", bundle_cases, G_N_ELEMENTS(bundle_cases),
+                  test_bundle);
+    for (size_t i = 0; i < G_N_ELEMENTS(successors); i++) {
+        (void)snprintf(path, sizeof(path), "/input/successor/%s",
+                       successors[i].name);
+        g_test_add_data_func(path, &successors[i], test_successor);
+    }
+    g_test_add_func("/input/hostile", test_hostile);
+    g_test_add_func("/input/rewrite", test_rewrite);
+    g_test_add_func("/input/fuzz-packets", test_fuzz_packets);
+    g_test_add_func("/input/fuzz-messages", test_fuzz_messages);
+    g_test_add_func("/input/fuzz-json", test_fuzz_json);
+    g_test_add_func("/input/seal", test_seal);
+    g_test_add_func("/input/burn", test_burn);
+    g_test_add_func("/input/verify", test_verify);
+    return g_test_run();
+}
--- a/tests/test-request.c
+++ b/tests/test-request.c
@@ -203,6 +203,7 @@
     char path[128];
 
     g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         (void)snprintf(path, sizeof(path), "/request/scene/%s-loss-%u",
                        request_load_trouble(cases[i].trouble),
