Take requests from the first lease on, and hand them to a peer without one

Change: HTTP opens with the first lease; a request refused for want of a lease goes to a peer once, with its key and deadline. Conclusion: keep; no process test cuts control off from one entry only.

--- a/entry-call.c
+++ b/entry-call.c
@@ -15,6 +15,7 @@
 #define ANSWER_MAX (8U * 1024 * 1024)
 #define CONNECT_MS 1000L
 #define WAIT_SLICE_MS 50
+#define HANDED_HEADER "Ridgeridge-Handed" /* not handed on once more */
 #define HTTP_SHED 429L /* RFC 6585: refused before it was processed */
 
 /* What a call of an upstream brings back. */
@@ -93,6 +94,9 @@
     (void)snprintf(line, sizeof(line), "Request-Deadline: %llu",
                    (unsigned long long)call->spec.wall_deadline);
     list = curl_slist_append(list, line);
+    if (call->handed) {
+        list = curl_slist_append(list, HANDED_HEADER ": 1");
+    }
     return curl_slist_append(list, "Expect:");
 }
 
@@ -266,6 +270,58 @@
                  call->outcome.retry_ms);
 }
 
+/* A peer on its way from the loop's thread. */
+struct peer_choice {
+    struct entry *entry;
+    uint64_t key;
+    uint32_t address;
+    uint16_t port; /* 0: there is none */
+};
+
+/* Picks a peer for a request, on the loop's thread. */
+static void
+on_choose_peer(void *data)
+{
+    struct peer_choice *choice = data;
+    const struct entry_core *core = choice->entry->core;
+    const struct member *peer =
+        member_other(&core->active, choice->key, core->self.id);
+
+    if (peer != NULL) {
+        choice->address = peer->address;
+        choice->port = peer->http;
+    }
+}
+
+/* Hands a request to a peer, since this entry has no lease. The key and the
+ * deadline go along, so it still runs at most once. */
+static bool
+hand_to_peer(struct entry *entry, struct entry_call *call,
+             const struct _u_request *request, struct upstream_reply *reply,
+             struct _u_response *response)
+{
+    struct peer_choice choice = {.entry = entry, .key = call->spec.subject};
+
+    if (call->rule != RULE_NO_LEASE ||
+        u_map_get_case(request->map_header, HANDED_HEADER) != NULL) {
+        return false;
+    }
+    loop_call(on_choose_peer, &choice);
+    if (choice.port == 0) {
+        return false;
+    }
+    call->address = choice.address;
+    call->port = choice.port;
+    call->deadline = call->spec.deadline;
+    call->handed = true;
+    g_byte_array_set_size(reply->body, 0);
+    if (perform(call, request, reply) == GATE_REFUSED || reply->status == 0) {
+        return false;
+    }
+    answer_directly(reply, response);
+    return true;
+}
+
 /* Drives one request from dispatch to answer. */
 void
 entry_call_upstream(struct entry *entry, struct entry_call *call,
@@ -282,7 +338,10 @@
         event.result = perform(call, request, &reply);
         loop_call(on_result, &event);
     }
-    if (call->outcome.kind != WIRE_OUTCOME_ANSWERED) {
+    if (hand_to_peer(entry, call, request, &reply, response)) {
+        call->outcome.kind = WIRE_OUTCOME_ANSWERED;
+    }
+    else if (call->outcome.kind != WIRE_OUTCOME_ANSWERED) {
         entry_answer(call, response);
     }
     else if (call->rule == RULE_UPSTREAM_ANSWERED) {
--- a/entry.c
+++ b/entry.c
@@ -169,6 +169,23 @@
     }
 }
 
+/* Takes requests from the first lease on: before it, a caller is better
+ * served by a connection that fails at once. */
+static void
+tick_http(struct entry *entry)
+{
+    struct status st = {STATUS_OK, ""};
+
+    if (entry->http_open || entry->core->lease_deadline == 0 ||
+        entry->stop != STOP_RUNNING) {
+        return;
+    }
+    if (entry_open_http(entry, &st) != STATUS_OK) {
+        log_event(LOG_ERROR, "http-failed", "message=\"%s\"", st.message);
+        loop_stop();
+    }
+}
+
 /* Lets time pass. */
 static void
 on_tick(void *data)
@@ -178,6 +195,7 @@
 
     entry_core_tick(entry->core, now, loop_wall());
     entry_act(entry);
+    tick_http(entry);
     burn_tick(entry->burn, &entry->core->bundle, &entry->counters, now);
     tick_stop(entry, now);
 }
@@ -262,11 +280,10 @@
     loop_signal(SIGHUP, on_hangup, entry);
     if (rpc_listen(s->address, (uint16_t)s->rpc_port, on_message, entry,
                    &entry->counters, st) != STATUS_OK ||
-        entry_open_peers(entry, st) != STATUS_OK ||
-        entry_open_packets(entry, st) != STATUS_OK) {
+        entry_open_peers(entry, st) != STATUS_OK) {
         return st->kind;
     }
-    return entry_open_http(entry, st);
+    return entry_open_packets(entry, st);
 }
 
 /* Runs an entry. */
--- a/entry.h
+++ b/entry.h
@@ -24,6 +24,7 @@
     uint16_t port;            /**< which */
     uint64_t deadline;        /**< monotonic ms */
     bool aborted;             /**< cancel the call */
+    bool handed;              /**< goes to a peer, not to an upstream */
     bool answered;            /**< the outcome is there */
     wire_outcome outcome;     /**< owned body */
     enum ring_rule rule;      /**< why */
