--- /dev/null
+++ b/tools/bench-capacity.c
@@ -0,0 +1,379 @@
+/*
+ * Measures the slopes that docs/CAPACITY.md is worked out from, and prints
+ * them as a Markdown table. One run, one machine; numbers are for ratios.
+ *
+ * usage: bench-capacity
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "codec.h"
+#include "flow.h"
+#include "hash.h"
+#include "packet.h"
+#include "sim.h"
+
+#define HALLS 8
+#define ROUNDS 5
+
+static struct counters counters;
+
+/* Nanoseconds of processor time. */
+static double
+cpu_ns(void)
+{
+    struct timespec now;
+
+    (void)clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return (double)now.tv_sec * 1e9 + (double)now.tv_nsec;
+}
+
+/* Orders numbers. */
+static int
+compare(const void *a, const void *b)
+{
+    double x = *(const double *)a;
+    double y = *(const double *)b;
+
+    return (x > y) - (x < y);
+}
+
+/* Prints a row: what, at which size, median, least and most of the rounds. */
+static void
+row(const char *what, const char *size, double *values, const char *unit)
+{
+    qsort(values, ROUNDS, sizeof(*values), compare);
+    (void)printf("| %s | %s | %.1f | %.1f to %.1f | %s |\n", what, size,
+                 values[ROUNDS / 2], values[0], values[ROUNDS - 1], unit);
+    (void)fflush(stdout);
+}
+
+/* Prints a row of one exact number. */
+static void
+row_exact(const char *what, const char *size, double value, const char *unit)
+{
+    (void)printf("| %s | %s | %.1f | exact | %s |\n", what, size, value, unit);
+}
+
+/* Writes a bundle of many services and upstreams. */
+static char *
+big_bundle(unsigned services, unsigned upstreams, uint64_t version)
+{
+    GString *out = g_string_new("");
+    unsigned host = 0;
+
+    g_string_printf(out, "{\"version\":%llu,\"base\":%llu,\"services\":[",
+                    (unsigned long long)version,
+                    (unsigned long long)version - 1);
+    for (unsigned s = 0; s < services; s++) {
+        unsigned count = (upstreams - host) / (services - s);
+
+        g_string_append_printf(
+            out,
+            "%s{\"name\":\"s%u\",\"kind\":\"flow\",\"address\":"
+            "\"10.%u.%u.1\",\"port\":443,\"upstreams\":[",
+            s ? "," : "", s, 128 + s / 250, s % 250);
+        for (unsigned u = 0; u < count; u++, host++) {
+            g_string_append_printf(
+                out,
+                "%s{\"name\":\"u%u\",\"address\":\"10.%u.%u.%u\","
+                "\"port\":8443}",
+                u ? "," : "", host, host / 62500, host / 250 % 250,
+                host % 250 + 1);
+        }
+        g_string_append(out, "]}");
+    }
+    g_string_append(out, "]}");
+    return g_string_free(out, FALSE);
+}
+
+/* Time and memory of one steering decision, against the flows held. */
+static void
+measure_steering(size_t flows)
+{
+    struct flow_options options = {
+        .self = 1, .capacity = 2 * flows, .counters = &counters};
+    struct flow *flow = flow_new(&options);
+    char *text = sim_bundle(1, 0, "ssssssssssssss", NULL, 3, false);
+    struct flow_packet packet = {.hash = 1};
+    struct flow_verdict verdict;
+    struct bundle bundle;
+    struct status st;
+    double values[ROUNDS];
+    char size[64];
+
+    (void)bundle_read("b", text, strlen(text), &bundle, &st);
+    (void)flow_apply(flow, 1, &bundle, NULL, FLOW_STEP_SETTLED);
+    flow_set_lease(flow, UINT64_MAX / 2);
+    for (size_t i = 0; i < flows; i++) {
+        packet.hash = hash_pair(HASH_FLOW, i, 1) | 1;
+        packet.first = true;
+        flow_steer(flow, 1000, 0, &packet, &verdict);
+    }
+    packet.first = false;
+    for (int r = 0; r < ROUNDS; r++) {
+        double began = cpu_ns();
+        size_t n = 1000000;
+
+        for (size_t i = 0; i < n; i++) {
+            packet.hash = hash_pair(HASH_FLOW, (i * 7919) % flows, 1) | 1;
+            flow_steer(flow, 2000, 0, &packet, &verdict);
+        }
+        values[r] = (cpu_ns() - began) / (double)n;
+    }
+    (void)snprintf(size, sizeof(size), "%zu flows", flows);
+    row("steering a packet, its hash included", size, values, "ns");
+    row_exact("memory of an entry's steering", size,
+              (double)flow_memory(flow) / (double)flows, "bytes a flow");
+    bundle_free(&bundle);
+    g_free(text);
+    flow_free(flow);
+}
+
+/* Reading and applying a whole bundle. */
+static void
+measure_bundle(unsigned services, unsigned upstreams)
+{
+    char *text = big_bundle(services, upstreams, 1);
+    double read[ROUNDS];
+    double apply[ROUNDS];
+    double memory = 0;
+    struct status st;
+    char size[64];
+
+    for (int r = 0; r < ROUNDS; r++) {
+        struct flow_options options = {
+            .self = 1, .capacity = 1024, .counters = &counters};
+        struct flow *flow = flow_new(&options);
+        struct bundle bundle;
+        double began = cpu_ns();
+
+        if (bundle_read("b", text, strlen(text), &bundle, &st) != STATUS_OK) {
+            (void)fprintf(stderr, "%s\n", st.message);
+            exit(1);
+        }
+        read[r] = (cpu_ns() - began) / 1e6;
+        began = cpu_ns();
+        (void)flow_apply(flow, 1, &bundle, NULL, FLOW_STEP_SETTLED);
+        apply[r] = (cpu_ns() - began) / 1e6;
+        memory = (double)flow_memory(flow) / 1e6;
+        bundle_free(&bundle);
+        flow_free(flow);
+    }
+    (void)snprintf(size, sizeof(size), "%u hosts, %u addresses", upstreams,
+                   services);
+    row("reading and checking a bundle", size, read, "ms");
+    row("building its tables", size, apply, "ms");
+    row_exact("tables and handles in memory", size, memory, "MB");
+    row_exact("text of the bundle", size, (double)strlen(text) / 1e3, "KB");
+    g_free(text);
+}
+
+/* Ranking keepers, against the members. */
+static void
+measure_keepers(size_t count)
+{
+    struct member *members = g_new0(struct member, count);
+    struct member_set set = {0};
+    const struct member *keepers[MEMBER_KEEPERS];
+    double values[ROUNDS];
+    char size[64];
+
+    for (size_t i = 0; i < count; i++) {
+        members[i].id = hash_pair(HASH_NAME, i, 3);
+        members[i].hall = i % HALLS;
+    }
+    member_set_assign(&set, 1, members, count);
+    for (int r = 0; r < ROUNDS; r++) {
+        double began = cpu_ns();
+        uint64_t n = 2000000 / count;
+
+        for (uint64_t key = 0; key < n; key++) {
+            (void)member_keepers(&set, key, MEMBER_KEEPERS, keepers);
+        }
+        values[r] = (cpu_ns() - began) / (double)n;
+    }
+    (void)snprintf(size, sizeof(size), "%zu entries", count);
+    row("ranking a flow's keepers", size, values, "ns");
+    member_set_clear(&set);
+    g_free(members);
+}
+
+/* Bytes of an epoch on the wire. */
+static void
+measure_epoch(void)
+{
+    wire_member members[64] = {{0}};
+    wire_epoch epoch = {.number = 1, .members = {.members_val = members}};
+    wire_epochs *epochs;
+    wire_msg msg = {.kind = WIRE_EPOCHS};
+    guint few;
+    GByteArray *bytes;
+
+    for (int i = 0; i < 64; i++) {
+        members[i].name = "entry-1234";
+        members[i].hall = "rennes-1";
+    }
+    epochs = &msg.wire_msg_u.epochs;
+    epochs->epochs.epochs_len = 1;
+    epochs->epochs.epochs_val = &epoch;
+    epoch.members.members_len = 1;
+    bytes = codec_encode(&msg);
+    few = bytes->len;
+    g_byte_array_unref(bytes);
+    epoch.members.members_len = 64;
+    bytes = codec_encode(&msg);
+    row_exact("an epoch on the wire", "each member",
+              (double)(bytes->len - few) / 63.0, "bytes");
+    g_byte_array_unref(bytes);
+}
+
+/* Control: bytes and processor time of entries and of the leader, idle and
+ * with a bundle every 45 s, against the entries. */
+static void
+measure_control(int entries)
+{
+    struct sim_options options = {.controls = 3,
+                                  .entries = entries,
+                                  .halls = 3,
+                                  .seed = 1,
+                                  .delay_ms = 1,
+                                  .jitter_ms = 1,
+                                  .flow_capacity = 1024};
+    struct sim *sim = sim_new(&options);
+    char *text = sim_bundle(1, 0, "ssssssssssssss", NULL, 3, false);
+    uint64_t before = 0;
+    uint64_t leader_before;
+    double began;
+    char size[64];
+    int leader;
+
+    sim_run(sim, sim->now + 3000);
+    if (!sim_roll_out(sim, text, 20000)) {
+        (void)fprintf(stderr, "no roll-out with %d entries\n", entries);
+        exit(1);
+    }
+    g_free(text);
+    sim_run(sim, sim->now + 5000);
+    (void)snprintf(size, sizeof(size), "%d entries", entries);
+    leader = sim_leader(sim);
+    for (int n = 0; n < entries; n++) {
+        before += sim->nodes[sim_entry(sim, n)].control_bytes;
+    }
+    leader_before = sim->nodes[leader].control_bytes;
+    began = cpu_ns();
+    sim_run(sim, sim->now + 60000);
+    row_exact("leader, idle: bytes sent", size,
+              (double)(sim->nodes[leader].control_bytes - leader_before) /
+                  60.0,
+              "bytes/s");
+    for (int n = 0; n < entries; n++) {
+        before -= sim->nodes[sim_entry(sim, n)].control_bytes;
+    }
+    row_exact("entry, idle: bytes sent", size,
+              (double)(0 - before) / 60.0 / entries, "bytes/s");
+    row_exact("all cores, idle: processor time", size,
+              (cpu_ns() - began) / 60.0 / 1e3, "us/s");
+    leader_before = sim->nodes[leader].control_bytes;
+    began = cpu_ns();
+    for (uint64_t v = 2; v <= 3; v++) {
+        text =
+            sim_bundle(v, v - 1, v % 2 ? "slssssssssssss" : "lsssssssssssss",
+                       NULL, 3, false);
+        uint64_t from = sim->now;
+
+        (void)sim_roll_out(sim, text, 20000);
+        if (v == 2) {
+            row_exact("acceptance to in force", size,
+                      (double)(sim->now - from), "ms, at most 100 too high");
+        }
+        sim_run(sim, sim->now + 45000);
+        g_free(text);
+    }
+    row_exact("leader, a bundle each 45 s: bytes sent", size,
+              (double)(sim->nodes[leader].control_bytes - leader_before) /
+                  90.0,
+              "bytes/s");
+    sim_free(sim);
+}
+
+/* The gate's and a replica's decisions. */
+static void
+measure_requests(void)
+{
+    struct bundle_upstream upstreams[14];
+    struct bundle_service service = {.upstreams = upstreams,
+                                     .upstream_count = 14};
+    double gate_values[ROUNDS];
+    double claim_values[ROUNDS];
+
+    memset(upstreams, 0, sizeof(upstreams));
+    for (unsigned i = 0; i < 14; i++) {
+        upstreams[i].address = i + 1;
+        upstreams[i].port = 80;
+        upstreams[i].weight = 100;
+        upstreams[i].slots = 3;
+    }
+    for (int r = 0; r < ROUNDS; r++) {
+        struct gate *gate = gate_new(1, 0);
+        struct claim_table claims;
+        double began;
+
+        memset(&claims, 0, sizeof(claims));
+        gate_set_upstreams(gate, 1, &service);
+        began = cpu_ns();
+        for (uint64_t i = 1; i <= 100000; i++) {
+            wire_slot_ask ask = {
+                .service = 1, .token = i, .entry = 7, .budget_ms = 1000};
+            wire_slot_done done = {.service = 1, .token = i, .entry = 7};
+
+            gate_ask(gate, 1000, &ask);
+            gate_done(gate, 1000, &done);
+            g_array_set_size(gate->answers, 0);
+        }
+        gate_values[r] = (cpu_ns() - began) / 100000.0;
+        claim_open(&claims, 1);
+        began = cpu_ns();
+        for (uint64_t i = 1; i <= 100000; i++) {
+            wire_claim claim = {.token = i, .coordinator = 7};
+            wire_claim_reply reply;
+
+            memcpy(claim.key, &i, sizeof(i));
+            claim_take(&claims, 0, &claim, &reply);
+        }
+        claim_values[r] = (cpu_ns() - began) / 100000.0;
+        claim_close(&claims);
+        gate_free(gate);
+    }
+    row("gate: a slot asked for and given back", "14 upstreams", gate_values,
+        "ns");
+    row("replica: a key claimed", "100,000 keys", claim_values, "ns");
+    row_exact("replica: a key's record", "without a body",
+              sizeof(struct claim_record) + 48, "bytes");
+}
+
+/* Prints all slopes. */
+int
+main(void)
+{
+    (void)printf("| what | at | median | spread | unit |\n"
+                 "|---|---|---|---|---|\n");
+    measure_steering(50000);
+    measure_steering(500000);
+    measure_steering(1000000);
+    measure_bundle(20, 100);
+    measure_bundle(220, 1300);
+    measure_bundle(2200, 13000);
+    measure_keepers(11);
+    measure_keepers(32);
+    measure_keepers(1700);
+    measure_epoch();
+    measure_control(11);
+    measure_control(32);
+    measure_control(64);
+    measure_requests();
+    return 0;
+}
