Push records only under a lease, and send them again less and less often

Cause: an entry cut off from control pushed to peers that no longer know it and sent every batch again each 300 ms; the load's hashes were all odd, which made hash modulo 14 look worse than it is. Change: no push without a lease; waits double up to 5 s; fair hashes.

--- a/entry-core.h
+++ b/entry-core.h
@@ -62,10 +62,11 @@
 
 /** Flow records that were pushed to a keeper and not yet confirmed. */
 struct entry_batch {
-    uint64_t receiver;                          /**< entry */
-    uint32_t sequence;                          /**< of this entry's batches */
-    uint64_t resend_at;                         /**< deadline */
-    u_int count;                                /**< of records */
+    uint64_t receiver;  /**< entry */
+    uint32_t sequence;  /**< of this entry's batches */
+    uint64_t resend_at; /**< deadline */
+    uint32_t wait_ms;   /**< until the next resend, doubled each time */
+    u_int count;        /**< of records */
     wire_flow_record records[WIRE_RECORDS_MAX]; /**< as sent */
 };
 
--- a/entry-records.c
+++ b/entry-records.c
@@ -9,6 +9,7 @@
 
 #define FLUSH_MAX 256
 #define RESEND_MS 300U
+#define RESEND_MAX_MS 5000U
 #define RECORD_BYTES 16 /* one record in XDR */
 #define BATCHES_MAX 64  /* unconfirmed; then nothing more is pushed */
 
@@ -38,6 +39,7 @@
 
     batch->receiver = peer;
     batch->sequence = ++core->next_batch;
+    batch->wait_ms = RESEND_MS;
     batch->resend_at = now + RESEND_MS;
     batch->count = count;
     memcpy(batch->records, records, count * sizeof(*records));
@@ -120,7 +122,8 @@
             g_ptr_array_remove_index_fast(core->batches, i - 1);
         }
         else if (now >= batch->resend_at) {
-            batch->resend_at = now + RESEND_MS;
+            batch->wait_ms = MIN(2 * batch->wait_ms, RESEND_MAX_MS);
+            batch->resend_at = now + batch->wait_ms;
             send_records(core, batch->receiver, batch->records, batch->count,
                          batch);
         }
@@ -165,9 +168,13 @@
 {
     grow_budgets(core, now);
     (void)flow_scan(core->flow, now, ENTRY_SCAN_PLACES);
-    resend(core, now);
     flush_all(core, now, FLOW_SEND_COPY);
-    push(core, now);
+    /* Without a lease the members known here may not know this entry, and
+     * would never confirm. */
+    if (now < core->lease_deadline) {
+        resend(core, now);
+        push(core, now);
+    }
     if (now >= core->hint_at) {
         core->hint_at = now + ENTRY_HINT_MS;
         flush_all(core, now, FLOW_SEND_HINT);
--- a/tests/flow-load.c
+++ b/tests/flow-load.c
@@ -140,7 +140,7 @@
         return;
     }
     f = &r->flows[r->count];
-    f->hash = sim_random(r->sim, 0) | 1;
+    f->hash = MAX(1, sim_random(r->sim, 0));
     f->is_short = is_short;
     f->silent = !is_short && sim_random(r->sim, SILENT_SHARE) == 0;
     f->opened_at = r->sim->now;
