--- a/entry-core.c
+++ b/entry-core.c
@@ -277,7 +277,8 @@
     entry_tick_gates(core, now);
     request_tick(&core->requests, now);
     /* The lists of a handover point into the records. */
-    if (core->handovers->len == 0) {
+    if (core->handovers->len == 0 && now >= core->expire_at) {
+        core->expire_at = now + ENTRY_EXPIRE_MS;
         claim_expire(&core->claims, wall);
     }
     entry_tick_handover(core, now);
--- a/entry-core.h
+++ b/entry-core.h
@@ -23,6 +23,7 @@
 #define ENTRY_PUSH_MS 250U       /**< between pushes */
 #define ENTRY_HINT_MS 4000U      /**< between hints to entries that ask */
 #define ENTRY_SCAN_PLACES 65536U /**< places of the table a tick looks at */
+#define ENTRY_EXPIRE_MS 5000U    /**< between looks for expired claims */
 #define ENTRY_LINGER_MS 1000U    /**< a stopping entry goes on so long */
 #define ENTRY_CONTROLS_MAX 7U
 
@@ -109,6 +110,7 @@
     uint32_t next_batch;             /**< sequence of the next one */
     uint64_t ticked_at;              /**< last tick */
     bool stopping;                   /**< a planned stop began */
+    uint64_t expire_at;              /**< deadline: drop expired claims */
     uint64_t linger_until;           /**< not before the stop is done */
     GPtrArray *handovers;            /**< struct entry_handover */
     uint64_t handover_epoch;         /**< it was listed for */
