Tell twins of a request the same, and lose no slot to a lost message

Ruled out: epochs of before the first bundle, which are forgotten now as well. Change: of several contenders the smallest id stays; giving way is no refusal; handovers go to all replicas where none is new; the gate asks again about slots held for a second; a stop ends after 20 s without control.

--- a/claim.c
+++ b/claim.c
@@ -285,6 +285,36 @@
     return false;
 }
 
+/* Says whether every replica of a key in one epoch was one in another. */
+static bool
+has_no_new_replica(const struct member_set *before,
+                   const struct member_set *after, const char *key)
+{
+    const struct member *set[MEMBER_KEEPERS];
+    size_t count = member_keepers(after, hash_bytes(HASH_KEY, key, WIRE_KEY),
+                                  MEMBER_KEEPERS, set);
+
+    for (size_t i = 0; i < count; i++) {
+        if (!is_replica(before, key, set[i]->id)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Says whether a receiver must take a key's record over when an entry stops:
+ * as a new replica; or as any, when the stopping one had been displaced
+ * before, or when there are too few entries for a new one. */
+bool
+claim_is_owed(const struct member_set *before, const struct member_set *after,
+              const char *key, uint64_t receiver, uint64_t stopping)
+{
+    return is_replica(after, key, receiver) &&
+           (!is_replica(before, key, receiver) ||
+            !is_replica(before, key, stopping) ||
+            has_no_new_replica(before, after, key));
+}
+
 /* Lists the records that another entry must take over. */
 void
 claim_list_handover(const struct claim_table *table,
@@ -299,11 +329,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct claim_record *record = value;
 
-        /* Keys that this entry kept in an earlier epoch only have no new
-         * replica for it; then all of theirs get the record. */
-        if (is_replica(after, record->claim.key, receiver) &&
-            (!is_replica(before, record->claim.key, receiver) ||
-             !is_replica(before, record->claim.key, table->self))) {
+        if (claim_is_owed(before, after, record->claim.key, receiver,
+                          table->self)) {
             g_ptr_array_add(out, value);
         }
     }
--- a/claim.h
+++ b/claim.h
@@ -69,15 +69,19 @@
                       const wire_handover *handover);
 
 /**
- * Lists what a stopping entry owes another one: records of the keys that the
- * receiver keeps after the stop, and that it or the stopping entry did not
- * keep before.
+ * Lists what a stopping entry owes another one: the records for which
+ * claim_is_owed() says so.
  */
 void claim_list_handover(const struct claim_table *table,
                          const struct member_set *before,
                          const struct member_set *after, uint64_t receiver,
                          GPtrArray *out);
 
+/** Says whether a receiver takes a key's record over when an entry stops. */
+bool claim_is_owed(const struct member_set *before,
+                   const struct member_set *after, const char *key,
+                   uint64_t receiver, uint64_t stopping);
+
 /** Writes what was taken over into an array; returns how many. */
 u_int claim_list_absorbed(const struct claim_table *table,
                           wire_absorbed out[WIRE_ABSORBED_MAX]);
--- a/control-state.c
+++ b/control-state.c
@@ -305,11 +305,25 @@
     return check_resting(state, wall, next, st);
 }
 
+/* Forgets epochs that ended before the first bundle: nothing can have run in
+ * them, so that nobody needs to read their replicas. */
+static void
+forget_epochs(wire_control_state *state)
+{
+    for (u_int i = 1; i < state->epochs.epochs_len; i++) {
+        codec_free_epoch(&state->epochs.epochs_val[i]);
+    }
+    state->epochs.epochs_len = MIN(state->epochs.epochs_len, 1);
+}
+
 /* Begins the roll-out of the accepted bundle. */
 static void
 promote_pending(wire_control_state *state, uint64_t wall)
 {
     rest_dropped(state, wall);
+    if (state->current == 0) {
+        forget_epochs(state);
+    }
     state->prev_version = state->current;
     g_free(state->prev_text);
     state->prev_text = state->text;
--- a/entry-core.c
+++ b/entry-core.c
@@ -343,9 +343,15 @@
     bool out =
         core->epoch > 0 && member_find(&core->active, core->self.id) == NULL;
 
-    return core->stopping && now >= core->linger_until && out &&
-           request_count(&core->requests) == 0 && entry_is_handed_over(core) &&
-           entry_is_pushed(core);
+    if (!core->stopping || now < core->linger_until ||
+        request_count(&core->requests) > 0) {
+        return false;
+    }
+    /* Without control no epoch will ever leave this entry out. */
+    if (now >= core->lease_deadline + ENTRY_ALONE_MS) {
+        return true;
+    }
+    return out && entry_is_handed_over(core) && entry_is_pushed(core);
 }
 
 /* Finds the service of a Host, without its port. */
--- a/entry-core.h
+++ b/entry-core.h
@@ -23,6 +23,7 @@
 #define ENTRY_PUSH_MS 250U       /**< between pushes */
 #define ENTRY_HINT_MS 4000U      /**< between hints to entries that ask */
 #define ENTRY_SCAN_PLACES 65536U /**< places of the table a tick looks at */
+#define ENTRY_ALONE_MS 20000U    /**< a stop without any lease ends then */
 #define ENTRY_EXPIRE_MS 5000U    /**< between looks for expired claims */
 #define ENTRY_LINGER_MS 1000U    /**< a stopping entry goes on so long */
 #define ENTRY_CONTROLS_MAX 7U
--- a/entry-lease.c
+++ b/entry-lease.c
@@ -188,6 +188,9 @@
         bundle_free(&before);
         return false;
     }
+    if (bundle.base == 0) {
+        request_forget_epochs(&core->requests);
+    }
     bundle_free(&core->bundle);
     bundle_free(&core->before);
     core->bundle = bundle;
--- a/gate.c
+++ b/gate.c
@@ -197,8 +197,8 @@
 
 /* Notes a slot in use. */
 static void
-add_hold(struct gate *gate, uint64_t entry, uint64_t token, uint64_t deadline,
-         guint upstream)
+add_hold(struct gate *gate, uint64_t now, uint64_t entry, uint64_t token,
+         uint64_t deadline, guint upstream)
 {
     uint64_t key = hold_key(entry, token);
     struct gate_hold *hold = g_new(struct gate_hold, 1);
@@ -206,6 +206,7 @@
     *hold = (struct gate_hold){.token = token,
                                .entry = entry,
                                .deadline = deadline + HOLD_SLACK_MS,
+                               .probe_at = now + GATE_PROBE_MS,
                                .upstream = upstream};
     g_hash_table_insert(gate->holds, g_memdup2(&key, sizeof(key)), hold);
     upstream_at(gate, upstream)->busy++;
@@ -261,8 +262,8 @@
 
 /* Grants a slot. */
 static void
-grant(struct gate *gate, uint64_t entry, uint64_t token, uint64_t deadline,
-      guint upstream)
+grant(struct gate *gate, uint64_t now, uint64_t entry, uint64_t token,
+      uint64_t deadline, guint upstream)
 {
     struct gate_upstream *u = upstream_at(gate, upstream);
     struct gate_answer *out = answer(gate, entry, token);
@@ -271,7 +272,7 @@
     out->address = u->address;
     out->port = u->port;
     u->chosen++;
-    add_hold(gate, entry, token, deadline, upstream);
+    add_hold(gate, now, entry, token, deadline, upstream);
 }
 
 /* Says whether a caller was told to come back about now; forgets it. */
@@ -338,7 +339,8 @@
             return;
         }
         ask = g_queue_pop_head(&gate->queue);
-        grant(gate, ask->entry, ask->token, ask->deadline, (guint)upstream);
+        grant(gate, now, ask->entry, ask->token, ask->deadline,
+              (guint)upstream);
         free_ask(gate, ask);
     }
 }
@@ -352,21 +354,28 @@
     return g_hash_table_contains(gate->waiting, &key);
 }
 
+/* Tells a coordinator again which slot it has. */
+static void
+tell_again(struct gate *gate, const struct gate_hold *hold)
+{
+    struct gate_answer *out = answer(gate, hold->entry, hold->token);
+
+    out->granted = true;
+    out->address = upstream_at(gate, hold->upstream)->address;
+    out->port = upstream_at(gate, hold->upstream)->port;
+}
+
 /* Repeats a grant whose message was lost. */
 static bool
 repeat_grant(struct gate *gate, const wire_slot_ask *ask)
 {
     uint64_t key = hold_key(ask->entry, ask->token);
     const struct gate_hold *hold = g_hash_table_lookup(gate->holds, &key);
-    struct gate_answer *out;
 
     if (hold == NULL) {
         return false;
     }
-    out = answer(gate, ask->entry, ask->token);
-    out->granted = true;
-    out->address = upstream_at(gate, hold->upstream)->address;
-    out->port = upstream_at(gate, hold->upstream)->port;
+    tell_again(gate, hold);
     return true;
 }
 
@@ -407,7 +416,7 @@
         uint64_t key = hold_key(ask->entry, ask->token);
 
         if (index >= 0 && g_hash_table_lookup(gate->holds, &key) == NULL) {
-            add_hold(gate, ask->entry, ask->token, now + ask->budget_ms,
+            add_hold(gate, now, ask->entry, ask->token, now + ask->budget_ms,
                      (guint)index);
         }
         return;
@@ -527,7 +536,8 @@
     }
 }
 
-/* Frees slots whose coordinator never came back. */
+/* Frees slots whose coordinator never came back. One whose message was lost
+ * gives the slot back when it is told again that it has it. */
 static void
 expire_holds(struct gate *gate, uint64_t now)
 {
@@ -536,12 +546,16 @@
 
     g_hash_table_iter_init(&iter, gate->holds);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct gate_hold *hold = value;
+        struct gate_hold *hold = value;
 
         if (now >= hold->deadline) {
             upstream_at(gate, hold->upstream)->busy--;
             g_hash_table_iter_remove(&iter);
         }
+        else if (now >= hold->probe_at) {
+            hold->probe_at = now + GATE_PROBE_MS;
+            tell_again(gate, hold);
+        }
     }
 }
 
--- a/gate.h
+++ b/gate.h
@@ -17,6 +17,7 @@
 #include "ring.h"
 
 #define GATE_OPEN_MS 100U      /**< a new gate first hears what is running */
+#define GATE_PROBE_MS 1000U    /**< between such questions */
 #define GATE_RAMP_MS 10000U    /**< a new upstream gets all slots after it */
 #define GATE_QUEUE_MAX 4096U   /**< requests waiting, at most */
 #define GATE_EJECT_FAILURES 3U /**< failures in a row */
@@ -60,6 +61,7 @@
     uint64_t token;    /**< of the coordinator */
     uint64_t entry;    /**< coordinator */
     uint64_t deadline; /**< freed then, if nobody says so before */
+    uint64_t probe_at; /**< deadline: ask whether it is still in use */
     uint32_t upstream; /**< index */
 };
 
--- a/request-claim.c
+++ b/request-claim.c
@@ -128,26 +128,29 @@
             replica->holder_epoch > epoch);
 }
 
-/* Says whether an entry of this id is in a key's set of an epoch. */
-static bool
-in_set_of(const struct request_core *core, const struct request *request,
-          uint64_t epoch, uint64_t id)
+/* Finds the members of an epoch that is still known. */
+static const struct member_set *
+members_of(const struct request_core *core, uint64_t epoch)
 {
     for (size_t e = 0; e < core->epoch_count; e++) {
-        const struct member *set[MEMBER_KEEPERS];
-        size_t count;
-
-        if (core->epochs[e].members.epoch != epoch) {
-            continue;
-        }
-        count = replicas_of(&core->epochs[e].members, request, set);
-        for (size_t i = 0; i < count; i++) {
-            if (set[i]->id == id) {
-                return true;
-            }
+        if (core->epochs[e].members.epoch == epoch) {
+            return &core->epochs[e].members;
         }
     }
-    return false;
+    return NULL;
+}
+
+/* Says whether a handover covered this key. */
+static bool
+is_covered(const struct request_core *core, const struct request *request,
+           const wire_absorbed *a)
+{
+    const struct member_set *before = members_of(core, a->before);
+    const struct member_set *after = members_of(core, a->epoch);
+
+    return before != NULL && after != NULL &&
+           claim_is_owed(before, after, request->spec.key, a->holder,
+                         a->entry);
 }
 
 /* Says whether the records of a stopped entry for this key were taken over
@@ -161,9 +164,7 @@
             &g_array_index(request->absorbed, wire_absorbed, i);
         const struct request_replica *holder;
 
-        if (a->entry != id || !in_set_of(core, request, a->epoch, a->holder) ||
-            (in_set_of(core, request, a->before, a->holder) &&
-             in_set_of(core, request, a->before, id))) {
+        if (a->entry != id || !is_covered(core, request, a)) {
             continue;
         }
         holder = find_replica(request, a->holder);
@@ -398,6 +399,48 @@
     request->resend_at = now + REQUEST_RESEND_MS;
 }
 
+/* Says whether another contender goes first: any, when this one was granted
+ * nothing; else one with a smaller id, so that of several one stays. */
+static bool
+must_give_way(const struct request_core *core, const struct request *request)
+{
+    bool granted = false;
+    bool first = true;
+
+    for (size_t i = 0; i < request->replica_count; i++) {
+        const struct request_replica *replica = &request->replicas[i];
+
+        if (!replica->heard) {
+            continue;
+        }
+        granted = granted || replica->result == WIRE_CLAIM_GRANTED;
+        if (replica->result == WIRE_CLAIM_HELD &&
+            (replica->holder < core->self ||
+             (replica->holder == core->self &&
+              replica->holder_token < request->spec.token))) {
+            first = false;
+        }
+    }
+    return !granted || !first;
+}
+
+/* Gives way, or asks those again that are held by contenders who will. */
+static void
+contend(struct request_core *core, uint64_t now, struct request *request)
+{
+    if (must_give_way(core, request)) {
+        wait_for_holder(core, now, request);
+        return;
+    }
+    for (size_t i = 0; i < request->replica_count; i++) {
+        struct request_replica *replica = &request->replicas[i];
+
+        if (replica->heard && replica->result == WIRE_CLAIM_HELD) {
+            replica->heard = false;
+        }
+    }
+}
+
 /* Goes on as the answers allow. */
 void
 request_act_on_claim(struct request_core *core, uint64_t now,
@@ -435,7 +478,7 @@
                         RULE_COORDINATOR_LOST, CLAIM_HORIZON_MS);
         }
         else if (request->state == REQUEST_CLAIMING) {
-            wait_for_holder(core, now, request);
+            contend(core, now, request);
         }
         return;
     }
@@ -453,7 +496,9 @@
         return;
     }
     replica->result = WIRE_CLAIM_NONE;
+    /* One that only gave way was not refused. */
     if (request->state == REQUEST_WAITING &&
+        reply->outcome->reason != RULE_KEY_RUNNING &&
         reply->holder == request->holder &&
         reply->holder_token == request->holder_token) {
         request->released = (enum ring_rule)reply->outcome->reason;
--- a/request.c
+++ b/request.c
@@ -760,6 +760,17 @@
     restart_claims(core, now);
 }
 
+/* Forgets the epochs before the one in force. */
+void
+request_forget_epochs(struct request_core *core)
+{
+    for (size_t i = 1; i < core->epoch_count; i++) {
+        member_set_clear(&core->epochs[i].members);
+    }
+    core->epoch_count = MIN(core->epoch_count, 1);
+    core->history_cut = false;
+}
+
 /* Requests not yet answered. */
 size_t
 request_count(const struct request_core *core)
--- a/request.h
+++ b/request.h
@@ -163,6 +163,9 @@
                         const struct member_set *epochs,
                         const uint64_t *ended_ago, size_t count);
 
+/** Forgets the epochs before the one in force: no request ran in them. */
+void request_forget_epochs(struct request_core *core);
+
 /** A caller asks. `wall` is ms since 1970. */
 void request_begin(struct request_core *core, uint64_t now, uint64_t wall,
                    const struct request_spec *spec);
