--- a/bundle.c
+++ b/bundle.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "address.h"
 #include "hash.h"
 
 #define PORT_MAX 65535
@@ -200,9 +201,10 @@
 static char *
 endpoint_key(const char *what, uint32_t address, uint64_t port)
 {
-    return g_strdup_printf("%s%u.%u.%u.%u:%u", what, address >> 24,
-                           (address >> 16) & 255, (address >> 8) & 255,
-                           address & 255, (unsigned)port);
+    char text[ADDRESS_TEXT];
+
+    return g_strconcat(what, address_format(address, (uint16_t)port, text),
+                       NULL);
 }
 
 /* Checks the keys that one kind of service needs and the other does not. */
--- a/client.c
+++ b/client.c
@@ -6,6 +6,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "address.h"
+
 #define CALL_MS 5000L
 #define CONNECT_MS 500L
 #define ROUNDS 25
@@ -161,10 +163,11 @@
     for (int round = 0; round < ROUNDS; round++) {
         for (size_t i = 0; i < settings->control_count; i++) {
             const struct settings_control *c = &settings->controls[i];
-            char *url = g_strdup_printf(
-                "http://%u.%u.%u.%u:%u%s", c->address >> 24,
-                (c->address >> 16) & 255, (c->address >> 8) & 255,
-                c->address & 255, (unsigned)c->http_port, path);
+            char endpoint[ADDRESS_TEXT];
+            char *url = g_strconcat(
+                "http://",
+                address_format(c->address, (uint16_t)c->http_port, endpoint),
+                path, NULL);
             bool unconfirmed;
 
             client_call(method, url, credentials, submission, body, length,
--- a/cmd-entry.c
+++ b/cmd-entry.c
@@ -1,7 +1,6 @@
 /* ridgeridge entry: runs an entry VM. */
 #include "cmd.h"
 #include "entry.h"
-#include "log.h"
 
 /* Loads the settings and runs until a planned stop is done. */
 static enum status_kind
@@ -10,24 +9,9 @@
     struct settings settings;
 
     (void)args;
-    if (options->settings == NULL) {
-        return status_set(st, STATUS_BAD_INPUT, "--settings is needed");
-    }
-    if (settings_load(options->settings, &settings, st) != STATUS_OK) {
+    if (cmd_load_role(options, ROLE_ENTRY, &settings, st) != STATUS_OK) {
         return st->kind;
     }
-    if (settings.role != ROLE_ENTRY) {
-        return status_set(st, STATUS_BAD_INPUT,
-                          "%s: \"role\" is not \"entry\"; start `ridgeridge "
-                          "control` or correct it",
-                          options->settings);
-    }
-    if (!log_open(settings.log, settings.name,
-                  (enum log_level)settings.log_level)) {
-        return status_set(st, STATUS_IO,
-                          "%s: cannot be opened; correct \"log\"",
-                          settings.log);
-    }
     return entry_run(&settings, st);
 }
 
--- a/cmd-explain.c
+++ b/cmd-explain.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "address.h"
 #include "auth.h"
 #include "cmd.h"
 #include "explain.h"
@@ -174,7 +175,7 @@
 
     flow.service = args[0] ? bundle_find(&q->bundle, args[0]) : NULL;
     if (flow.service == NULL || args[1] == NULL ||
-        !explain_read_endpoint(args[1], &flow.source, &flow.source_port)) {
+        !address_parse(args[1], &flow.source, &flow.source_port)) {
         (void)status_set(q->st, STATUS_BAD_INPUT,
                          "explain flow takes a flow service of the bundle in "
                          "force and the caller's ADDRESS:PORT");
--- a/cmd.h
+++ b/cmd.h
@@ -65,6 +65,11 @@
 extern const struct cmd cmd_report;
 extern const struct cmd cmd_reference;
 
+/** Loads the settings of a VM, checks its role and opens its log. */
+enum status_kind cmd_load_role(const struct cmd_options *options,
+                               enum settings_role role,
+                               struct settings *settings, struct status *st);
+
 /** Loads what operators' commands need; free the settings afterwards. */
 enum status_kind cmd_load(const struct cmd_options *options,
                           struct settings *settings,
--- a/control-http.c
+++ b/control-http.c
@@ -13,10 +13,10 @@
 #include "bundle.h"
 #include "control.h"
 #include "loop.h"
+#include "page.h"
 #include "problem.h"
 
 #define BODY_MAX (5U * 1024 * 1024)
-#define METRICS_MAX 65536
 #define SUBMISSION_MAX 63
 
 /* A sign-off as operators send it. */
@@ -192,17 +192,6 @@
     g_mutex_unlock(&ask->call.lock);
 }
 
-/* Answers with JSON. */
-static void
-answer_json(struct _u_response *response, json_object *doc)
-{
-    const char *text = json_object_to_json_string(doc);
-
-    (void)ulfius_set_binary_body_response(response, 200, text, strlen(text));
-    (void)u_map_put(response->map_header, "Content-Type", "application/json");
-    json_object_put(doc);
-}
-
 /* Answers with what the core said. */
 static void
 answer_status(struct _u_response *response, const struct status *st)
@@ -217,7 +206,7 @@
     json_object_object_add(doc, "result", json_object_new_string("ok"));
     json_object_object_add(doc, "message",
                            json_object_new_string(st->message));
-    answer_json(response, doc);
+    page_json(response, doc);
 }
 
 /* Finds the operator, or answers 401. */
@@ -365,7 +354,7 @@
         json_object_new_boolean(ask.call.status.kind == STATUS_OK));
     json_object_object_add(ask.out, "unconfirmed_because",
                            json_object_new_string(ask.call.status.message));
-    answer_json(response, ask.out);
+    page_json(response, ask.out);
     g_free(ask.text);
     return U_CALLBACK_COMPLETE;
 }
@@ -400,14 +389,9 @@
            void *data)
 {
     struct control *control = data;
-    char *text = g_malloc(METRICS_MAX);
-    size_t length = counter_print(&control->counters, text, METRICS_MAX);
 
     (void)request;
-    (void)ulfius_set_binary_body_response(response, 200, text, length);
-    (void)u_map_put(response->map_header, "Content-Type",
-                    "text/plain; version=0.0.4");
-    g_free(text);
+    page_counters(response, &control->counters);
     return U_CALLBACK_COMPLETE;
 }
 
--- a/control-state.c
+++ b/control-state.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "address.h"
 #include "bundle.h"
 #include "codec.h"
 
@@ -264,7 +265,7 @@
     for (u_int i = 0; i < state->resting.resting_len; i++) {
         const wire_resting *r = &state->resting.resting_val[i];
         uint64_t until = r->since + CONTROL_REST_MS;
-
+        char text[ADDRESS_TEXT];
         uint64_t minutes = wall < until ? 1 + (until - wall) / 60000 : 0;
 
         for (size_t j = 0; j < count && minutes > 0; j++) {
@@ -272,10 +273,9 @@
                 list[j].service != r->service) {
                 (void)status_set(
                     st, STATUS_REFUSED,
-                    "%u.%u.%u.%u:%u left another service and still rests; "
+                    "%s left another service and still rests; "
                     "submit this again in %llu minutes",
-                    r->address >> 24, (r->address >> 16) & 255,
-                    (r->address >> 8) & 255, r->address & 255, r->port,
+                    address_format(r->address, (uint16_t)r->port, text),
                     (unsigned long long)minutes);
             }
         }
--- a/control-status.c
+++ b/control-status.c
@@ -4,42 +4,7 @@
 #include "control.h"
 #include "flow.h"
 #include "loop.h"
-
-/* Adds a number. */
-static void
-add_number(json_object *doc, const char *key, uint64_t value)
-{
-    json_object_object_add(doc, key, json_object_new_int64((int64_t)value));
-}
-
-/* Adds a string. */
-static void
-add_text(json_object *doc, const char *key, const char *value)
-{
-    json_object_object_add(doc, key, json_object_new_string(value));
-}
-
-/* Adds an identity, as hex digits. */
-static void
-add_identity(json_object *doc, const char *key, uint64_t value)
-{
-    char text[24];
-
-    (void)snprintf(text, sizeof(text), "%016llx", (unsigned long long)value);
-    add_text(doc, key, text);
-}
-
-/* Adds an address and a port. */
-static void
-add_endpoint(json_object *doc, uint32_t address, uint64_t port)
-{
-    char text[32];
-
-    (void)snprintf(text, sizeof(text), "%u.%u.%u.%u:%u", address >> 24,
-                   (address >> 16) & 255, (address >> 8) & 255, address & 255,
-                   (unsigned)port);
-    add_text(doc, "http", text);
-}
+#include "page.h"
 
 /* What the leader knows of one member. */
 static json_object *
@@ -48,24 +13,24 @@
     json_object *out = json_object_new_object();
     uint64_t now = loop_now();
 
-    add_text(out, "name", member->name);
-    add_text(out, "hall", member->hall);
-    add_identity(out, "id", member->id);
-    add_endpoint(out, member->address, member->http_port);
-    json_object_object_add(out, "stopping",
-                           json_object_new_boolean(member->stopping));
+    page_add_text(out, "name", member->name);
+    page_add_text(out, "hall", member->hall);
+    page_add_hex(out, "id", member->id);
+    page_add_endpoint(out, "http", member->address,
+                      (uint16_t)member->http_port);
+    page_add_bool(out, "stopping", member->stopping);
     for (guint i = 0; i < core->entries->len; i++) {
         const struct control_entry *entry =
             g_ptr_array_index(core->entries, i);
 
         if (entry->self.id == member->id) {
-            add_number(out, "version", entry->version);
-            add_number(out, "step", entry->step);
-            add_number(out, "epoch", entry->epoch);
-            add_number(out, "heard_ms_ago", now - entry->heard_at);
-            add_number(out, "lease_left_ms",
-                       entry->lease_until > now ? entry->lease_until - now
-                                                : 0);
+            page_add_number(out, "version", entry->version);
+            page_add_number(out, "step", entry->step);
+            page_add_number(out, "epoch", entry->epoch);
+            page_add_number(out, "heard_ms_ago", now - entry->heard_at);
+            page_add_number(out, "lease_left_ms",
+                            entry->lease_until > now ? entry->lease_until - now
+                                                     : 0);
         }
     }
     return out;
@@ -103,12 +68,11 @@
         (void)snprintf(digest + 2 * i, 3, "%02x",
                        (unsigned char)state->pending.digest[i]);
     }
-    add_number(out, "version", state->pending.bundle_version);
-    add_text(out, "operator", state->pending.operator_name);
-    add_text(out, "submission", state->pending.submission);
-    add_text(out, "digest", digest);
-    json_object_object_add(out, "signed_off",
-                           json_object_new_boolean(state->signed_off));
+    page_add_number(out, "version", state->pending.bundle_version);
+    page_add_text(out, "operator", state->pending.operator_name);
+    page_add_text(out, "submission", state->pending.submission);
+    page_add_text(out, "digest", digest);
+    page_add_bool(out, "signed_off", state->signed_off);
     return out;
 }
 
@@ -122,8 +86,8 @@
     for (u_int i = 0; i < config->voters.voters_len; i++) {
         json_object *one = json_object_new_object();
 
-        add_number(one, "replica", config->voters.voters_val[i].replica);
-        add_identity(one, "identity", config->voters.voters_val[i].identity);
+        page_add_number(one, "replica", config->voters.voters_val[i].replica);
+        page_add_hex(one, "identity", config->voters.voters_val[i].identity);
         json_object_array_add(out, one);
     }
     return out;
@@ -140,21 +104,20 @@
     char missing[512] = "";
     bool in_force = control_core_in_force(core, missing, sizeof(missing));
 
-    add_text(out, "name", control->settings.name);
-    add_number(out, "replica", core->cons.self);
-    add_number(out, "leader", core->cons.leader);
-    add_number(out, "term", core->cons.term);
-    add_number(out, "log_last", cons_last_index(&core->cons));
-    add_number(out, "log_committed", core->cons.commit);
-    json_object_object_add(out, "storage_failed",
-                           json_object_new_boolean(core->cons.failed));
+    page_add_text(out, "name", control->settings.name);
+    page_add_number(out, "replica", core->cons.self);
+    page_add_number(out, "leader", core->cons.leader);
+    page_add_number(out, "term", core->cons.term);
+    page_add_number(out, "log_last", cons_last_index(&core->cons));
+    page_add_number(out, "log_committed", core->cons.commit);
+    page_add_bool(out, "storage_failed", core->cons.failed);
     json_object_object_add(out, "voters", voters_json(core));
-    add_number(out, "version", core->state.current);
-    add_text(out, "step", step_name(core->state.step));
-    json_object_object_add(out, "in_force", json_object_new_boolean(in_force));
-    add_text(out, "unconfirmed_entries", missing);
-    add_number(out, "in_force_ms", core->in_force_ms);
-    add_number(out, "epoch", epoch ? epoch->number : 0);
+    page_add_number(out, "version", core->state.current);
+    page_add_text(out, "step", step_name(core->state.step));
+    page_add_bool(out, "in_force", in_force);
+    page_add_text(out, "unconfirmed_entries", missing);
+    page_add_number(out, "in_force_ms", core->in_force_ms);
+    page_add_number(out, "epoch", epoch ? epoch->number : 0);
     for (u_int i = 0; epoch != NULL && i < epoch->members.members_len; i++) {
         json_object_array_add(
             members, member_json(core, &epoch->members.members_val[i]));
--- a/entry-call.c
+++ b/entry-call.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "address.h"
 #include "entry.h"
 #include "log.h"
 #include "loop.h"
@@ -155,10 +156,10 @@
     CURL *curl = curl_easy_init();
     char *type = NULL;
     CURLcode code;
-    char *url = g_strdup_printf(
-        "http://%u.%u.%u.%u:%u%s", call->address >> 24,
-        (call->address >> 16) & 255, (call->address >> 8) & 255,
-        call->address & 255, call->port, request->http_url);
+    char endpoint[ADDRESS_TEXT];
+    char *url = g_strconcat(
+        "http://", address_format(call->address, call->port, endpoint),
+        request->http_url, NULL);
 
     set_options(curl, call, request, reply, url);
     (void)curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
--- a/entry-http.c
+++ b/entry-http.c
@@ -16,11 +16,11 @@
 #include "hash.h"
 #include "log.h"
 #include "loop.h"
+#include "page.h"
 #include "problem.h"
 
 #define BODY_MAX (1024U * 1024)
 #define DEADLINE_DEFAULT_MS 10000U
-#define METRICS_MAX 65536
 
 /* A question of an operator on its way to the loop's thread. */
 struct question {
@@ -212,17 +212,6 @@
     return U_CALLBACK_COMPLETE;
 }
 
-/* Answers with JSON. */
-static void
-answer_json(struct _u_response *response, json_object *doc)
-{
-    const char *text = json_object_to_json_string(doc);
-
-    (void)ulfius_set_binary_body_response(response, 200, text, strlen(text));
-    (void)u_map_put(response->map_header, "Content-Type", "application/json");
-    json_object_put(doc);
-}
-
 /* Asks on the loop's thread. */
 static void
 on_question(void *data)
@@ -282,7 +271,7 @@
         question.subject = strtoull(subject, NULL, 16);
     }
     loop_call(on_question, &question);
-    answer_json(response, question.out);
+    page_json(response, question.out);
     return U_CALLBACK_COMPLETE;
 }
 
@@ -324,14 +313,9 @@
            void *data)
 {
     struct entry *entry = data;
-    char *text = g_malloc(METRICS_MAX);
-    size_t length = counter_print(&entry->counters, text, METRICS_MAX);
 
     (void)request;
-    (void)ulfius_set_binary_body_response(response, 200, text, length);
-    (void)u_map_put(response->map_header, "Content-Type",
-                    "text/plain; version=0.0.4");
-    g_free(text);
+    page_counters(response, &entry->counters);
     return U_CALLBACK_COMPLETE;
 }
 
--- a/entry-status.c
+++ b/entry-status.c
@@ -5,39 +5,10 @@
 #include "entry.h"
 #include "hash.h"
 #include "loop.h"
+#include "page.h"
 
 #define EXPLAIN_MAX 64
 
-/* Adds a number. */
-static void
-add_number(json_object *doc, const char *key, uint64_t value)
-{
-    json_object_object_add(doc, key, json_object_new_int64((int64_t)value));
-}
-
-/* Adds a number as hex digits. */
-static void
-add_hex(json_object *doc, const char *key, uint64_t value)
-{
-    char text[24];
-
-    (void)snprintf(text, sizeof(text), "%016llx", (unsigned long long)value);
-    json_object_object_add(doc, key, json_object_new_string(text));
-}
-
-/* Adds an address and port. */
-static void
-add_endpoint(json_object *doc, const char *key, uint32_t address,
-             uint16_t port)
-{
-    char text[32];
-
-    (void)snprintf(text, sizeof(text), "%u.%u.%u.%u:%u", address >> 24,
-                   (address >> 16) & 255, (address >> 8) & 255, address & 255,
-                   port);
-    json_object_object_add(doc, key, json_object_new_string(text));
-}
-
 /* What the steering knows of a flow service's upstream. */
 static json_object *
 flow_upstream_json(const struct entry *entry,
@@ -49,12 +20,13 @@
 
     json_object_object_add(out, "name",
                            json_object_new_string(upstream->name));
-    add_endpoint(out, "endpoint", upstream->address, (uint16_t)upstream->port);
+    page_add_endpoint(out, "endpoint", upstream->address,
+                      (uint16_t)upstream->port);
     json_object_object_add(
         out, "state",
         json_object_new_string(upstream->state == BUNDLE_LEAVING ? "leaving"
                                                                  : "serving"));
-    add_number(out, "flows_placed", placed);
+    page_add_number(out, "flows_placed", placed);
     return out;
 }
 
@@ -76,18 +48,16 @@
             &g_array_index(gate->upstreams, struct gate_upstream, i);
         json_object *one = json_object_new_object();
 
-        add_endpoint(one, "endpoint", u->address, u->port);
-        add_number(one, "busy", u->busy);
-        add_number(one, "limit", u->limit);
-        add_number(one, "chosen", u->chosen);
-        json_object_object_add(one, "serving",
-                               json_object_new_boolean(u->serving));
-        json_object_object_add(
-            one, "ejected", json_object_new_boolean(now < u->ejected_until));
+        page_add_endpoint(one, "endpoint", u->address, u->port);
+        page_add_number(one, "busy", u->busy);
+        page_add_number(one, "limit", u->limit);
+        page_add_number(one, "chosen", u->chosen);
+        page_add_bool(one, "serving", u->serving);
+        page_add_bool(one, "ejected", now < u->ejected_until);
         json_object_array_add(list, one);
     }
     json_object_object_add(out, "gate", list);
-    add_number(out, "queue", g_queue_get_length((GQueue *)&gate->queue));
+    page_add_number(out, "queue", g_queue_get_length((GQueue *)&gate->queue));
 }
 
 /* All services of the bundle in force. */
@@ -125,18 +95,18 @@
                            json_object_new_string(entry->settings.name));
     json_object_object_add(out, "hall",
                            json_object_new_string(entry->settings.hall));
-    add_hex(out, "id", core->self.id);
-    add_number(out, "version", flow_version(core->flow));
-    add_number(out, "step", flow_step(core->flow));
-    add_number(out, "epoch", core->epoch);
-    add_number(out, "lease_left_ms",
-               core->lease_deadline > now ? core->lease_deadline - now : 0);
-    add_number(out, "flow_records", flow_records(core->flow));
-    add_number(out, "flow_memory", flow_memory(core->flow));
-    add_number(out, "key_records", claim_count(&core->claims));
-    add_number(out, "requests", request_count(&core->requests));
-    json_object_object_add(out, "stopping",
-                           json_object_new_boolean(core->stopping));
+    page_add_hex(out, "id", core->self.id);
+    page_add_number(out, "version", flow_version(core->flow));
+    page_add_number(out, "step", flow_step(core->flow));
+    page_add_number(out, "epoch", core->epoch);
+    page_add_number(out, "lease_left_ms",
+                    core->lease_deadline > now ? core->lease_deadline - now
+                                               : 0);
+    page_add_number(out, "flow_records", flow_records(core->flow));
+    page_add_number(out, "flow_memory", flow_memory(core->flow));
+    page_add_number(out, "key_records", claim_count(&core->claims));
+    page_add_number(out, "requests", request_count(&core->requests));
+    page_add_bool(out, "stopping", core->stopping);
     json_object_object_add(out, "services", services_json(entry));
     return out;
 }
@@ -148,8 +118,8 @@
     json_object *out = json_object_new_object();
     enum ring_rule rule = (enum ring_rule)r->rule;
 
-    add_number(out, "sequence", r->sequence);
-    add_number(out, "at", r->at);
+    page_add_number(out, "sequence", r->sequence);
+    page_add_number(out, "at", r->at);
     json_object_object_add(
         out, "kind",
         json_object_new_string(r->kind == RING_FLOW ? "flow" : "request"));
@@ -157,17 +127,17 @@
                            json_object_new_string(ring_rule_name(rule)));
     json_object_object_add(out, "because",
                            json_object_new_string(ring_rule_help(rule)));
-    add_number(out, "version", r->version);
-    add_number(out, "step", r->step);
-    add_number(out, "epoch", r->epoch);
-    add_hex(out, "service", r->service);
-    add_hex(out, "table_digest", r->table_digest);
-    add_hex(out, "peer", r->peer);
-    add_number(out, "first", r->first);
-    add_number(out, "retry_ms", r->retry_ms);
-    add_endpoint(out, "upstream", r->address, r->port);
-    add_endpoint(out, "owner_now", r->new_address, r->new_port);
-    add_endpoint(out, "owner_before", r->old_address, r->old_port);
+    page_add_number(out, "version", r->version);
+    page_add_number(out, "step", r->step);
+    page_add_number(out, "epoch", r->epoch);
+    page_add_hex(out, "service", r->service);
+    page_add_hex(out, "table_digest", r->table_digest);
+    page_add_hex(out, "peer", r->peer);
+    page_add_number(out, "first", r->first);
+    page_add_number(out, "retry_ms", r->retry_ms);
+    page_add_endpoint(out, "upstream", r->address, r->port);
+    page_add_endpoint(out, "owner_now", r->new_address, r->new_port);
+    page_add_endpoint(out, "owner_before", r->old_address, r->old_port);
     return out;
 }
 
@@ -183,8 +153,8 @@
 
     json_object_object_add(out, "entry",
                            json_object_new_string(entry->settings.name));
-    add_hex(out, "id", entry->core->self.id);
-    add_number(out, "kept_since", ring_since(&entry->core->ring));
+    page_add_hex(out, "id", entry->core->self.id);
+    page_add_number(out, "kept_since", ring_since(&entry->core->ring));
     for (size_t i = 0; i < count; i++) {
         json_object_array_add(list, record_json(&records[i]));
     }
@@ -205,20 +175,20 @@
 
     json_object_object_add(out, "entry",
                            json_object_new_string(entry->settings.name));
-    add_number(out, "version", flow_version(flow));
-    add_number(out, "step", flow_step(flow));
+    page_add_number(out, "version", flow_version(flow));
+    page_add_number(out, "step", flow_step(flow));
     if (index == FLOW_NO_SERVICE) {
         return out;
     }
-    add_hex(out, "table_digest", flow_table_digest(flow, index));
+    page_add_hex(out, "table_digest", flow_table_digest(flow, index));
     flow_owners(flow, index, hash, &owner, &before);
     u = flow_upstream(flow, owner);
     if (u != NULL) {
-        add_endpoint(out, "owner_now", u->address, u->port);
+        page_add_endpoint(out, "owner_now", u->address, u->port);
     }
     u = flow_upstream(flow, flow_recorded(flow, hash));
     if (u != NULL) {
-        add_endpoint(out, "recorded", u->address, u->port);
+        page_add_endpoint(out, "recorded", u->address, u->port);
     }
     return out;
 }
--- a/explain.c
+++ b/explain.c
@@ -1,39 +1,14 @@
 /* Asking the entries, and recomputing what they decided. */
 #include "explain.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "address.h"
 #include "packet.h"
 
-/* Reads an address and port. */
-bool
-explain_read_endpoint(const char *text, uint32_t *address, uint16_t *port)
-{
-    char host[64];
-    const char *colon = strrchr(text, ':');
-    struct in_addr in;
-    char *end = NULL;
-    unsigned long number;
-
-    if (colon == NULL || (size_t)(colon - text) >= sizeof(host)) {
-        return false;
-    }
-    memcpy(host, text, (size_t)(colon - text));
-    host[colon - text] = '\0';
-    number = strtoul(colon + 1, &end, 10);
-    if (inet_pton(AF_INET, host, &in) != 1 || *end != '\0' || number == 0 ||
-        number > UINT16_MAX) {
-        return false;
-    }
-    *address = ntohl(in.s_addr);
-    *port = (uint16_t)number;
-    return true;
-}
-
 /* Hashes a flow. */
 uint64_t
 explain_hash(const struct explain_flow *flow)
@@ -119,16 +94,11 @@
 
 /* Writes an upstream's endpoint. */
 static void
-write_endpoint(const struct flow *flow, upstream_id id, char *out, size_t size)
+write_endpoint(const struct flow *flow, upstream_id id, char out[ADDRESS_TEXT])
 {
     const struct flow_upstream *u = flow_upstream(flow, id);
 
-    (void)g_strlcpy(out, "0.0.0.0:0", size);
-    if (u != NULL) {
-        (void)snprintf(out, size, "%u.%u.%u.%u:%u", u->address >> 24,
-                       (u->address >> 16) & 255, (u->address >> 8) & 255,
-                       u->address & 255, u->port);
-    }
+    (void)address_format(u ? u->address : 0, u ? u->port : 0, out);
 }
 
 /* Says whether a rule takes the owner of the bucket now. */
@@ -147,13 +117,13 @@
         json_object *decision, char *why, size_t size)
 {
     const char *rule = client_text(decision, "rule");
-    char owner[32];
+    char owner[ADDRESS_TEXT];
     char digest[24];
     upstream_id now_owner;
     upstream_id old_owner;
 
     flow_owners(flow, index, hash, &now_owner, &old_owner);
-    write_endpoint(flow, now_owner, owner, sizeof(owner));
+    write_endpoint(flow, now_owner, owner);
     (void)snprintf(digest, sizeof(digest), "%016llx",
                    (unsigned long long)flow_table_digest(flow, index));
     if (strcmp(rule, ring_rule_name(RULE_NO_LEASE)) == 0) {
--- a/explain.h
+++ b/explain.h
@@ -21,10 +21,6 @@
     const struct bundle_service *service; /**< of the bundle */
 };
 
-/** Reads "ADDRESS:PORT". */
-bool explain_read_endpoint(const char *text, uint32_t *address,
-                           uint16_t *port);
-
 /** Hash of a flow, as entries compute it. */
 uint64_t explain_hash(const struct explain_flow *flow);
 
--- /dev/null
+++ b/page.c
@@ -0,0 +1,75 @@
+/* Pages of the operators' HTTP, and values in JSON objects. */
+#include "page.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "address.h"
+
+#define COUNTERS_MAX 65536
+
+/* Answers with JSON. */
+void
+page_json(struct _u_response *response, json_object *doc)
+{
+    const char *text = json_object_to_json_string(doc);
+
+    (void)ulfius_set_binary_body_response(response, 200, text, strlen(text));
+    (void)u_map_put(response->map_header, "Content-Type", "application/json");
+    json_object_put(doc);
+}
+
+/* Answers with counters. */
+void
+page_counters(struct _u_response *response, const struct counters *counters)
+{
+    char *text = g_malloc(COUNTERS_MAX);
+    size_t length = counter_print(counters, text, COUNTERS_MAX);
+
+    (void)ulfius_set_binary_body_response(response, 200, text, length);
+    (void)u_map_put(response->map_header, "Content-Type",
+                    "text/plain; version=0.0.4");
+    g_free(text);
+}
+
+/* Adds a number. */
+void
+page_add_number(json_object *doc, const char *key, uint64_t value)
+{
+    json_object_object_add(doc, key, json_object_new_int64((int64_t)value));
+}
+
+/* Adds a string. */
+void
+page_add_text(json_object *doc, const char *key, const char *value)
+{
+    json_object_object_add(doc, key, json_object_new_string(value));
+}
+
+/* Adds a number as hex digits. */
+void
+page_add_hex(json_object *doc, const char *key, uint64_t value)
+{
+    char text[24];
+
+    (void)snprintf(text, sizeof(text), "%016llx", (unsigned long long)value);
+    page_add_text(doc, key, text);
+}
+
+/* Adds an address and port. */
+void
+page_add_endpoint(json_object *doc, const char *key, uint32_t address,
+                  uint16_t port)
+{
+    char text[ADDRESS_TEXT];
+
+    page_add_text(doc, key, address_format(address, port, text));
+}
+
+/* Adds yes or no. */
+void
+page_add_bool(json_object *doc, const char *key, int value)
+{
+    json_object_object_add(doc, key, json_object_new_boolean(value));
+}
--- a/request-internal.h
+++ b/request-internal.h
@@ -25,6 +25,9 @@
                       struct request *request);
 wire_msg *request_send(struct request_core *core, uint64_t peer);
 
+/* request-epochs.c */
+void request_expire_epochs(struct request_core *core, uint64_t now);
+
 /* request-claim.c */
 void request_start_claim(struct request_core *core, uint64_t now,
                          struct request *request);
--- a/ridgeridge.c
+++ b/ridgeridge.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "cmd.h"
+#include "log.h"
 
 #define VERSION "0.1.0"
 
@@ -180,6 +181,32 @@
     g_free(options.plot);
 }
 
+/* Loads the settings of a VM and opens its log. */
+enum status_kind
+cmd_load_role(const struct cmd_options *options, enum settings_role role,
+              struct settings *settings, struct status *st)
+{
+    if (options->settings == NULL) {
+        return status_set(st, STATUS_BAD_INPUT, "--settings is needed");
+    }
+    if (settings_load(options->settings, settings, st) != STATUS_OK) {
+        return st->kind;
+    }
+    if (settings->role != (int)role) {
+        return status_set(st, STATUS_BAD_INPUT,
+                          "%s: \"role\" is another one; start the command "
+                          "of that role or correct it",
+                          options->settings);
+    }
+    if (!log_open(settings->log, settings->name,
+                  (enum log_level)settings->log_level)) {
+        return status_set(st, STATUS_IO,
+                          "%s: cannot be opened; correct \"log\"",
+                          settings->log);
+    }
+    return STATUS_OK;
+}
+
 /* Loads settings and credentials for operators' commands. */
 enum status_kind
 cmd_load(const struct cmd_options *options, struct settings *settings,
--- a/rpc.c
+++ b/rpc.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "address.h"
 #include "codec.h"
 #include "log.h"
 #include "loop.h"
@@ -254,14 +255,14 @@
 static void
 note_result(struct destination *d, bool ok)
 {
+    char text[ADDRESS_TEXT];
+
     if (ok == !d->failing) {
         return;
     }
     d->failing = !ok;
     log_event(ok ? LOG_INFO : LOG_WARN, ok ? "rpc-back" : "rpc-lost",
-              "address=%u.%u.%u.%u port=%u", d->address >> 24,
-              (d->address >> 16) & 255, (d->address >> 8) & 255,
-              d->address & 255, d->port);
+              "destination=%s", address_format(d->address, d->port, text));
 }
 
 /* Works for one destination; never returns. */
