--- a/cmd-explain.c
+++ b/cmd-explain.c
@@ -141,8 +141,9 @@
         (void)printf("not learned from: %s\n", q->silent->str);
     }
     if (q->kept_since > 0 && !q->options->json) {
-        (void)printf("decisions before %lld (ms since 1970) may be gone\n",
-                     (long long)q->kept_since);
+        (void)printf(
+            "decisions before %lld (ms since 1970) are gone somewhere\n",
+            (long long)q->kept_since);
     }
     if (!q->options->verify) {
         return;
--- a/ring.c
+++ b/ring.c
@@ -72,11 +72,11 @@
     return count;
 }
 
-/* Finds when the oldest record held was made. */
+/* Finds when the oldest record held was made, once some are gone. */
 uint64_t
 ring_since(const struct ring *ring)
 {
-    if (ring->last == 0) {
+    if (ring->last <= ring->size) {
         return 0;
     }
     return ring->records[oldest(ring) % ring->size].at;
--- a/ring.h
+++ b/ring.h
@@ -103,7 +103,7 @@
 size_t ring_find(const struct ring *ring, uint64_t subject,
                  struct ring_record *out, size_t max);
 
-/** Wall time of the oldest record that is still held, 0 when none. */
+/** Wall time before which records were overwritten, 0 when none was. */
 uint64_t ring_since(const struct ring *ring);
 
 /** A rule's stable name. */
