Judge a submission at its place in the log

Cause: the check that no endpoint moves between services, and none rests, was made only where the submission arrived, and skipped when its base was not the version that this replica had applied. A submission made from a version whose roll-out was still entering the log passed unchecked. Ruled out: refusing while the log has a tail: the tail is never empty for long under racing operators. Change: the state machine itself checks, with the leader's clock of the proposal; the earlier check stays as a refusal that spends no name.

--- a/control-core.c
+++ b/control-core.c
@@ -369,6 +369,7 @@
     struct control_wait *wait;
     uint64_t index;
 
+    command.wire_command_u.submit.wall = core->wall;
     index = cons_propose(&core->cons, now, &command);
     if (index == 0) {
         refuse_leaderless(core, token);
--- a/control-state.c
+++ b/control-state.c
@@ -91,72 +91,6 @@
     state->submissions.submissions_len = count + 1;
 }
 
-/* Decides on a submission: compare and set on version and base. */
-static enum status_kind
-judge_submit(const wire_control_state *state, const wire_submit *submit,
-             char *message, size_t size)
-{
-    const wire_submit *held = &state->pending;
-
-    if (state->has_pending && submit->bundle_version <= held->bundle_version) {
-        (void)snprintf(message, size,
-                       "version %llu was accepted from %s as submission %s; "
-                       "look at it, then submit a higher version",
-                       (unsigned long long)held->bundle_version,
-                       held->operator_name, held->submission);
-        return STATUS_CONFLICT;
-    }
-    if (submit->bundle_version <= state->current) {
-        (void)snprintf(message, size,
-                       "version %llu is already rolled out; submit a higher "
-                       "version made from it",
-                       (unsigned long long)state->current);
-        return STATUS_CONFLICT;
-    }
-    if (state->has_pending && state->signed_off) {
-        (void)snprintf(message, size,
-                       "version %llu is signed off and waits for its "
-                       "roll-out; submit one made from it in some seconds",
-                       (unsigned long long)held->bundle_version);
-        return STATUS_REFUSED;
-    }
-    if (submit->base != state->current) {
-        (void)snprintf(message, size,
-                       "base %llu is not the version in force, %llu; make "
-                       "the bundle from that one",
-                       (unsigned long long)submit->base,
-                       (unsigned long long)state->current);
-        return STATUS_CONFLICT;
-    }
-    (void)snprintf(message, size, "accepted; waits for sign-off");
-    return STATUS_OK;
-}
-
-/* Applies a submission; one that was seen before changes nothing. */
-static void
-apply_submit(wire_control_state *state, const wire_submit *submit)
-{
-    char message[256];
-    enum status_kind result;
-
-    if (control_state_find(state, submit->submission) != NULL) {
-        return;
-    }
-    result = judge_submit(state, submit, message, sizeof(message));
-    keep_outcome(state, submit, result, message);
-    if (result != STATUS_OK) {
-        return;
-    }
-    clear_pending(state);
-    state->has_pending = TRUE;
-    state->pending.bundle_version = submit->bundle_version;
-    state->pending.base = submit->base;
-    memcpy(state->pending.digest, submit->digest, sizeof(submit->digest));
-    set_string(&state->pending.operator_name, submit->operator_name);
-    set_string(&state->pending.submission, submit->submission);
-    set_string(&state->pending.text, submit->text);
-}
-
 /* Applies a sign-off by another operator than the submitter. */
 static void
 apply_sign_off(wire_control_state *state, const wire_sign_off *sign)
@@ -305,6 +239,96 @@
     return check_resting(state, wall, next, st);
 }
 
+/* Checks a submission against the bundle that is in force at its place in the
+ * log: the one that was in force when it was sent may be another. */
+static enum status_kind
+judge_bundle(const wire_control_state *state, const wire_submit *submit,
+             char *message, size_t size)
+{
+    struct bundle next;
+    struct status st;
+
+    if (bundle_read("submission", submit->text, strlen(submit->text), &next,
+                    &st) != STATUS_OK) {
+        (void)snprintf(message, size, "%s", st.message);
+        return st.kind;
+    }
+    (void)control_state_check(state, submit->wall, &next, &st);
+    bundle_free(&next);
+    if (st.kind != STATUS_OK) {
+        (void)snprintf(message, size, "%s; use another --submission then",
+                       st.message);
+        return st.kind;
+    }
+    (void)snprintf(message, size, "accepted; waits for sign-off");
+    return STATUS_OK;
+}
+
+/* Decides on a submission: compare and set on version and base. */
+static enum status_kind
+judge_submit(const wire_control_state *state, const wire_submit *submit,
+             char *message, size_t size)
+{
+    const wire_submit *held = &state->pending;
+
+    if (state->has_pending && submit->bundle_version <= held->bundle_version) {
+        (void)snprintf(message, size,
+                       "version %llu was accepted from %s as submission %s; "
+                       "look at it, then submit a higher version",
+                       (unsigned long long)held->bundle_version,
+                       held->operator_name, held->submission);
+        return STATUS_CONFLICT;
+    }
+    if (submit->bundle_version <= state->current) {
+        (void)snprintf(message, size,
+                       "version %llu is already rolled out; submit a higher "
+                       "version made from it",
+                       (unsigned long long)state->current);
+        return STATUS_CONFLICT;
+    }
+    if (state->has_pending && state->signed_off) {
+        (void)snprintf(message, size,
+                       "version %llu is signed off and waits for its "
+                       "roll-out; submit one made from it in some seconds",
+                       (unsigned long long)held->bundle_version);
+        return STATUS_REFUSED;
+    }
+    if (submit->base != state->current) {
+        (void)snprintf(message, size,
+                       "base %llu is not the version in force, %llu; make "
+                       "the bundle from that one",
+                       (unsigned long long)submit->base,
+                       (unsigned long long)state->current);
+        return STATUS_CONFLICT;
+    }
+    return judge_bundle(state, submit, message, size);
+}
+
+/* Applies a submission; one that was seen before changes nothing. */
+static void
+apply_submit(wire_control_state *state, const wire_submit *submit)
+{
+    char message[256];
+    enum status_kind result;
+
+    if (control_state_find(state, submit->submission) != NULL) {
+        return;
+    }
+    result = judge_submit(state, submit, message, sizeof(message));
+    keep_outcome(state, submit, result, message);
+    if (result != STATUS_OK) {
+        return;
+    }
+    clear_pending(state);
+    state->has_pending = TRUE;
+    state->pending.bundle_version = submit->bundle_version;
+    state->pending.base = submit->base;
+    memcpy(state->pending.digest, submit->digest, sizeof(submit->digest));
+    set_string(&state->pending.operator_name, submit->operator_name);
+    set_string(&state->pending.submission, submit->submission);
+    set_string(&state->pending.text, submit->text);
+}
+
 /* Forgets epochs that ended before the first bundle: nothing can have run in
  * them, so that nobody needs to read their replicas. */
 static void
--- a/tests/test-input.c
+++ b/tests/test-input.c
@@ -10,6 +10,7 @@
 #include "bundle.h"
 #include "burn.h"
 #include "codec.h"
+#include "control-state.h"
 #include "explain.h"
 #include "packet.h"
 #include "seal.h"
@@ -221,6 +222,68 @@
     bundle_free(&after);
 }
 
+/* Applies a submission with its sign-off and the start of its roll-out. */
+static enum status_kind
+roll_out(wire_control_state *state, uint64_t version, uint64_t base,
+         const char *services, uint64_t wall)
+{
+    char *text = g_strdup_printf("{\"version\":%llu,\"base\":%llu,"
+                                 "\"services\":[%s]}",
+                                 (unsigned long long)version,
+                                 (unsigned long long)base, services);
+    char id[32];
+    wire_command command = {.kind = WIRE_CMD_BUNDLE};
+    wire_submit *submit = &command.wire_command_u.submit;
+    enum status_kind result;
+
+    (void)snprintf(id, sizeof(id), "%llu/%llu", (unsigned long long)version,
+                   (unsigned long long)wall);
+    *submit = (wire_submit){.bundle_version = version,
+                            .base = base,
+                            .operator_name = (char *)"ana",
+                            .submission = id,
+                            .wall = wall,
+                            .text = text};
+    control_state_apply(state, state->applied + 1, &command);
+    result = (enum status_kind)control_state_find(state, id)->result;
+    command = (wire_command){.kind = WIRE_CMD_SIGN_OFF};
+    command.wire_command_u.sign_off.bundle_version = version;
+    command.wire_command_u.sign_off.operator_name = (char *)"bob";
+    control_state_apply(state, state->applied + 1, &command);
+    command = (wire_command){.kind = WIRE_CMD_STEP};
+    command.wire_command_u.rollout =
+        (wire_rollout){.bundle_version = version, .step = 1, .wall = wall};
+    control_state_apply(state, state->applied + 1, &command);
+    g_free(text);
+    return result;
+}
+
+/* The log itself refuses what would misdeliver, whatever was checked before a
+ * submission entered it; and an endpoint rests to the last millisecond. */
+static void
+test_rest(void)
+{
+    static const char *const both = FLOW("s", "10.1.0.1", LEAVING "," U2);
+    static const char *const moved =
+        FLOW("s", "10.1.0.1", U2) "," FLOW("t", "10.1.0.2", U1);
+    static const char *const left = FLOW("s", "10.1.0.1", U2);
+    const uint64_t end = 2000 + CONTROL_REST_MS;
+    wire_control_state state;
+
+    control_state_open(&state);
+    g_assert_cmpint(roll_out(&state, 1, 0, both, 1000), ==, STATUS_OK);
+    g_assert_cmpint(roll_out(&state, 2, 1, moved, 1500), ==, STATUS_REFUSED);
+    g_assert_cmpint((int)state.current, ==, 1);
+    g_assert_cmpint(roll_out(&state, 3, 1, left, 2000), ==, STATUS_OK);
+    g_assert_cmpint(roll_out(&state, 4, 3, moved, end - 1), ==,
+                    STATUS_REFUSED);
+    g_assert_cmpint(roll_out(&state, 5, 3, both, end - 1), ==, STATUS_OK);
+    g_assert_cmpint(roll_out(&state, 6, 5, left, end - 1), ==, STATUS_OK);
+    g_assert_cmpint(roll_out(&state, 7, 6, moved, 2 * end), ==, STATUS_OK);
+    g_assert_cmpint((int)state.current, ==, 7);
+    control_state_close(&state);
+}
+
 /* Builds an encapsulated packet; returns its length. */
 static size_t
 build_packet(uint8_t *out, uint8_t protocol)
@@ -554,6 +617,7 @@
                        successors[i].name);
         g_test_add_data_func(path, &successors[i], test_successor);
     }
+    g_test_add_func("/input/rest", test_rest);
     g_test_add_func("/input/hostile", test_hostile);
     g_test_add_func("/input/rewrite", test_rewrite);
     g_test_add_func("/input/fuzz-packets", test_fuzz_packets);
