--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 #   make            the program and the tools
 #   make tests      the test programs
 #   make SANITIZE=1 the same under build-asan with ASan and UBSan
-PACKAGES := libulfius libcurl libtirpc popt json-c libsodium libxxhash glib-2.0
+PACKAGES := libulfius libcurl libtirpc popt json-c libsodium libxxhash glib-2.0 zlib
 BUILD := build
 OPTIMIZE := -O2
 ifdef SANITIZE
@@ -17,7 +17,7 @@
 LDLIBS := $(shell pkg-config --libs $(PACKAGES)) -lmicrohttpd -lev -lm -lpthread
 GENERATED_CFLAGS := -Wno-unused-variable -Wno-error -Wno-missing-prototypes
 
-SOURCES := $(wildcard *.c)
+SOURCES := $(wildcard *.c platform/*.c)
 # Everything but main() is shared with the tests and the tools.
 SHARED := $(filter-out ridgeridge.c,$(SOURCES))
 OBJECTS := $(SHARED:%.c=$(BUILD)/%.o) $(BUILD)/generated/wire_xdr.o
@@ -30,6 +30,9 @@
 
 tests: $(TESTS)
 
+# The program alone, as deployments build it.
+program: $(BUILD)/ridgeridge
+
 $(BUILD)/ridgeridge: $(BUILD)/ridgeridge.o $(OBJECTS)
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
 
@@ -62,7 +65,7 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: all tests install clean
+.PHONY: all tests program install clean
 .SECONDARY: $(LOAD)
 .PRECIOUS: $(BUILD)/tests/%.o $(BUILD)/tools/%.o
 -include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d)
--- a/cons-voters.c
+++ b/cons-voters.c
@@ -87,12 +87,23 @@
     cons_copy_config(&cons->snapshot.config, out);
 }
 
+/* Begins to talk to every voter of the latest list. */
+static void
+meet_voters(struct cons *cons)
+{
+    for (u_int i = 0; i < cons->latest.voters.voters_len; i++) {
+        (void)cons_add_replica(cons, cons->leader_heard_at,
+                               cons->latest.voters.voters_val[i].replica);
+    }
+}
+
 /* Finds the latest voters again, after the end of the log was cut. */
 void
 cons_voters_rescan(struct cons *cons)
 {
     cons->change_index = last_change(cons, cons_last_index(cons));
     config_of(cons, cons->change_index, &cons->latest);
+    meet_voters(cons);
 }
 
 /* Notes an appended entry when it changes the voters. */
@@ -106,6 +117,7 @@
         cons->change_index = last;
         cons_copy_config(&command.wire_command_u.config, &cons->latest);
         codec_free_command(&command);
+        meet_voters(cons);
     }
 }
 
@@ -163,6 +175,46 @@
     return NULL;
 }
 
+/* Begins to talk to a replica. */
+bool
+cons_add_replica(struct cons *cons, uint64_t now, uint32_t replica)
+{
+    size_t place = cons->replica_count;
+
+    if (cons_peer_of(cons, replica) != NULL) {
+        return true;
+    }
+    if (place == CONS_PEERS_MAX) {
+        return false;
+    }
+    cons->replicas[place] = replica;
+    cons->peers[place] = (struct cons_peer){.next = cons_last_index(cons) + 1,
+                                            .heard_at = now};
+    cons->replica_count++;
+    return true;
+}
+
+/* Stops talking to a replica that is no voter. */
+void
+cons_drop_replica(struct cons *cons, uint32_t replica)
+{
+    const struct cons_peer *peer = cons_peer_of(cons, replica);
+    size_t place;
+
+    if (peer == NULL || replica == cons->self) {
+        return;
+    }
+    for (u_int i = 0; i < cons->latest.voters.voters_len; i++) {
+        if (cons->latest.voters.voters_val[i].replica == replica) {
+            return;
+        }
+    }
+    place = (size_t)(peer - cons->peers);
+    cons->replica_count--;
+    cons->replicas[place] = cons->replicas[cons->replica_count];
+    cons->peers[place] = cons->peers[cons->replica_count];
+}
+
 /* Says whether a list of voters holds a replica with an identity. */
 static bool
 has_voter(const struct cons *cons, const wire_config *config, uint32_t replica,
--- a/cons.c
+++ b/cons.c
@@ -378,6 +378,11 @@
     case WIRE_RECORDS_ACK:
     case WIRE_SLOT_WAIT:
     case WIRE_KNOWN:
+    case WIRE_HELLO:
+    case WIRE_MEMBERS:
+    case WIRE_UPSTREAMS:
+    case WIRE_ROUTES:
+    case WIRE_FOUND:
         return;
     }
 }
--- a/cons.h
+++ b/cons.h
@@ -18,7 +18,8 @@
 #define CONS_HEARTBEAT_MS 200U     /**< between a leader's rounds */
 #define CONS_ELECTION_MS 800U      /**< least time without a leader */
 #define CONS_ELECTION_SPAN_MS 800U /**< random time added to it */
-#define CONS_REPLICAS_MAX 7U
+#define CONS_REPLICAS_MAX 7U /**< voters at most */
+#define CONS_PEERS_MAX 16U   /**< voters and those that learn, at most */
 
 /** Role of a replica. */
 enum cons_role { CONS_FOLLOWER, CONS_CANDIDATE, CONS_LEADER };
@@ -82,7 +83,7 @@
 struct cons {
     uint32_t self;                        /**< own number */
     uint64_t identity;                    /**< of the own disk */
-    uint32_t replicas[CONS_REPLICAS_MAX]; /**< all that may be talked to */
+    uint32_t replicas[CONS_PEERS_MAX];    /**< all that may be talked to */
     size_t replica_count;                 /**< of replicas */
     uint64_t random;                      /**< state of the generator */
     enum cons_role role;                  /**< own role */
@@ -102,7 +103,7 @@
     uint64_t round;           /**< last round begun */
     uint64_t confirmed;       /**< last round a quorum answered */
     uint64_t elected_at;      /**< LEADER: since when */
-    struct cons_peer peers[CONS_REPLICAS_MAX]; /**< as `replicas` */
+    struct cons_peer peers[CONS_PEERS_MAX]; /**< as `replicas` */
     enum cons_fault fault;                     /**< for tests */
     GArray *actions;                           /**< struct cons_action */
 };
@@ -124,6 +125,15 @@
 /** Frees a replica. */
 void cons_close(struct cons *cons);
 
+/**
+ * Begins to talk to a replica, which learns the log and votes nowhere yet.
+ * Voters are added by themselves. False when CONS_PEERS_MAX are known.
+ */
+bool cons_add_replica(struct cons *cons, uint64_t now, uint32_t replica);
+
+/** Stops talking to a replica; a voter stays. */
+void cons_drop_replica(struct cons *cons, uint32_t replica);
+
 /** Lets time pass. */
 void cons_tick(struct cons *cons, uint64_t now);
 
--- a/control-state.c
+++ b/control-state.c
@@ -416,6 +416,7 @@
     state->applied = index;
     switch (command->kind) {
     case WIRE_CMD_NOOP:
+    case WIRE_CMD_ROUTES: /* of deployments whose upstreams register */
         return;
     case WIRE_CMD_BUNDLE:
         apply_submit(state, &command->wire_command_u.submit);
--- a/counter.h
+++ b/counter.h
@@ -48,7 +48,23 @@
     X(BUNDLES_APPLIED, "bundles_applied_total", "bundles or steps applied")   \
     X(ELECTIONS, "elections_total", "elections started")                      \
     X(COMMITS, "commits_total", "log entries committed")                      \
-    X(STORE_ERRORS, "store_errors_total", "failed writes of state")
+    X(STORE_ERRORS, "store_errors_total", "failed writes of state")           \
+    X(FLOWS_REFUSED, "flows_refused_total", "reset towards the caller")       \
+    X(FLOWS_MOVED_OFF, "flows_moved_off_total",                               \
+      "opened at a second upstream: the first gave no sign of life")          \
+    X(PACKETS_NO_EVIDENCE, "packets_no_evidence_total",                       \
+      "dropped: named no upstream, or one not known here")                    \
+    X(REGISTRATIONS, "registrations_total", "taken from upstreams")           \
+    X(REGISTRATIONS_REFUSED, "registrations_refused_total",                   \
+      "unreadable registrations")                                             \
+    X(TABLES_TAKEN, "tables_acknowledged_total",                              \
+      "operators' tables acknowledged here")                                  \
+    X(TABLES_INVALID, "tables_invalid_total", "operators' tables refused")    \
+    X(TABLES_UNCONFIRMED, "tables_unconfirmed_total",                         \
+      "answered 503: no leader, or no quorum in time")                        \
+    X(REDIRECTS, "redirects_total", "operators sent to the leader")           \
+    X(LOG_LINES_LOST, "log_lines_lost_total",                                 \
+      "not written: the pipe was full")
 
 /** Index of a counter. */
 enum counter_id {
--- a/entry-core.c
+++ b/entry-core.c
@@ -245,6 +245,11 @@
     case WIRE_REPORT:
     case WIRE_FETCH:
     case WIRE_SNAPSHOT:
+    case WIRE_HELLO:
+    case WIRE_MEMBERS:
+    case WIRE_UPSTREAMS:
+    case WIRE_ROUTES:
+    case WIRE_FOUND:
         counter_add(core->counters, COUNTER_MSGS_MALFORMED, 1);
         return;
     }
--- /dev/null
+++ b/evidence.c
@@ -0,0 +1,440 @@
+/* Steering by evidence, and the choice of an upstream for a new flow. */
+#include "evidence.h"
+
+#include <string.h>
+
+#include "hash.h"
+
+/* A flow that was closed is kept this long, since its last packets may be
+ * sent again (the ends' longest wait is 1.6 s). */
+#define CLOSED_MS 2000U
+/* Between two sweeps for flows that ended. */
+#define SWEEP_MS 1000U
+/* First packets are repeated after 200 and 600 ms and given up after 1.4 s:
+ * an upstream that let one go without an answer is avoided for that long. */
+#define SUSPECT_MS 1500U
+/* An open flow at rest weighs this share of a request that runs. */
+#define REST_SHARE 8U
+/* Work at an upstream that has just started takes this much longer, in
+ * tenths; typical of caches that fill. */
+#define COLD_TENTHS 16U
+
+/* What this entry remembers of a flow, to estimate the work at upstreams and
+ * to send copies of a first packet the same way. */
+struct evidence_flow {
+    uint64_t key;          /* hash of its addresses and ports */
+    uint64_t upstream;     /* id of the incarnation */
+    uint64_t seen_at;      /* last packet */
+    uint64_t forget_at;    /* deadline; 0: by rest */
+    uint64_t opened_at;    /* first packet that was forwarded */
+    uint32_t acknowledged; /* highest that the caller told */
+    bool answered;         /* the upstream gave a sign of life */
+    bool busy;             /* a request was sent and no answer was seen */
+};
+
+/* Starts without a table. */
+void
+evidence_open(struct evidence *ev, struct upstream_set *upstreams,
+              struct counters *counters, uint64_t flow_max_ms, uint32_t seed)
+{
+    memset(ev, 0, sizeof(*ev));
+    ev->upstreams = upstreams;
+    ev->counters = counters;
+    ev->flow_max_ms = flow_max_ms;
+    ev->turn = seed;
+    ev->table = route_new();
+    ev->dropped = g_hash_table_new(g_direct_hash, g_direct_equal);
+    ev->flows =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+/* Frees it. */
+void
+evidence_close(struct evidence *ev)
+{
+    route_free(ev->table);
+    g_hash_table_destroy(ev->dropped);
+    g_hash_table_destroy(ev->flows);
+}
+
+/* Key of a route's place. */
+static gpointer
+place_key(uint32_t address, uint16_t port)
+{
+    return (gpointer)((uintptr_t)address << 16 | port);
+}
+
+/* Remembers which routes a newer table drops, so that their flows end. */
+static void
+note_dropped(struct evidence *ev, const struct route_table *next)
+{
+    for (guint i = 0; i < ev->table->routes->len; i++) {
+        const struct route *route =
+            &g_array_index(ev->table->routes, struct route, i);
+
+        if (route_find(next, route->address, route->port) == NULL) {
+            (void)g_hash_table_add(ev->dropped,
+                                   place_key(route->address, route->port));
+        }
+    }
+    for (guint i = 0; i < next->routes->len; i++) {
+        const struct route *route =
+            &g_array_index(next->routes, struct route, i);
+
+        (void)g_hash_table_remove(ev->dropped,
+                                  place_key(route->address, route->port));
+    }
+}
+
+/* Takes a table over. */
+bool
+evidence_apply(struct evidence *ev, struct route_table *table)
+{
+    if (table->version <= ev->table->version) {
+        route_free(table);
+        return false;
+    }
+    for (guint i = 0; i < table->routes->len; i++) {
+        struct route *route = &g_array_index(table->routes, struct route, i);
+
+        for (size_t j = 0; j < route->target_count; j++) {
+            route->targets[j].handle =
+                upstream_service(ev->upstreams, route->targets[j].service);
+        }
+    }
+    note_dropped(ev, table);
+    route_free(ev->table);
+    ev->table = table;
+    counter_add(ev->counters, COUNTER_BUNDLES_APPLIED, 1);
+    return true;
+}
+
+/* Hash of a flow. */
+uint64_t
+evidence_hash(const struct evidence_packet *packet)
+{
+    uint64_t caller = (uint64_t)packet->source << 16 | packet->source_port;
+    uint64_t place =
+        (uint64_t)packet->destination << 16 | packet->destination_port;
+
+    return hash_pair(HASH_FLOW, caller, place);
+}
+
+/* Upstream of a flow; NULL when its record is gone. */
+static struct upstream *
+upstream_of(const struct evidence *ev, const struct evidence_flow *flow)
+{
+    return upstream_by_id(ev->upstreams, flow->upstream);
+}
+
+/* Ends the work that a flow is thought to cause. */
+static void
+set_idle(struct evidence *ev, struct evidence_flow *flow)
+{
+    struct upstream *upstream = upstream_of(ev, flow);
+
+    if (flow->busy && upstream != NULL && upstream->busy > 0) {
+        upstream->busy--;
+    }
+    flow->busy = false;
+}
+
+/* Takes a flow off its upstream's counts. */
+static void
+detach(struct evidence *ev, struct evidence_flow *flow)
+{
+    struct upstream *upstream = upstream_of(ev, flow);
+
+    set_idle(ev, flow);
+    if (upstream != NULL && upstream->open > 0) {
+        upstream->open--;
+    }
+}
+
+/* Puts a flow on an upstream's counts. */
+static void
+attach(struct evidence_flow *flow, struct upstream *upstream, uint64_t now)
+{
+    flow->upstream = upstream->id;
+    flow->opened_at = now;
+    flow->answered = false;
+    flow->acknowledged = 0;
+    upstream->open++;
+}
+
+/* Says whether an upstream takes new flows. */
+static bool
+takes_new(const struct upstream_set *set, const struct upstream *upstream)
+{
+    return upstream->state == UPSTREAM_READY &&
+           upstream_by_token(set, upstream->token) == upstream;
+}
+
+/* Work at an upstream for each of its slots, in a scale that only compares:
+ * running requests, then flows at rest; more while it is slow. */
+static uint64_t
+work_of(const struct upstream *upstream, uint64_t now)
+{
+    uint64_t work =
+        (uint64_t)(upstream->busy + 1) * REST_SHARE + upstream->open;
+
+    work = work * 1000 / upstream->slots;
+    return now < upstream->warm_at ? work * COLD_TENTHS / 10 : work;
+}
+
+/* Chooses for a new flow: the least work; among equals in turn. Suspects are
+ * used when there is nobody else. */
+static struct upstream *
+choose(struct evidence *ev, uint64_t now, uint16_t service,
+       const struct upstream *not_this, uint32_t *candidates)
+{
+    GPtrArray *all = ev->upstreams->all;
+    struct upstream *best = NULL;
+    uint64_t best_work = 0;
+    bool best_suspect = true;
+    uint32_t turn = ev->turn++;
+
+    *candidates = 0;
+    for (guint i = 0; i < all->len; i++) {
+        struct upstream *u = g_ptr_array_index(all, (i + turn) % all->len);
+        bool suspect = now < u->suspect_until;
+        uint64_t work;
+
+        if (u->service != service || u == not_this ||
+            !takes_new(ev->upstreams, u)) {
+            continue;
+        }
+        (*candidates)++;
+        work = work_of(u, now);
+        if (best == NULL || (best_suspect && !suspect) ||
+            (best_suspect == suspect && work < best_work)) {
+            best = u;
+            best_work = work;
+            best_suspect = suspect;
+        }
+    }
+    return best;
+}
+
+/* Answers with a verdict that sends nothing to an upstream. */
+static void
+end_with(struct evidence_verdict *verdict, enum evidence_action action,
+         enum ring_rule rule)
+{
+    verdict->action = action;
+    verdict->rule = rule;
+}
+
+/* Answers with a verdict that forwards. */
+static void
+forward_to(struct evidence_verdict *verdict, const struct upstream *upstream,
+           enum ring_rule rule)
+{
+    verdict->action = EVIDENCE_FORWARD;
+    verdict->rule = rule;
+    verdict->upstream = upstream;
+}
+
+/* Says whether a copy of a first packet goes where the first one went. A
+ * second upstream is asked only when the first gave no sign of life: when two
+ * answer, the token and the flow may part. */
+static bool
+stays(struct evidence *ev, uint64_t now, struct evidence_flow *flow,
+      const struct evidence_packet *packet, struct upstream *upstream)
+{
+    if (upstream == NULL || !takes_new(ev->upstreams, upstream)) {
+        return false;
+    }
+    if (packet->acknowledged == 0 || flow->answered) {
+        return true;
+    }
+    if (packet->acknowledged == 1) {
+        upstream->suspect_until = now + SUSPECT_MS;
+        return true;
+    }
+    upstream->suspect_until = now + SUSPECT_MS;
+    return false;
+}
+
+/* Steers a packet that opens a flow. */
+static void
+steer_first(struct evidence *ev, uint64_t now,
+            const struct evidence_packet *packet,
+            const struct route *route, struct evidence_verdict *verdict)
+{
+    struct evidence_flow *flow =
+        g_hash_table_lookup(ev->flows, &verdict->flow);
+    struct upstream *before = flow != NULL ? upstream_of(ev, flow) : NULL;
+    const struct route_target *target = route_pick(route, verdict->flow);
+    struct upstream *upstream;
+
+    if (flow != NULL && stays(ev, now, flow, packet, before)) {
+        flow->seen_at = now;
+        forward_to(verdict, before, RULE_SAME_AGAIN);
+        return;
+    }
+    upstream = target != NULL ? choose(ev, now, target->handle, before,
+                                       &verdict->candidates)
+                              : NULL;
+    if (upstream == NULL && before != NULL &&
+        takes_new(ev->upstreams, before)) {
+        forward_to(verdict, before, RULE_SAME_AGAIN);
+        return;
+    }
+    if (upstream == NULL) {
+        counter_add(ev->counters, COUNTER_PACKETS_NO_UPSTREAM, 1);
+        end_with(verdict, ev->settled ? EVIDENCE_REFUSE : EVIDENCE_DROP,
+                 RULE_NO_UPSTREAM);
+        return;
+    }
+    if (flow == NULL) {
+        flow = g_new0(struct evidence_flow, 1);
+        flow->key = verdict->flow;
+        g_hash_table_insert(ev->flows, &flow->key, flow);
+        counter_add(ev->counters, COUNTER_FLOWS_NEW, 1);
+    }
+    else {
+        detach(ev, flow);
+    }
+    attach(flow, upstream, now);
+    flow->seen_at = now;
+    flow->forget_at = 0;
+    forward_to(verdict, upstream,
+               before != NULL ? RULE_MOVED_OFF : RULE_LEAST_WORK);
+}
+
+/* Notes what a packet tells of the work and the life of its upstream. */
+static void
+learn(struct evidence *ev, uint64_t now, const struct evidence_packet *packet,
+      struct evidence_flow *flow, struct upstream *upstream)
+{
+    bool progress = packet->acknowledged != flow->acknowledged;
+
+    flow->seen_at = now;
+    flow->answered = true;
+    if (progress) {
+        flow->acknowledged = packet->acknowledged;
+        upstream->suspect_until = 0;
+        set_idle(ev, flow);
+    }
+    if (packet->length > 0 && !flow->busy) {
+        flow->busy = true;
+        upstream->busy++;
+    }
+    if (packet->closing && flow->forget_at == 0) {
+        set_idle(ev, flow);
+        flow->forget_at = now + CLOSED_MS;
+    }
+}
+
+/* Finds or makes the record of a flow whose packet names an upstream. */
+static struct evidence_flow *
+flow_of(struct evidence *ev, uint64_t now, uint64_t key,
+        struct upstream *upstream)
+{
+    struct evidence_flow *flow = g_hash_table_lookup(ev->flows, &key);
+
+    if (flow == NULL) {
+        flow = g_new0(struct evidence_flow, 1);
+        flow->key = key;
+        g_hash_table_insert(ev->flows, &flow->key, flow);
+        attach(flow, upstream, now);
+    }
+    else if (flow->upstream != upstream->id) {
+        detach(ev, flow);
+        attach(flow, upstream, now);
+    }
+    return flow;
+}
+
+/* Steers a packet of a flow that is open, or thought to be. */
+static void
+steer_open(struct evidence *ev, uint64_t now,
+           const struct evidence_packet *packet,
+           struct evidence_verdict *verdict)
+{
+    struct upstream *upstream;
+
+    if (g_hash_table_contains(
+            ev->dropped,
+            place_key(packet->destination, packet->destination_port))) {
+        end_with(verdict, packet->reset ? EVIDENCE_DROP : EVIDENCE_REFUSE,
+                 RULE_ROUTE_DROPPED);
+        return;
+    }
+    if (packet->token == 0) {
+        end_with(verdict, EVIDENCE_DROP, RULE_NO_EVIDENCE);
+        return;
+    }
+    upstream = upstream_by_token(ev->upstreams, packet->token);
+    if (upstream == NULL) {
+        end_with(verdict, EVIDENCE_DROP, RULE_UNKNOWN_EVIDENCE);
+        return;
+    }
+    if (upstream->state == UPSTREAM_GONE) {
+        end_with(verdict, packet->reset ? EVIDENCE_DROP : EVIDENCE_REFUSE,
+                 RULE_UPSTREAM_GONE);
+        return;
+    }
+    learn(ev, now, packet, flow_of(ev, now, verdict->flow, upstream),
+          upstream);
+    forward_to(verdict, upstream, RULE_EVIDENCE);
+}
+
+/* Decides about a packet. */
+void
+evidence_steer(struct evidence *ev, uint64_t now,
+               const struct evidence_packet *packet,
+               struct evidence_verdict *verdict)
+{
+    const struct route *route;
+
+    memset(verdict, 0, sizeof(*verdict));
+    verdict->flow = evidence_hash(packet);
+    counter_add(ev->counters, COUNTER_PACKETS_IN, 1);
+    if (!packet->first) {
+        steer_open(ev, now, packet, verdict);
+    }
+    else if (ev->table->version == 0) {
+        end_with(verdict, EVIDENCE_DROP, RULE_NO_TABLE);
+    }
+    else {
+        route = route_find(ev->table, packet->destination,
+                           packet->destination_port);
+        if (route != NULL) {
+            steer_first(ev, now, packet, route, verdict);
+        }
+        else {
+            counter_add(ev->counters, COUNTER_PACKETS_NO_SERVICE, 1);
+            end_with(verdict, EVIDENCE_REFUSE, RULE_NO_ROUTE);
+        }
+    }
+    if (verdict->action == EVIDENCE_FORWARD) {
+        counter_add(ev->counters, COUNTER_PACKETS_FORWARDED, 1);
+    }
+}
+
+/* Forgets flows that ended or rested too long. */
+void
+evidence_tick(struct evidence *ev, uint64_t now)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (now < ev->sweep_at) {
+        return;
+    }
+    ev->sweep_at = now + SWEEP_MS;
+    g_hash_table_iter_init(&iter, ev->flows);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct evidence_flow *flow = value;
+        uint64_t rest = ev->table->idle_ms ? ev->table->idle_ms
+                                           : ev->flow_max_ms;
+
+        if ((flow->forget_at != 0 && now >= flow->forget_at) ||
+            now > flow->seen_at + rest) {
+            detach(ev, flow);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
--- /dev/null
+++ b/evidence.h
@@ -0,0 +1,88 @@
+/**
+ * @file evidence.h
+ * Steering by evidence: each packet of a flow carries a token that an entry
+ * wrote into its first packet and that both ends repeat; it names the
+ * upstream's incarnation. So any entry can steer any packet without records,
+ * keepers or steps. Only first packets are decided here. Does no I/O.
+ */
+#ifndef RIDGERIDGE_EVIDENCE_H
+#define RIDGERIDGE_EVIDENCE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "counter.h"
+#include "ring.h"
+#include "route.h"
+#include "upstream.h"
+
+/** A packet of a caller. */
+struct evidence_packet {
+    uint32_t source;           /**< caller's address, host order */
+    uint32_t destination;      /**< address of the route, host order */
+    uint16_t source_port;      /**< caller's port */
+    uint16_t destination_port; /**< port of the route */
+    uint32_t token;            /**< names the upstream; 0: none */
+    uint32_t acknowledged;     /**< bytes of the upstream that arrived; of a
+                                    first packet: copies sent before it */
+    uint32_t length;           /**< bytes of data */
+    bool first;                /**< opens the flow */
+    bool closing;              /**< FIN or reset */
+    bool reset;                /**< reset by the caller */
+};
+
+/** What to do with a packet. */
+enum evidence_action {
+    EVIDENCE_FORWARD, /**< to `upstream`, with its token */
+    EVIDENCE_REFUSE,  /**< reset towards the caller: nothing was run */
+    EVIDENCE_DROP     /**< silently */
+};
+
+/** The verdict on a packet. */
+struct evidence_verdict {
+    enum evidence_action action;     /**< what to do */
+    enum ring_rule rule;             /**< why */
+    const struct upstream *upstream; /**< FORWARD: to which */
+    uint64_t flow;                   /**< hash that names the flow in logs */
+    uint32_t candidates;             /**< upstreams that were weighed */
+};
+
+/** The steering of one entry. */
+struct evidence {
+    struct upstream_set *upstreams; /**< borrowed */
+    struct route_table *table;      /**< owned; version 0 at first */
+    GHashTable *dropped;            /**< places of routes that were dropped */
+    GHashTable *flows;              /**< hash to struct evidence_flow */
+    struct counters *counters;      /**< borrowed */
+    uint64_t sweep_at;              /**< deadline: forget flows that ended */
+    uint64_t flow_max_ms;           /**< older flows may be forgotten */
+    uint32_t turn;                  /**< breaks ties in turn */
+    bool settled;                   /**< the inventory was compared with
+                                         another node's: "none" is true */
+};
+
+/** Starts without a table. */
+void evidence_open(struct evidence *ev, struct upstream_set *upstreams,
+                   struct counters *counters, uint64_t flow_max_ms,
+                   uint32_t seed);
+
+/** Frees it. */
+void evidence_close(struct evidence *ev);
+
+/** Takes a table over when its version is higher; else frees it.
+ * @return true when it is in force now */
+bool evidence_apply(struct evidence *ev, struct route_table *table);
+
+/** Decides about a packet. */
+void evidence_steer(struct evidence *ev, uint64_t now,
+                    const struct evidence_packet *packet,
+                    struct evidence_verdict *verdict);
+
+/** Forgets flows that ended or rested too long. */
+void evidence_tick(struct evidence *ev, uint64_t now);
+
+/** Hash of a flow, as logs name it. */
+uint64_t evidence_hash(const struct evidence_packet *packet);
+
+#endif
--- /dev/null
+++ b/fleet.h
@@ -0,0 +1,128 @@
+/**
+ * @file fleet.h
+ * How the nodes of one deployment find each other and tell each other what
+ * they know: members, the leader, the routing table in force and the
+ * inventory of upstreams. Every node compares itself with the leader and
+ * with a peer drawn by lot twice a second, and sends what the other lacks;
+ * changes are pushed at once. Does no I/O.
+ */
+#ifndef RIDGERIDGE_FLEET_H
+#define RIDGERIDGE_FLEET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "evidence.h"
+#include "generated/wire.h"
+#include "upstream.h"
+
+#define FLEET_SEEDS_MAX 16
+#define FLEET_HELLO_MS 500U  /**< between comparisons; two lost datagrams in
+                                  a row still leave time within 3 s */
+#define FLEET_SEEK_MS 100U   /**< the same until a leader is known */
+#define FLEET_LOST_MS 4000U  /**< the leader drops a member unheard so long */
+#define FLEET_LEADER_MS 2500U /**< a leader unheard so long is looked for */
+#define FLEET_FOUND_MS 1500U /**< after the first start, nodes have so long
+                                  to report before a founder is named */
+#define FLEET_PUSH_MS 250U   /**< least time between two pushes of tables */
+
+/** What the shell must do. */
+enum fleet_action_kind {
+    FLEET_SEND,  /**< send `msg` to the node `to` */
+    FLEET_DISK,  /**< a disk is alive: `node` */
+    FLEET_FOUND, /**< found the control quorum on the own disk */
+    FLEET_TABLE  /**< read and apply `routes` of `version` */
+};
+
+/** One action. */
+struct fleet_action {
+    enum fleet_action_kind kind; /**< which of the following is set */
+    uint32_t to;                 /**< SEND: address */
+    GByteArray *bytes;           /**< SEND: encoded message */
+    wire_node node;              /**< DISK */
+    uint64_t version;            /**< TABLE */
+};
+
+/** Another node. */
+struct fleet_member {
+    wire_node node;    /**< as it reported */
+    uint64_t heard_at; /**< last message, here */
+};
+
+/** What one node knows of the fleet. */
+struct fleet {
+    wire_node self;                  /**< this node */
+    bool first_start;                /**< of the whole deployment */
+    uint32_t seeds[FLEET_SEEDS_MAX]; /**< whom to ask first */
+    size_t seed_count;               /**< of seeds */
+    uint64_t started_at;             /**< of this process */
+    GHashTable *members;             /**< address to struct fleet_member */
+    uint64_t term;                   /**< of the leader known */
+    uint32_t leader;                 /**< its address, 0: none known */
+    uint64_t leader_heard_at;        /**< last word of it */
+    uint64_t leads_since;            /**< this node leads since, 0: not */
+    uint64_t hello_at;               /**< deadline */
+    uint32_t founder;                /**< named here, 0: none yet */
+    bool settled;                    /**< holds what a peer held */
+    wire_routes routes;              /**< newest table; packed is owned */
+    uint64_t push_at;                /**< deadline: push the table, 0: no */
+    uint64_t pushed_at;              /**< last push */
+    struct upstream_set *upstreams;  /**< borrowed */
+    uint64_t random;                 /**< state of the generator */
+    GArray *actions;                 /**< struct fleet_action */
+};
+
+/** What fleet_open() needs. */
+struct fleet_options {
+    uint32_t address;     /**< of this node */
+    uint64_t incarnation; /**< drawn at each start */
+    uint64_t identity;    /**< of the own disk, 0: none */
+    bool first_start;     /**< of the whole deployment */
+    uint64_t seed;        /**< of the generator */
+};
+
+/** Starts alone. */
+void fleet_open(struct fleet *fleet, uint64_t now,
+                const struct fleet_options *options,
+                struct upstream_set *upstreams);
+
+/** Frees it. */
+void fleet_close(struct fleet *fleet);
+
+/** Sets whom to ask first; they may be wrong or gone. */
+void fleet_set_seeds(struct fleet *fleet, const uint32_t *seeds, size_t count);
+
+/** Notes a node that is known from elsewhere, such as a stored voter. */
+void fleet_add_contact(struct fleet *fleet, uint32_t address);
+
+/** Says who leads, as the own voter knows it. */
+void fleet_set_leader(struct fleet *fleet, uint64_t now, uint64_t term,
+                      uint32_t leader);
+
+/** Takes a committed table; true when it is newer. */
+bool fleet_set_routes(struct fleet *fleet, uint64_t now,
+                      const wire_routes *routes);
+
+/** Announces that this node is about to end. */
+void fleet_stop(struct fleet *fleet, uint64_t now);
+
+/** Lets time pass. */
+void fleet_tick(struct fleet *fleet, uint64_t now);
+
+/** Takes a message of another node. */
+void fleet_receive(struct fleet *fleet, uint64_t now, const wire_msg *msg);
+
+/** Pushes what changed in the inventory to all members. */
+void fleet_spread(struct fleet *fleet, uint64_t now);
+
+/** Earliest deadline. */
+uint64_t fleet_deadline(const struct fleet *fleet);
+
+/** Takes the actions. */
+struct fleet_action *fleet_actions(struct fleet *fleet, size_t *count);
+
+/** Forgets the actions, after they were carried out. */
+void fleet_clear(struct fleet *fleet);
+
+#endif
--- a/log.h
+++ b/log.h
@@ -14,7 +14,14 @@
 /** Most lines of one event name written in one second. */
 #define LOG_EVENT_BURST 20
 
-/** Opens the log. `path` may be NULL for standard error. */
+/** Name of standard output, as a path of log_open(). */
+#define LOG_STDOUT "-"
+
+/**
+ * Opens the log. `path` may be NULL for standard error, or LOG_STDOUT. A line
+ * that a full pipe does not take at once is lost and counted, so that logging
+ * never holds anything up.
+ */
 bool log_open(const char *path, const char *process, enum log_level level);
 
 /** Opens the file of log_open() again, after a rotation. */
@@ -28,6 +35,9 @@
 void log_event(enum log_level level, const char *event, const char *format,
                ...) __attribute__((format(printf, 3, 4)));
 
+/** Lines that a full pipe did not take. */
+unsigned long log_lost(void);
+
 /** Reads "debug", "info", "warn" or "error"; -1 for anything else. */
 int log_level_from(const char *name);
 
--- a/loop.c
+++ b/loop.c
@@ -100,9 +100,9 @@
     loop_state.tick(loop_state.tick_data);
 }
 
-/* Starts the tables. */
+/* Starts the tables without a timer. */
 void
-loop_open(loop_work tick, void *data, uint64_t tick_ms)
+loop_open_idle(loop_work tick, void *data)
 {
     loop_state.loop = ev_loop_new(EVFLAG_AUTO);
     loop_state.tick = tick;
@@ -110,6 +110,27 @@
     g_queue_init(&loop_state.jobs);
     ev_async_init(&loop_state.wake, on_wake);
     ev_async_start(loop_state.loop, &loop_state.wake);
+    ev_init(&loop_state.timer, on_timer);
+}
+
+/* Sets the timer to one time. */
+void
+loop_wake_at(uint64_t at)
+{
+    uint64_t now = loop_now();
+    double wait = at > now ? (double)(at - now) / 1000.0 : 0.0;
+
+    ev_timer_stop(loop_state.loop, &loop_state.timer);
+    ev_now_update(loop_state.loop);
+    ev_timer_set(&loop_state.timer, wait, 0.0);
+    ev_timer_start(loop_state.loop, &loop_state.timer);
+}
+
+/* Starts the tables. */
+void
+loop_open(loop_work tick, void *data, uint64_t tick_ms)
+{
+    loop_open_idle(tick, data);
     ev_timer_init(&loop_state.timer, on_timer, 0.0, (double)tick_ms / 1000.0);
     ev_timer_start(loop_state.loop, &loop_state.timer);
 }
--- a/loop.h
+++ b/loop.h
@@ -21,6 +21,12 @@
 /** Starts the loop's tables; `tick` is called every `tick_ms`. */
 void loop_open(loop_work tick, void *data, uint64_t tick_ms);
 
+/** The same, but `tick` is called only when loop_wake_at() says so. */
+void loop_open_idle(loop_work tick, void *data);
+
+/** Calls the tick at a time of loop_now(), once; replaces an earlier one. */
+void loop_wake_at(uint64_t at);
+
 /** Calls `work` on the loop's thread, soon. From any thread. */
 void loop_post(loop_work work, void *data);
 
--- /dev/null
+++ b/node-packets.c
@@ -0,0 +1,194 @@
+/*
+ * Callers' packets: in batches from the fabric, through the steering, and on
+ * to upstreams or, as resets, back to callers.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "address.h"
+#include "log.h"
+#include "loop.h"
+#include "node.h"
+#include "platform/platform.h"
+
+#define BATCH 64
+#define BATCHES_A_TURN 4 /* then other events have their turn */
+#define PACKET_MAX (PLATFORM_HEAD_BYTES + PLATFORM_DATA_MAX)
+#define SOCKET_BUFFER (1024 * 1024)
+
+/* One batch. Each packet has room before it for the prefix. */
+static struct {
+    uint8_t buffers[BATCH][PLATFORM_PREFIX_BYTES + PACKET_MAX + 1];
+    struct iovec in[BATCH];
+    struct iovec out[BATCH];
+    struct sockaddr_in to[BATCH];
+    struct mmsghdr received[BATCH];
+    struct mmsghdr sent[BATCH];
+    unsigned sent_count;
+} batch;
+
+/* Addresses a packet that leaves. */
+static void
+put_out(uint32_t address, uint16_t port, uint8_t *bytes, size_t length)
+{
+    unsigned i = batch.sent_count++;
+
+    batch.to[i] = (struct sockaddr_in){.sin_family = AF_INET,
+                                       .sin_port = htons(port),
+                                       .sin_addr.s_addr = htonl(address)};
+    batch.out[i] = (struct iovec){.iov_base = bytes, .iov_len = length};
+    batch.sent[i].msg_hdr = (struct msghdr){.msg_name = &batch.to[i],
+                                            .msg_namelen = sizeof(batch.to[i]),
+                                            .msg_iov = &batch.out[i],
+                                            .msg_iovlen = 1};
+}
+
+/* Sends the batch; what the socket does not take is lost as in a network. */
+static void
+send_out(struct node *node)
+{
+    unsigned at = 0;
+
+    while (at < batch.sent_count) {
+        int n = sendmmsg(node->packets_fd, batch.sent + at,
+                         batch.sent_count - at, MSG_DONTWAIT);
+
+        if (n <= 0) {
+            log_event(LOG_WARN, "packet-send-failed", "lost=1 error=\"%s\"",
+                      g_strerror(errno));
+            n = 1;
+        }
+        at += (unsigned)n;
+    }
+    batch.sent_count = 0;
+}
+
+/* Writes one line about a decision that is not simply the evidence. */
+static void
+log_verdict(const struct node *node, const struct evidence_packet *packet,
+            const struct evidence_verdict *verdict)
+{
+    const struct upstream *u = verdict->upstream;
+    char caller[ADDRESS_TEXT];
+    char place[ADDRESS_TEXT];
+
+    if (verdict->rule == RULE_EVIDENCE) {
+        return;
+    }
+    (void)address_format(packet->source, packet->source_port, caller);
+    (void)address_format(packet->destination, packet->destination_port, place);
+    if (verdict->action == EVIDENCE_FORWARD) {
+        log_event(LOG_INFO, "flow-placed",
+                  "flow=%016llx caller=%s route=%s rule=%s upstream=%llx "
+                  "busy=%u open=%u candidates=%u copies=%u version=%llu",
+                  (unsigned long long)verdict->flow, caller, place,
+                  ring_rule_name(verdict->rule), (unsigned long long)u->id,
+                  u->busy, u->open, verdict->candidates,
+                  packet->first ? packet->acknowledged : 0,
+                  (unsigned long long)node->evidence.table->version);
+        return;
+    }
+    log_event(LOG_INFO,
+              verdict->action == EVIDENCE_REFUSE ? "flow-refused"
+                                                 : "packet-dropped",
+              "flow=%016llx caller=%s route=%s rule=%s token=%08x first=%d "
+              "version=%llu",
+              (unsigned long long)verdict->flow, caller, place,
+              ring_rule_name(verdict->rule), packet->token, packet->first,
+              (unsigned long long)node->evidence.table->version);
+}
+
+/* Steers one packet, which lies behind its prefix. */
+static void
+take_packet(struct node *node, uint64_t now, uint8_t *bytes, size_t length)
+{
+    uint8_t *head = bytes + PLATFORM_PREFIX_BYTES;
+    struct evidence_packet packet;
+    struct evidence_verdict verdict;
+
+    if (!platform_read_packet(head, length, &packet)) {
+        counter_add(&node->counters, COUNTER_PACKETS_MALFORMED, 1);
+        return;
+    }
+    evidence_steer(&node->evidence, now, &packet, &verdict);
+    log_verdict(node, &packet, &verdict);
+    switch (verdict.action) {
+    case EVIDENCE_FORWARD:
+        platform_write_prefix(bytes, verdict.upstream->id);
+        platform_mark_packet(head, verdict.upstream->token);
+        put_out(verdict.upstream->address, verdict.upstream->port, bytes,
+                PLATFORM_PREFIX_BYTES + length);
+        break;
+    case EVIDENCE_REFUSE:
+        counter_add(&node->counters, COUNTER_FLOWS_REFUSED, 1);
+        platform_write_reset(&packet, head);
+        put_out(packet.source, node->settings.packets.port, head,
+                PLATFORM_HEAD_BYTES);
+        break;
+    case EVIDENCE_DROP:
+        counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
+        break;
+    }
+}
+
+/* Takes one batch; returns how many packets it had. */
+static int
+take_batch(struct node *node)
+{
+    uint64_t now;
+    int n;
+
+    for (unsigned i = 0; i < BATCH; i++) {
+        batch.in[i] = (struct iovec){
+            .iov_base = batch.buffers[i] + PLATFORM_PREFIX_BYTES,
+            .iov_len = PACKET_MAX + 1};
+        batch.received[i].msg_hdr =
+            (struct msghdr){.msg_iov = &batch.in[i], .msg_iovlen = 1};
+    }
+    n = recvmmsg(node->packets_fd, batch.received, BATCH, MSG_DONTWAIT, NULL);
+    now = loop_now();
+    for (int i = 0; i < n; i++) {
+        take_packet(node, now, batch.buffers[i], batch.received[i].msg_len);
+    }
+    send_out(node);
+    return n;
+}
+
+/* Takes what the socket holds, in bounds. */
+static void
+on_packets(void *data)
+{
+    struct node *node = data;
+
+    for (int i = 0; i < BATCHES_A_TURN; i++) {
+        if (take_batch(node) < BATCH) {
+            break;
+        }
+    }
+}
+
+/* Opens the socket for packets. */
+enum status_kind
+node_open_packets(struct node *node, struct status *st)
+{
+    const struct schema_endpoint *own = &node->settings.packets;
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_port = htons(own->port),
+                             .sin_addr.s_addr = htonl(own->address)};
+    int size = SOCKET_BUFFER;
+
+    node->packets_fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (node->packets_fd < 0 ||
+        bind(node->packets_fd, (struct sockaddr *)&at, sizeof(at)) != 0) {
+        return status_set(st, STATUS_IO,
+                          "cannot bind the port of packets %u: %s; free the "
+                          "port or set another",
+                          own->port, g_strerror(errno));
+    }
+    (void)setsockopt(node->packets_fd, SOL_SOCKET, SO_RCVBUF, &size,
+                     sizeof(size));
+    loop_watch(node->packets_fd, on_packets, node);
+    return STATUS_OK;
+}
--- /dev/null
+++ b/node-peers.c
@@ -0,0 +1,139 @@
+/*
+ * Messages between nodes: XDR in UDP datagrams, with a checksum before it.
+ * No message needs to arrive: each is sent again by its own rule.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "codec.h"
+#include "hash.h"
+#include "log.h"
+#include "loop.h"
+#include "node.h"
+
+#define DATAGRAM_MAX 65507
+#define DATAGRAMS_A_TURN 64 /* then other events have their turn */
+#define CHECKSUM_BYTES 8
+
+/* Checksum of a message. */
+static uint64_t
+checksum(const void *bytes, size_t length)
+{
+    return hash_bytes(HASH_KEY, bytes, length);
+}
+
+/* Sends an encoded message. Safe from the voter's thread. */
+void
+node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
+                  size_t length)
+{
+    struct sockaddr_in at = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)node->settings.peer_port),
+        .sin_addr.s_addr = htonl(to)};
+    uint64_t sum = checksum(bytes, length);
+    struct iovec parts[2] = {
+        {.iov_base = &sum, .iov_len = sizeof(sum)},
+        {.iov_base = (void *)bytes, .iov_len = length}};
+    struct msghdr msg = {.msg_name = &at,
+                         .msg_namelen = sizeof(at),
+                         .msg_iov = parts,
+                         .msg_iovlen = 2};
+
+    if (length + sizeof(sum) > DATAGRAM_MAX) {
+        log_event(LOG_ERROR, "message-too-large", "bytes=%zu", length);
+        return;
+    }
+    counter_add(&node->counters, COUNTER_CONTROL_BYTES_OUT,
+                length + sizeof(sum));
+    if (sendmsg(node->peers_fd, &msg, MSG_DONTWAIT) < 0) {
+        log_event(LOG_WARN, "peer-send-failed", "to=%08x bytes=%zu error=\"%s\"",
+                  to, length, g_strerror(errno));
+    }
+}
+
+/* Says whether a message is for the voter. */
+static bool
+is_for_voter(wire_kind kind)
+{
+    return kind == WIRE_VOTE_ASK || kind == WIRE_VOTE_REPLY ||
+           kind == WIRE_APPEND || kind == WIRE_APPEND_REPLY ||
+           kind == WIRE_SNAPSHOT;
+}
+
+/* Takes one message. */
+static void
+take_message(struct node *node, const guint8 *bytes, size_t length)
+{
+    wire_msg msg;
+
+    if (!codec_decode(bytes, length, &msg)) {
+        counter_add(&node->counters, COUNTER_MSGS_MALFORMED, 1);
+        return;
+    }
+    if (is_for_voter(msg.kind)) {
+        GByteArray *copy = g_byte_array_sized_new((guint)length);
+
+        g_byte_array_append(copy, bytes, (guint)length);
+        node_voter_receive(node, copy);
+    }
+    else {
+        fleet_receive(&node->fleet, loop_now(), &msg);
+    }
+    codec_free(&msg);
+}
+
+/* Takes what the socket holds, in bounds. */
+static void
+on_datagrams(void *data)
+{
+    static guint8 bytes[DATAGRAM_MAX];
+    struct node *node = data;
+
+    for (int i = 0; i < DATAGRAMS_A_TURN; i++) {
+        ssize_t n = recv(node->peers_fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+        uint64_t sum;
+
+        if (n < 0) {
+            break;
+        }
+        counter_add(&node->counters, COUNTER_MSGS_IN, 1);
+        counter_add(&node->counters, COUNTER_CONTROL_BYTES_IN, (uint64_t)n);
+        if (n <= CHECKSUM_BYTES) {
+            counter_add(&node->counters, COUNTER_MSGS_MALFORMED, 1);
+            continue;
+        }
+        memcpy(&sum, bytes, sizeof(sum));
+        if (sum != checksum(bytes + CHECKSUM_BYTES,
+                            (size_t)n - CHECKSUM_BYTES)) {
+            counter_add(&node->counters, COUNTER_MSGS_FORGED, 1);
+            continue;
+        }
+        take_message(node, bytes + CHECKSUM_BYTES, (size_t)n - CHECKSUM_BYTES);
+    }
+    node_act(node);
+}
+
+/* Opens the socket between nodes. */
+enum status_kind
+node_open_peers(struct node *node, struct status *st)
+{
+    struct sockaddr_in at = {
+        .sin_family = AF_INET,
+        .sin_port = htons((uint16_t)node->settings.peer_port),
+        .sin_addr.s_addr = htonl(node->settings.packets.address)};
+
+    node->peers_fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (node->peers_fd < 0 ||
+        bind(node->peers_fd, (struct sockaddr *)&at, sizeof(at)) != 0) {
+        return status_set(st, STATUS_IO,
+                          "cannot bind peer_port %u: %s; free the port or "
+                          "set another",
+                          (unsigned)node->settings.peer_port,
+                          g_strerror(errno));
+    }
+    loop_watch(node->peers_fd, on_datagrams, node);
+    return STATUS_OK;
+}
--- /dev/null
+++ b/node-settings.c
@@ -0,0 +1,147 @@
+/* The table of a node's settings. */
+#include "node-settings.h"
+
+#include <glib.h>
+
+#define PORT_MAX 65535
+
+static const char *const level_words[] = {"debug", "info", "warn", "error",
+                                          NULL};
+
+#define AT(field) offsetof(struct node_seed, field)
+static const struct schema_field seed_fields[] = {
+    {.key = "control",
+     .type = SCHEMA_ENDPOINT,
+     .required = true,
+     .offset = AT(control),
+     .help = "give the seed's address and port for operators"},
+    {.key = NULL},
+};
+#undef AT
+static const struct schema seed_schema = {.name = "seed",
+                                          .size = sizeof(struct node_seed),
+                                          .fields = seed_fields};
+
+#define AT(field) offsetof(struct node_settings, field)
+static const struct schema_field fields[] = {
+    {.key = "name",
+     .type = SCHEMA_TEXT,
+     .required = true,
+     .min = 1,
+     .max = NODE_NAME_MAX,
+     .offset = AT(name),
+     .help = "name this VM, for example \"entry-1\""},
+    {.key = "hall",
+     .type = SCHEMA_TEXT,
+     .required = true,
+     .min = 1,
+     .max = NODE_NAME_MAX,
+     .offset = AT(hall),
+     .help = "name this VM's data hall, for example \"rennes-1\""},
+    {.key = "data",
+     .type = SCHEMA_TEXT,
+     .max = NODE_PATH_MAX,
+     .offset = AT(data),
+     .help = "give the data folder; leave it empty on a VM without a disk"},
+    {.key = "packets",
+     .type = SCHEMA_ENDPOINT,
+     .required = true,
+     .offset = AT(packets),
+     .help = "give the UDP address and port of callers' packets"},
+    {.key = "ready",
+     .type = SCHEMA_ENDPOINT,
+     .required = true,
+     .offset = AT(ready),
+     .help = "give the TCP address and port where the fabric asks"},
+    {.key = "control",
+     .type = SCHEMA_ENDPOINT,
+     .required = true,
+     .offset = AT(control),
+     .help = "give the TCP address and port for operators and upstreams"},
+    {.key = "peer_port",
+     .type = SCHEMA_UINT,
+     .required = true,
+     .min = 1,
+     .max = PORT_MAX,
+     .offset = AT(peer_port),
+     .help = "give the UDP port between nodes, the same on all"},
+    {.key = "metrics_port",
+     .type = SCHEMA_UINT,
+     .max = PORT_MAX,
+     .value = 0,
+     .offset = AT(metrics_port),
+     .help = "give the TCP port of the counters, 0 for none"},
+    {.key = "first_start",
+     .type = SCHEMA_UINT,
+     .max = 1,
+     .value = 0,
+     .offset = AT(first_start),
+     .help = "give 1 only when the whole deployment starts for the first "
+             "time"},
+    {.key = "registration_interval_ms",
+     .type = SCHEMA_UINT,
+     .required = true,
+     .min = 10,
+     .max = 60000,
+     .offset = AT(interval_ms),
+     .unit = "ms",
+     .help = "give the time between registrations of an upstream"},
+    {.key = "grace_s",
+     .type = SCHEMA_SECONDS,
+     .min = 0,
+     .max = 3600000,
+     .value = 6000,
+     .offset = AT(grace_ms),
+     .unit = "s",
+     .help = "give the time within which a stop must be done"},
+    {.key = "flow_max_s",
+     .type = SCHEMA_SECONDS,
+     .min = 1000,
+     .max = 86400000,
+     .value = 60000,
+     .offset = AT(flow_max_ms),
+     .unit = "s",
+     .help = "give the age past which a flow may be forgotten"},
+    {.key = "log_level",
+     .type = SCHEMA_WORD,
+     .value = 1,
+     .words = level_words,
+     .offset = AT(log_level),
+     .help = "name the least severity that is logged"},
+    {.key = "seeds",
+     .type = SCHEMA_LIST,
+     .min = 0,
+     .max = 64,
+     .offset = AT(seeds),
+     .inner = &seed_schema,
+     .help = "list nodes to ask first; they may be wrong or gone"},
+    {.key = NULL},
+};
+#undef AT
+const struct schema node_settings_schema = {
+    .name = "Settings of a node",
+    .size = sizeof(struct node_settings),
+    .fields = fields};
+
+/* Reads and checks a file. */
+enum status_kind
+node_settings_load(const char *path, struct node_settings *out,
+                   struct status *st)
+{
+    size_t length;
+    char *text = schema_load(path, &length, st);
+
+    if (text == NULL) {
+        return st->kind;
+    }
+    (void)schema_read(&node_settings_schema, path, text, length, out, st);
+    g_free(text);
+    return st->kind;
+}
+
+/* Frees the list. */
+void
+node_settings_free(struct node_settings *settings)
+{
+    schema_free(&node_settings_schema, settings);
+}
--- /dev/null
+++ b/node-voter.c
@@ -0,0 +1,560 @@
+/*
+ * The voter of a node with a disk: a thread that owns consensus and storage.
+ * The loop's thread queues jobs for it; it posts what it learns back. When
+ * the disk refuses, it lets go of everything and opens the folder again.
+ */
+#include <inttypes.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "codec.h"
+#include "log.h"
+#include "loop.h"
+#include "node.h"
+#include "order.h"
+#include "store.h"
+
+#define REOPEN_MS 300U /* a refusing disk is tried again so often */
+#define IDLE_MS 1000U  /* longest sleep of the thread */
+
+/* What the loop asks of the voter. */
+enum job_kind {
+    JOB_MESSAGE, /* of another voter */
+    JOB_DISK,    /* a disk is alive */
+    JOB_FOUND,   /* found the quorum */
+    JOB_SUBMIT,  /* an operator's table */
+    JOB_READ,    /* an operator's question */
+    JOB_RESIGN,  /* give up leading */
+    JOB_STOP     /* end the thread */
+};
+
+/* One job. */
+struct job {
+    enum job_kind kind;
+    GByteArray *bytes;   /* MESSAGE */
+    wire_node disk;      /* DISK */
+    uint64_t token;      /* SUBMIT, READ */
+    wire_routes routes;  /* SUBMIT; packed is owned */
+    uint64_t asked_at;   /* SUBMIT, READ: when */
+};
+
+/* What the voter tells the loop. */
+struct news {
+    struct node *node;
+    bool opened;          /* the folder was opened: `identity` */
+    uint64_t identity;
+    uint64_t term;        /* with `leader` */
+    uint32_t leader;
+    bool has_leader;      /* `term` and `leader` are told */
+    bool has_answer;      /* `token` and `status` are told */
+    uint64_t token;
+    struct status status;
+    bool with_table;      /* the answer carries the table */
+    bool apply;           /* the table was committed */
+    wire_routes routes;   /* packed is owned */
+    uint32_t voters[CONS_REPLICAS_MAX]; /* addresses, when opened */
+    u_int voter_count;
+};
+
+/* The thread's state. */
+static struct {
+    struct node *node;
+    GThread *thread;
+    GAsyncQueue *jobs;
+    bool open;              /* order and store are */
+    struct order order;
+    struct store store;
+    uint64_t reopen_at;
+    uint64_t told_term;     /* last leader told */
+    uint32_t told_leader;
+    bool stop;
+} voter;
+
+/* Takes news on the loop's thread. */
+static void
+on_news(void *data)
+{
+    struct news *news = data;
+    struct node *node = news->node;
+    uint64_t now = loop_now();
+
+    if (news->opened) {
+        node->voter.identity = news->identity;
+        node->fleet.self.identity = news->identity;
+        node->fleet.hello_at = now;
+        for (u_int i = 0; i < news->voter_count; i++) {
+            fleet_add_contact(&node->fleet, news->voters[i]);
+        }
+    }
+    if (news->has_leader) {
+        node->voter.leader = news->leader;
+        node->voter.term = news->term;
+        fleet_set_leader(&node->fleet, now, news->term, news->leader);
+    }
+    if (news->apply) {
+        (void)fleet_set_routes(&node->fleet, now, &news->routes);
+    }
+    if (news->has_answer) {
+        node_answer(node, news->token, &news->status,
+                    news->with_table ? &news->routes : NULL);
+    }
+    g_free(news->routes.packed.packed_val);
+    g_free(news);
+    node_act(node);
+}
+
+/* Makes empty news. */
+static struct news *
+new_news(void)
+{
+    struct news *news = g_new0(struct news, 1);
+
+    news->node = voter.node;
+    return news;
+}
+
+/* Copies the table held into news. */
+static void
+copy_table(struct news *news)
+{
+    const struct order *order = &voter.order;
+    gsize length = 0;
+    const void *bytes;
+    wire_command command;
+
+    if (order->routes == NULL) {
+        return;
+    }
+    bytes = g_bytes_get_data(order->routes, &length);
+    if (codec_decode_command(bytes, length, &command)) {
+        news->routes = command.wire_command_u.routes;
+        news->routes.packed.packed_val =
+            g_memdup2(news->routes.packed.packed_val,
+                      news->routes.packed.packed_len);
+        codec_free_command(&command);
+    }
+}
+
+/* Sends a message to another voter. */
+static void
+send_message(struct cons_action *action)
+{
+    GByteArray *bytes = codec_encode(&action->msg);
+
+    node_send_to_peer(voter.node, action->to, bytes->data, bytes->len);
+    g_byte_array_unref(bytes);
+}
+
+/* Carries out one action of consensus; false when the disk refused. */
+static bool
+act_cons(struct cons_action *action)
+{
+    const struct cons *cons = &voter.order.cons;
+    struct status st = {STATUS_OK, ""};
+    uint64_t before = loop_now();
+
+    switch (action->kind) {
+    case CONS_SAVE_TERM:
+        (void)store_save_term(&voter.store, cons->term, cons->vote, &st);
+        break;
+    case CONS_SAVE_ENTRIES:
+        (void)store_append(&voter.store, cons, action->index, action->count,
+                           &st);
+        break;
+    case CONS_SAVE_CUT:
+        (void)store_cut(&voter.store, action->index, &st);
+        break;
+    case CONS_SAVE_SNAPSHOT:
+        (void)store_snapshot(&voter.store, cons, &st);
+        break;
+    case CONS_SEND:
+        send_message(action);
+        return true;
+    case CONS_LOAD:
+        return true;
+    }
+    if (st.kind != STATUS_OK) {
+        counter_add(&voter.node->counters, COUNTER_STORE_ERRORS, 1);
+        log_event(LOG_ERROR, "storage-failed", "took_ms=%" PRIu64
+                  " message=\"%s\"", loop_now() - before, st.message);
+        return false;
+    }
+    return true;
+}
+
+/* Lets go of the folder, to open it again soon. */
+static void
+close_folder(void)
+{
+    order_close(&voter.order);
+    store_close(&voter.store);
+    voter.open = false;
+    voter.reopen_at = loop_now() + REOPEN_MS;
+}
+
+/* Tells the loop who leads, when that changed. */
+static void
+tell_leader(void)
+{
+    const struct cons *cons = &voter.order.cons;
+    struct news *news;
+
+    /* A new leader answers only when it knows all that was committed. */
+    uint32_t leader = cons->role == CONS_LEADER && !cons_is_ready(cons)
+                          ? 0
+                          : cons->leader;
+
+    if (cons->term == voter.told_term && leader == voter.told_leader) {
+        return;
+    }
+    voter.told_term = cons->term;
+    voter.told_leader = leader;
+    log_event(LOG_INFO, "leader", "leader=%08x term=%" PRIu64 " role=%s",
+              leader, cons->term,
+              cons->role == CONS_LEADER      ? "leader"
+              : cons->role == CONS_CANDIDATE ? "candidate"
+                                             : "follower");
+    news = new_news();
+    news->has_leader = true;
+    news->term = cons->term;
+    news->leader = leader;
+    loop_post(on_news, news);
+}
+
+/* Carries out all actions; what the disk refused is not answered, and
+ * nothing that follows it in the same batch is done. */
+static void
+act_all(void)
+{
+    size_t count;
+    const struct order_action *all = order_actions(&voter.order, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        struct order_action action = all[i];
+        struct news *news;
+
+        switch (action.kind) {
+        case ORDER_CONS:
+            if (!act_cons(&action.cons)) {
+                close_folder();
+                return;
+            }
+            break;
+        case ORDER_REPLY:
+            news = new_news();
+            news->has_answer = true;
+            news->token = action.token;
+            news->status = action.status;
+            news->with_table = action.with_table;
+            if (action.with_table) {
+                copy_table(news);
+            }
+            loop_post(on_news, news);
+            break;
+        case ORDER_APPLY:
+            news = new_news();
+            news->apply = true;
+            copy_table(news);
+            loop_post(on_news, news);
+            break;
+        }
+    }
+    order_clear(&voter.order);
+    tell_leader();
+}
+
+/* Tells the loop what the folder holds. */
+static void
+tell_opened(void)
+{
+    const wire_config *config = cons_config(&voter.order.cons);
+    struct news *news = new_news();
+
+    news->opened = true;
+    news->identity = voter.store.identity;
+    for (u_int i = 0; i < config->voters.voters_len; i++) {
+        news->voters[news->voter_count++] =
+            config->voters.voters_val[i].replica;
+    }
+    loop_post(on_news, news);
+}
+
+/* Opens the folder and starts consensus from it. A damaged folder is given
+ * up: this replica then joins with a new identity and counts nowhere until
+ * it holds the log. */
+static void
+open_folder(void)
+{
+    const struct node_settings *s = &voter.node->settings;
+    struct status st = {STATUS_OK, ""};
+    struct cons_stored stored;
+    uint32_t self = s->packets.address;
+    uint64_t seed;
+
+    if (store_open(&voter.store, s->data, STORE_TAIL_TORN, &stored, &st) !=
+        STATUS_OK) {
+        log_event(LOG_ERROR, "storage-not-opened", "message=\"%s\"",
+                  st.message);
+        store_close(&voter.store);
+        if (st.kind == STATUS_DAMAGED) {
+            (void)store_wipe(s->data, &st);
+        }
+        voter.reopen_at = loop_now() + REOPEN_MS;
+        return;
+    }
+    randombytes_buf(&seed, sizeof(seed));
+    order_open(&voter.order, loop_now(), self, voter.store.identity,
+               voter.store.identity == self, seed, &stored,
+               &voter.node->counters);
+    voter.open = true;
+    log_event(LOG_INFO, "storage-opened",
+              "identity=%016" PRIx64 " last_index=%" PRIu64
+              " version=%" PRIu64 " torn_bytes=%" PRIu64,
+              voter.store.identity, cons_last_index(&voter.order.cons),
+              voter.order.version, voter.store.cut_bytes);
+    tell_opened();
+    act_all();
+}
+
+/* Becomes the founder, when nothing was stored here yet. */
+static void
+found(void)
+{
+    struct status st = {STATUS_OK, ""};
+    uint32_t self = voter.node->settings.packets.address;
+
+    if (!voter.open || cons_last_index(&voter.order.cons) > 0 ||
+        voter.order.cons.leader != 0) {
+        return;
+    }
+    if (store_found(&voter.store, self, &st) != STATUS_OK) {
+        log_event(LOG_ERROR, "founding-failed", "message=\"%s\"", st.message);
+        return;
+    }
+    log_event(LOG_INFO, "founding", "replica=%08x", self);
+    close_folder();
+    open_folder();
+}
+
+/* Takes a message of another voter. */
+static void
+take_message(const GByteArray *bytes)
+{
+    wire_msg msg;
+
+    if (codec_decode(bytes->data, bytes->len, &msg)) {
+        order_receive(&voter.order, loop_now(), &msg);
+        codec_free(&msg);
+    }
+}
+
+/* Refuses an operator while the disk does not answer. */
+static void
+refuse(uint64_t token)
+{
+    struct news *news = new_news();
+
+    news->has_answer = true;
+    news->token = token;
+    (void)status_set(&news->status, STATUS_NO_ANSWER,
+                     "this node's disk does not answer; ask another node");
+    loop_post(on_news, news);
+}
+
+/* Does one job. */
+static void
+do_job(struct job *job)
+{
+    uint64_t now = loop_now();
+
+    switch (job->kind) {
+    case JOB_MESSAGE:
+        if (voter.open) {
+            take_message(job->bytes);
+        }
+        break;
+    case JOB_DISK:
+        if (voter.open) {
+            order_hear(&voter.order, now, job->disk.address,
+                       job->disk.identity);
+        }
+        break;
+    case JOB_FOUND:
+        found();
+        break;
+    case JOB_SUBMIT:
+    case JOB_READ:
+        if (!voter.open || now > job->asked_at + ORDER_ANSWER_MS) {
+            refuse(job->token);
+        }
+        else if (job->kind == JOB_READ) {
+            order_read(&voter.order, now, job->token);
+        }
+        else {
+            order_submit(&voter.order, now, job->token, &job->routes);
+        }
+        break;
+    case JOB_RESIGN:
+        if (voter.open) {
+            order_resign(&voter.order, now);
+        }
+        break;
+    case JOB_STOP:
+        voter.stop = true;
+        break;
+    }
+}
+
+/* Frees a job. */
+static void
+free_job(struct job *job)
+{
+    if (job->bytes != NULL) {
+        g_byte_array_unref(job->bytes);
+    }
+    g_free(job->routes.packed.packed_val);
+    g_free(job);
+}
+
+/* Time until the thread has something to do, in us. */
+static uint64_t
+wait_us(void)
+{
+    uint64_t now = loop_now();
+    uint64_t at = voter.open ? order_deadline(&voter.order) : voter.reopen_at;
+
+    at = MIN(at, now + IDLE_MS);
+    return at > now ? (at - now) * 1000 : 0;
+}
+
+/* Runs the thread. */
+static gpointer
+run_voter(gpointer unused)
+{
+    (void)unused;
+    open_folder();
+    while (!voter.stop) {
+        uint64_t us = wait_us();
+        struct job *job =
+            us > 0 ? g_async_queue_timeout_pop(voter.jobs, us)
+                   : g_async_queue_try_pop(voter.jobs);
+
+        if (job != NULL) {
+            do_job(job);
+            free_job(job);
+        }
+        if (!voter.open && loop_now() >= voter.reopen_at) {
+            open_folder();
+        }
+        if (voter.open) {
+            order_tick(&voter.order, loop_now());
+            act_all();
+        }
+    }
+    if (voter.open) {
+        close_folder();
+    }
+    return NULL;
+}
+
+/* Queues a job; drops it when there is no disk. */
+static void
+push(struct node *node, struct job *job)
+{
+    if (!node->voter.running) {
+        free_job(job);
+        return;
+    }
+    g_async_queue_push(voter.jobs, job);
+}
+
+/* Makes a job. */
+static struct job *
+new_job(enum job_kind kind)
+{
+    struct job *job = g_new0(struct job, 1);
+
+    job->kind = kind;
+    job->asked_at = loop_now();
+    return job;
+}
+
+/* Starts the thread, on a node with a disk. */
+void
+node_start_voter(struct node *node)
+{
+    if (node->settings.data[0] == '\0') {
+        return;
+    }
+    voter.node = node;
+    voter.jobs = g_async_queue_new();
+    node->voter.running = true;
+    voter.thread = g_thread_new("voter", run_voter, NULL);
+}
+
+/* Ends the thread. */
+void
+node_stop_voter(struct node *node)
+{
+    if (node->voter.running) {
+        push(node, new_job(JOB_STOP));
+        (void)g_thread_join(voter.thread);
+    }
+}
+
+/* Passes a message on; takes the bytes over. */
+void
+node_voter_receive(struct node *node, GByteArray *bytes)
+{
+    struct job *job = new_job(JOB_MESSAGE);
+
+    job->bytes = bytes;
+    push(node, job);
+}
+
+/* Says that a disk is alive. */
+void
+node_voter_hear(struct node *node, const wire_node *disk)
+{
+    struct job *job = new_job(JOB_DISK);
+
+    job->disk = *disk;
+    push(node, job);
+}
+
+/* Founds the quorum. */
+void
+node_voter_found(struct node *node)
+{
+    push(node, new_job(JOB_FOUND));
+}
+
+/* Gives up leading. */
+void
+node_voter_resign(struct node *node)
+{
+    push(node, new_job(JOB_RESIGN));
+}
+
+/* Passes an operator's table on. */
+void
+node_voter_submit(struct node *node, uint64_t token, const char *text,
+                  size_t length, uint64_t version)
+{
+    struct job *job = new_job(JOB_SUBMIT);
+
+    job->token = token;
+    job->routes.bundle_version = version;
+    node_pack(text, length, &job->routes);
+    push(node, job);
+}
+
+/* Passes an operator's question on. */
+void
+node_voter_read(struct node *node, uint64_t token)
+{
+    struct job *job = new_job(JOB_READ);
+
+    job->token = token;
+    push(node, job);
+}
--- /dev/null
+++ b/node.c
@@ -0,0 +1,296 @@
+/* The life of a node: start, the loop's work, reload, stop. */
+#include "node.h"
+
+#include <signal.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "log.h"
+#include "loop.h"
+#include "platform/platform.h"
+
+/* The fabric asks twice a second and leaves a node out after two misses;
+ * packets are carried on for one question more. */
+#define LEAVE_FABRIC_MS 1800U
+/* Left of the grace period when the process ends, for a slow VM. */
+#define GRACE_MARGIN_MS 1500U
+/* Settings may change without a signal. */
+#define SETTINGS_CHECK_MS 2000U
+/* A tick later than this by its deadline means that the process stood still,
+ * and what it did not hear meanwhile proves nothing. */
+#define STANDSTILL_MS 400U
+
+/* Applies a table that the fleet brought. */
+static void
+apply_table(struct node *node)
+{
+    const wire_routes *routes = &node->fleet.routes;
+    struct status st = {STATUS_OK, ""};
+    char *text = node_unpack(routes);
+    struct route_table *table =
+        text != NULL ? platform_read_table(text, routes->length, &st) : NULL;
+
+    g_free(text);
+    if (table == NULL) {
+        log_event(LOG_ERROR, "table-unreadable", "version=%llu reason=\"%s\"",
+                  (unsigned long long)routes->bundle_version, st.message);
+        return;
+    }
+    if (evidence_apply(&node->evidence, table)) {
+        log_event(LOG_INFO, "table-in-force",
+                  "version=%llu routes=%u leader=%08x term=%llu",
+                  (unsigned long long)routes->bundle_version,
+                  node->evidence.table->routes->len, node->fleet.leader,
+                  (unsigned long long)node->fleet.term);
+    }
+}
+
+/* Carries out the fleet's actions. */
+static void
+act_fleet(struct node *node)
+{
+    size_t count;
+    struct fleet_action *all = fleet_actions(&node->fleet, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        switch (all[i].kind) {
+        case FLEET_SEND:
+            node_send_to_peer(node, all[i].to, all[i].bytes->data,
+                              all[i].bytes->len);
+            break;
+        case FLEET_DISK:
+            node_voter_hear(node, &all[i].node);
+            break;
+        case FLEET_FOUND:
+            node_voter_found(node);
+            break;
+        case FLEET_TABLE:
+            apply_table(node);
+            break;
+        }
+    }
+    fleet_clear(&node->fleet);
+}
+
+/* Logs what is believed anew of upstreams. */
+static void
+log_upstreams(const struct node *node)
+{
+    static const char *const states[] = {"ready", "leaving", "silent",
+                                         "gone"};
+    const GArray *changed = node->upstreams.changed;
+
+    for (guint i = 0; i < changed->len; i++) {
+        const struct upstream *u = upstream_by_id(
+            &node->upstreams, g_array_index(changed, uint64_t, i));
+
+        if (u != NULL) {
+            log_event(LOG_INFO, "upstream",
+                      "upstream=%llx state=%s service=%s sequence=%llu",
+                      (unsigned long long)u->id, states[u->state],
+                      upstream_service_name(&node->upstreams, u->service),
+                      (unsigned long long)u->sequence);
+        }
+    }
+}
+
+/* Sets the next wake-up. */
+static void
+schedule(struct node *node)
+{
+    uint64_t at = fleet_deadline(&node->fleet);
+
+    at = MIN(at, upstream_deadline(&node->upstreams));
+    at = MIN(at, node_http_deadline(node));
+    at = MIN(at, node->settings_at);
+    if (node->end_at != 0) {
+        at = MIN(at, node->end_at);
+    }
+    loop_wake_at(at);
+}
+
+/* Carries out what the cores ask for. */
+void
+node_act(struct node *node)
+{
+    log_upstreams(node);
+    if (node->upstreams.changed->len > 0) {
+        fleet_spread(&node->fleet, loop_now());
+    }
+    act_fleet(node);
+    node->evidence.settled = node->fleet.settled;
+    schedule(node);
+}
+
+/* Says whether the fabric may send packets here. */
+bool
+node_is_ready(const struct node *node)
+{
+    return node->unready_at == 0 && node->fleet.settled;
+}
+
+/* Time of a file's last change, in ns; 0 when it cannot be told. */
+static int64_t
+changed_at(const char *path)
+{
+    struct stat info;
+
+    if (stat(path, &info) != 0) {
+        return 0;
+    }
+    return (int64_t)info.st_mtim.tv_sec * 1000000000 + info.st_mtim.tv_nsec;
+}
+
+/* Takes the seeds of the settings. */
+static void
+take_seeds(struct node *node, const struct node_settings *settings)
+{
+    uint32_t seeds[FLEET_SEEDS_MAX];
+    size_t count = MIN(settings->seed_count, FLEET_SEEDS_MAX);
+
+    for (size_t i = 0; i < count; i++) {
+        seeds[i] = settings->seeds[i].control.address;
+    }
+    fleet_set_seeds(&node->fleet, seeds, count);
+}
+
+/* Reads the settings again: seeds are taken, the rest needs a restart. */
+static void
+reload(struct node *node)
+{
+    struct node_settings settings;
+    struct status st = {STATUS_OK, ""};
+
+    node->settings_changed = changed_at(node->settings_path);
+    if (node_settings_load(node->settings_path, &settings, &st) !=
+        STATUS_OK) {
+        log_event(LOG_WARN, "reload-refused", "message=\"%s\"", st.message);
+        return;
+    }
+    take_seeds(node, &settings);
+    log_event(LOG_INFO, "reload", "seeds=%zu", settings.seed_count);
+    node_settings_free(&settings);
+}
+
+/* The settings file was changed, says a signal. */
+static void
+on_hangup(void *data)
+{
+    reload(data);
+}
+
+/* A planned stop begins: out of the fabric first, then on with packets. */
+static void
+on_terminate(void *data)
+{
+    struct node *node = data;
+    uint64_t now = loop_now();
+    uint64_t grace = node->settings.grace_ms;
+
+    if (node->unready_at != 0) {
+        return;
+    }
+    grace = grace > GRACE_MARGIN_MS ? grace - GRACE_MARGIN_MS : 0;
+    node->unready_at = now;
+    node->end_at = now + MIN(LEAVE_FABRIC_MS, grace);
+    log_event(LOG_INFO, "stop-begins", "ends_in_ms=%llu",
+              (unsigned long long)(node->end_at - now));
+    node_voter_resign(node);
+    fleet_stop(&node->fleet, now);
+    node_act(node);
+}
+
+/* Lets time pass. */
+static void
+on_tick(void *data)
+{
+    struct node *node = data;
+    uint64_t now = loop_now();
+
+    if (node->ticked_at != 0 &&
+        now > node->ticked_at + FLEET_HELLO_MS + STANDSTILL_MS) {
+        log_event(LOG_WARN, "stood-still", "ms=%llu",
+                  (unsigned long long)(now - node->ticked_at));
+        upstream_excuse(&node->upstreams, now, now - node->ticked_at);
+    }
+    node->ticked_at = now;
+    if (node->end_at != 0 && now >= node->end_at) {
+        loop_stop();
+        return;
+    }
+    if (now >= node->settings_at) {
+        node->settings_at = now + SETTINGS_CHECK_MS;
+        if (changed_at(node->settings_path) != node->settings_changed) {
+            reload(node);
+        }
+    }
+    upstream_tick(&node->upstreams, now);
+    evidence_tick(&node->evidence, now);
+    fleet_tick(&node->fleet, now);
+    node_poll_http(node);
+    node_act(node);
+}
+
+/* Starts the cores. */
+static void
+open_cores(struct node *node)
+{
+    const struct node_settings *s = &node->settings;
+    struct fleet_options options = {.address = s->packets.address,
+                                    .first_start = s->first_start != 0};
+    uint32_t turn;
+
+    randombytes_buf(&options.incarnation, sizeof(options.incarnation));
+    randombytes_buf(&options.seed, sizeof(options.seed));
+    randombytes_buf(&turn, sizeof(turn));
+    upstream_open(&node->upstreams, s->packets.address, s->interval_ms);
+    evidence_open(&node->evidence, &node->upstreams, &node->counters,
+                  s->flow_max_ms, turn);
+    fleet_open(&node->fleet, loop_now(), &options, &node->upstreams);
+    take_seeds(node, s);
+}
+
+/* Opens all that the node needs; packets first. */
+static enum status_kind
+open_all(struct node *node, struct status *st)
+{
+    loop_open_idle(on_tick, node);
+    loop_signal(SIGTERM, on_terminate, node);
+    loop_signal(SIGINT, on_terminate, node);
+    loop_signal(SIGHUP, on_hangup, node);
+    open_cores(node);
+    if (node_open_packets(node, st) != STATUS_OK ||
+        node_open_peers(node, st) != STATUS_OK ||
+        node_open_http(node, st) != STATUS_OK) {
+        return st->kind;
+    }
+    node_start_voter(node);
+    return STATUS_OK;
+}
+
+/* Runs a node. */
+enum status_kind
+node_run(struct node_settings *settings, const char *path, struct status *st)
+{
+    static struct node node;
+
+    (void)signal(SIGPIPE, SIG_IGN);
+    node.settings = *settings;
+    node.settings_path = path;
+    node.settings_changed = changed_at(path);
+    node.calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+    if (open_all(&node, st) != STATUS_OK) {
+        return st->kind;
+    }
+    log_event(LOG_INFO, "started",
+              "role=node name=%s hall=%s disk=%d first_start=%d seeds=%zu",
+              settings->name, settings->hall, settings->data[0] != '\0',
+              (int)settings->first_start, settings->seed_count);
+    node_act(&node);
+    loop_run();
+    node_close_http(&node);
+    node_stop_voter(&node);
+    log_event(LOG_INFO, "stopped", "name=%s", settings->name);
+    return STATUS_OK;
+}
--- /dev/null
+++ b/node.h
@@ -0,0 +1,92 @@
+/**
+ * @file node.h
+ * The process of a node: sockets and the loop around the cores. A node is an
+ * entry of a fleet that finds itself; with a disk it is also a voter, whose
+ * thread owns consensus and storage so that a slow disk holds up no packet.
+ */
+#ifndef RIDGERIDGE_NODE_H
+#define RIDGERIDGE_NODE_H
+
+#include <microhttpd.h>
+
+#include "counter.h"
+#include "evidence.h"
+#include "fleet.h"
+#include "node-settings.h"
+#include "status.h"
+#include "upstream.h"
+
+/** What the voter's thread has told. */
+struct node_voter {
+    bool running;      /**< there is a disk */
+    uint64_t identity; /**< of the disk, 0 until it was opened */
+    uint32_t leader;   /**< that the voter knows, 0: none */
+    uint64_t term;     /**< of it */
+};
+
+/** A node. */
+struct node {
+    struct node_settings settings;  /**< as loaded */
+    const char *settings_path;      /**< to be read again */
+    int64_t settings_changed;       /**< time of the file's last change */
+    uint64_t settings_at;           /**< deadline: look at it again */
+    struct counters counters;       /**< of the process */
+    struct upstream_set upstreams;  /**< the inventory */
+    struct evidence evidence;       /**< steering */
+    struct fleet fleet;             /**< other nodes */
+    struct node_voter voter;        /**< what its thread told */
+    int packets_fd;                 /**< UDP: callers and upstreams */
+    int peers_fd;                   /**< UDP: other nodes */
+    struct MHD_Daemon *http[3];     /**< ready, control, metrics */
+    GHashTable *calls;              /**< token to a suspended call */
+    uint64_t last_token;            /**< of calls */
+    uint64_t ticked_at;             /**< last tick, to notice a standstill */
+    uint64_t unready_at;            /**< stop: when it began, 0: not */
+    uint64_t end_at;                /**< stop: deadline of the end */
+};
+
+/** Runs a node until a planned stop is done. */
+enum status_kind node_run(struct node_settings *settings, const char *path,
+                          struct status *st);
+
+/** Carries out what the cores ask for, and sets the next wake-up. */
+void node_act(struct node *node);
+
+/** Says whether the fabric may send packets here. */
+bool node_is_ready(const struct node *node);
+
+/* node-packets.c */
+enum status_kind node_open_packets(struct node *node, struct status *st);
+
+/* node-peers.c */
+enum status_kind node_open_peers(struct node *node, struct status *st);
+void node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
+                       size_t length);
+
+/* node-http.c */
+enum status_kind node_open_http(struct node *node, struct status *st);
+void node_close_http(struct node *node);
+void node_poll_http(struct node *node);
+uint64_t node_http_deadline(struct node *node);
+/** Answers a call that waited for the voter. `table` may be NULL. */
+void node_answer(struct node *node, uint64_t token,
+                 const struct status *status, const wire_routes *table);
+
+/* node-voter.c */
+void node_start_voter(struct node *node);
+void node_stop_voter(struct node *node);
+void node_voter_receive(struct node *node, GByteArray *bytes);
+void node_voter_hear(struct node *node, const wire_node *disk);
+void node_voter_found(struct node *node);
+void node_voter_resign(struct node *node);
+void node_voter_submit(struct node *node, uint64_t token, const char *text,
+                       size_t length, uint64_t version);
+void node_voter_read(struct node *node, uint64_t token);
+
+/* node-pack.c */
+/** Deflates a document; free `packed` with g_free(). */
+void node_pack(const char *text, size_t length, wire_routes *out);
+/** Inflates a document; NULL when it is damaged. Free with g_free(). */
+char *node_unpack(const wire_routes *routes);
+
+#endif
--- a/ring.h
+++ b/ring.h
@@ -46,7 +46,23 @@
     X(UPSTREAM_SHED, "upstream-shed", "the upstream refused without running") \
     X(STOPPING, "stopping", "this entry is stopping")                         \
     X(CANCELLED, "cancelled", "the caller went away")                         \
-    X(BUDGET_SPENT, "budget-spent", "the retry budget is spent")
+    X(BUDGET_SPENT, "budget-spent", "the retry budget is spent")              \
+    X(EVIDENCE, "evidence", "the packet names its upstream")                  \
+    X(LEAST_WORK, "least-work",                                               \
+      "a new flow goes to the upstream with the least work for its slots")    \
+    X(SAME_AGAIN, "same-again",                                               \
+      "a repeated first packet goes where the first copy went")               \
+    X(MOVED_OFF, "moved-off",                                                 \
+      "the upstream of the first copy gave no sign of life; another one")     \
+    X(NO_ROUTE, "no-route", "no route has this address and port")             \
+    X(ROUTE_DROPPED, "route-dropped",                                         \
+      "a newer table dropped the route of this flow")                         \
+    X(NO_TABLE, "no-table", "no routing table is known yet")                  \
+    X(NO_EVIDENCE, "no-evidence", "the packet names no upstream")             \
+    X(UNKNOWN_EVIDENCE, "unknown-evidence",                                   \
+      "the upstream that the packet names is not known here")                 \
+    X(UPSTREAM_GONE, "upstream-gone",                                         \
+      "the upstream that the packet names has ended")
 
 /** A rule. */
 enum ring_rule {
--- /dev/null
+++ b/route.h
@@ -0,0 +1,69 @@
+/**
+ * @file route.h
+ * The routing table of a deployment whose upstreams register themselves: one
+ * version of which address and port leads to which services. Versions alone
+ * order tables: the highest wins. The text is read by whoever knows its form
+ * (see platform/); this module holds and looks up the result.
+ */
+#ifndef RIDGERIDGE_ROUTE_H
+#define RIDGERIDGE_ROUTE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define ROUTE_NAME_MAX 63
+
+/** Whether a request of a route may run twice. */
+enum route_kind { ROUTE_REPEATABLE, ROUTE_ONCE, ROUTE_BULK };
+
+/** One service that a route leads to. */
+struct route_target {
+    char service[ROUTE_NAME_MAX + 1]; /**< its name */
+    uint32_t weight;                  /**< share of new flows */
+    uint16_t handle;                  /**< set by who holds the inventory */
+};
+
+/** One route. */
+struct route {
+    char name[ROUTE_NAME_MAX + 1]; /**< for logs */
+    uint32_t address;              /**< IPv4 that callers use, host order */
+    uint16_t port;                 /**< port that callers use */
+    enum route_kind kind;          /**< what its requests are */
+    uint32_t priority;             /**< 0 is highest */
+    uint64_t deadline_ms;          /**< callers give up after it */
+    uint64_t objective_ms;         /**< answers are wanted within it */
+    struct route_target *targets;  /**< where new flows go */
+    size_t target_count;           /**< of targets */
+    uint64_t weight_sum;           /**< of the targets */
+};
+
+/** One version. */
+struct route_table {
+    uint64_t version;     /**< rises; 0: none yet */
+    GArray *routes;       /**< struct route */
+    GHashTable *by_place; /**< address << 16 | port to index + 1 */
+    uint64_t idle_ms;     /**< a flow that rested so long may go */
+};
+
+/** Makes an empty table. */
+struct route_table *route_new(void);
+
+/** Frees it. */
+void route_free(struct route_table *table);
+
+/**
+ * Adds a route, whose targets are taken over.
+ * @return false when its address and port are taken already
+ */
+bool route_add(struct route_table *table, struct route *route);
+
+/** Finds the route of an address and port; NULL when there is none. */
+const struct route *route_find(const struct route_table *table,
+                               uint32_t address, uint16_t port);
+
+/** Picks a target by weight; `hash` decides. */
+const struct route_target *route_pick(const struct route *route,
+                                      uint64_t hash);
+
+#endif
--- a/schema.c
+++ b/schema.c
@@ -14,6 +14,7 @@
 #include <string.h>
 #include <sys/stat.h>
 
+#include "address.h"
 #include "schema-scan.h"
 
 #define SCHEMA_PATH_MAX 128
@@ -84,6 +85,46 @@
     return STATUS_OK;
 }
 
+/* Reads seconds, whole or not, as milliseconds. */
+static enum status_kind
+read_seconds(struct reader *r, const struct schema_field *field,
+             json_object *value, const char *path, char *out)
+{
+    double seconds;
+    uint64_t stored;
+
+    if (!json_object_is_type(value, json_type_int) &&
+        !json_object_is_type(value, json_type_double)) {
+        return refuse(r, path, field, "is not a number of seconds");
+    }
+    seconds = json_object_get_double(value);
+    if (!(seconds >= 0.0 && seconds <= (double)field->max / 1000.0)) {
+        return refuse(r, path, field, "is out of range");
+    }
+    stored = (uint64_t)(seconds * 1000.0 + 0.5);
+    if (stored < field->min) {
+        return refuse(r, path, field, "is too short");
+    }
+    memcpy(out, &stored, sizeof(stored));
+    return STATUS_OK;
+}
+
+/* Reads an address and port. */
+static enum status_kind
+read_endpoint(struct reader *r, const struct schema_field *field,
+              json_object *value, const char *path, char *out)
+{
+    struct schema_endpoint at;
+
+    if (!json_object_is_type(value, json_type_string) ||
+        !address_parse(json_object_get_string(value), &at.address,
+                       &at.port)) {
+        return refuse(r, path, field, "is not an IPv4 address and port");
+    }
+    memcpy(out, &at, sizeof(at));
+    return STATUS_OK;
+}
+
 /* Reads a dotted quad. */
 static enum status_kind
 read_ipv4(struct reader *r, const struct schema_field *field,
@@ -176,6 +217,10 @@
     switch (field->type) {
     case SCHEMA_TEXT:
         return read_text(r, field, value, path, out);
+    case SCHEMA_SECONDS:
+        return read_seconds(r, field, value, path, out);
+    case SCHEMA_ENDPOINT:
+        return read_endpoint(r, field, value, path, out);
     case SCHEMA_UINT:
         return read_uint(r, field, value, path, out);
     case SCHEMA_IPV4:
@@ -204,7 +249,7 @@
             put_default(f, out + f->offset);
         }
     }
-    else if (field->type == SCHEMA_UINT) {
+    else if (field->type == SCHEMA_UINT || field->type == SCHEMA_SECONDS) {
         memcpy(out, &field->value, sizeof(field->value));
     }
     else if (field->type == SCHEMA_WORD) {
@@ -409,6 +454,10 @@
         return "string";
     case SCHEMA_UINT:
         return "whole number";
+    case SCHEMA_SECONDS:
+        return "seconds";
+    case SCHEMA_ENDPOINT:
+        return "IPv4 address and port";
     case SCHEMA_IPV4:
         return "IPv4 address";
     case SCHEMA_HEX:
@@ -433,6 +482,9 @@
     else if (f->type == SCHEMA_UINT) {
         (void)printf("%" PRIu64, f->value);
     }
+    else if (f->type == SCHEMA_SECONDS) {
+        (void)printf("%g", (double)f->value / 1000.0);
+    }
     else if (f->type == SCHEMA_WORD) {
         (void)printf("`%s`", f->words[f->value]);
     }
--- a/store.c
+++ b/store.c
@@ -16,7 +16,8 @@
 #include "hash.h"
 
 #define LOG_MAGIC 0x31474f4c52524952ULL      /* "RIRRLOG1" */
-#define RECORD_MAGIC 0x44434552U             /* "RECD" */
+#define RECORD_MAGIC 0x44434552U             /* "RECD": first of a sync */
+#define RECORD_NEXT_MAGIC 0x4e434552U        /* "RECN": more of that sync */
 #define VOTE_MAGIC 0x31544f5652524952ULL     /* "RIRRVOT1" */
 #define SNAPSHOT_MAGIC 0x31504e5352524952ULL /* "RIRRSNP1" */
 #define RECORD_MAX (8U * 1024 * 1024)
@@ -247,7 +248,8 @@
         return 0;
     }
     memcpy(out, bytes->data + at, sizeof(*out));
-    if (out->magic != RECORD_MAGIC || out->length > RECORD_MAX) {
+    if ((out->magic != RECORD_MAGIC && out->magic != RECORD_NEXT_MAGIC) ||
+        out->length > RECORD_MAX) {
         return -1;
     }
     if (left < sizeof(*out) + out->length) {
@@ -284,6 +286,22 @@
     return header->index == stored->snapshot.index + stored->log->len;
 }
 
+/* Says whether a record that begins a later sync follows a bad place: then
+ * the bad place had been synced, and is damage rather than a torn write. */
+static bool
+is_proved_synced(const GByteArray *bytes, size_t bad)
+{
+    struct record_header header;
+
+    for (size_t at = bad + 1; at + sizeof(header) <= bytes->len; at++) {
+        if (read_record(bytes, at, &header) > 0 &&
+            header.magic == RECORD_MAGIC) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Reads the records of the log; cuts a torn tail, refuses damage. */
 static enum status_kind
 load_records(struct store *store, const GByteArray *bytes,
@@ -296,6 +314,9 @@
         struct record_header header;
         ssize_t length = read_record(bytes, at, &header);
 
+        if (length <= 0 && store->tail == STORE_TAIL_TORN) {
+            length = is_proved_synced(bytes, at) ? -1 : 0;
+        }
         if (length < 0 ||
             (length > 0 &&
              !take_record(store, &header, bytes->data + at + sizeof(header),
@@ -421,10 +442,11 @@
 
 /* Opens a data folder. */
 enum status_kind
-store_open(struct store *store, const char *path, struct cons_stored *stored,
-           struct status *st)
+store_open(struct store *store, const char *path, enum store_tail tail,
+           struct cons_stored *stored, struct status *st)
 {
     memset(store, 0, sizeof(*store));
+    store->tail = tail;
     memset(stored, 0, sizeof(*stored));
     st->kind = STATUS_OK;
     store->log = -1;
@@ -441,6 +463,42 @@
     return drop_stale_log(store, stored, st);
 }
 
+/* Makes an empty folder the founder's. */
+enum status_kind
+store_found(struct store *store, uint32_t replica, struct status *st)
+{
+    uint64_t identity = replica;
+
+    if (store_write_file(store->folder, "identity", &identity,
+                         sizeof(identity), st) == STATUS_OK) {
+        store->identity = identity;
+        store->founder = true;
+    }
+    return st->kind;
+}
+
+/* Removes the state of a damaged folder. */
+enum status_kind
+store_wipe(const char *path, struct status *st)
+{
+    static const char *const names[] = {"identity", "vote", "snapshot", "log"};
+    int folder = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+
+    if (folder < 0) {
+        return io_error(st, "open", path);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (unlinkat(folder, names[i], 0) != 0 && errno != ENOENT) {
+            (void)io_error(st, "remove", names[i]);
+        }
+    }
+    if (fsync(folder) != 0) {
+        (void)io_error(st, "sync", path);
+    }
+    (void)close(folder);
+    return st->kind;
+}
+
 /* Makes the folder of a founder. */
 enum status_kind
 store_init(const char *path, uint32_t replica, struct status *st)
@@ -495,11 +553,12 @@
 
 /* Adds one record to a buffer. */
 static void
-pack_record(GByteArray *out, uint64_t index, const struct cons_entry *entry)
+pack_record(GByteArray *out, uint32_t magic, uint64_t index,
+            const struct cons_entry *entry)
 {
     gsize length = 0;
     const void *command = g_bytes_get_data(entry->command, &length);
-    struct record_header header = {.magic = RECORD_MAGIC,
+    struct record_header header = {.magic = magic,
                                    .length = (uint32_t)length,
                                    .index = index,
                                    .term = entry->term};
@@ -552,7 +611,8 @@
     for (uint32_t i = 0; i < count; i++) {
         off_t next;
 
-        pack_record(out, index + i, cons_entry_at(cons, index + i));
+        pack_record(out, i == 0 ? RECORD_MAGIC : RECORD_NEXT_MAGIC, index + i,
+                    cons_entry_at(cons, index + i));
         next = end + (off_t)out->len;
         g_array_append_val(store->offsets, next);
     }
@@ -608,7 +668,8 @@
 
         g_array_append_val(store->offsets, at);
         if (i <= cons_last_index(cons)) {
-            pack_record(out, i, cons_entry_at(cons, i));
+            pack_record(out, i == first ? RECORD_MAGIC : RECORD_NEXT_MAGIC, i,
+                        cons_entry_at(cons, i));
         }
     }
     store->first = first;
--- a/store.h
+++ b/store.h
@@ -14,6 +14,13 @@
 #include "cons.h"
 #include "status.h"
 
+/** What a bad record at the end of the log means. */
+enum store_tail {
+    STORE_TAIL_STRICT, /**< damage: an operator looks at the disk */
+    STORE_TAIL_TORN    /**< a write cut by a loss of power, unless a later
+                            batch proves that it was synced */
+};
+
 /** An open data folder. */
 struct store {
     char path[256];     /**< the folder */
@@ -24,6 +31,7 @@
     GArray *offsets;    /**< off_t of each record, and of the end */
     uint64_t identity;  /**< of this disk */
     bool founder;       /**< the folder was made by init */
+    enum store_tail tail; /**< how a bad end is taken */
     uint64_t cut_bytes; /**< of a torn tail, cut at open */
 };
 
@@ -33,7 +41,15 @@
  * @return STATUS_DAMAGED when a record inside the log is damaged
  */
 enum status_kind store_open(struct store *store, const char *path,
-                            struct cons_stored *stored, struct status *st);
+                            enum store_tail tail, struct cons_stored *stored,
+                            struct status *st);
+
+/** Makes an empty, open folder the founder's: its identity is its number. */
+enum status_kind store_found(struct store *store, uint32_t replica,
+                             struct status *st);
+
+/** Removes the state of a damaged folder: the next open is a new disk. */
+enum status_kind store_wipe(const char *path, struct status *st);
 
 /** Makes the folder of a founding replica: its identity is its number. */
 enum status_kind store_init(const char *path, uint32_t replica,
--- /dev/null
+++ b/upstream.c
@@ -0,0 +1,341 @@
+/*
+ * Records of upstreams that register themselves: merging, expiry, digests.
+ * Knows nothing of packets, members or sockets.
+ */
+#include "upstream.h"
+
+#include <string.h>
+
+#include "hash.h"
+
+/* Registrations that may stay away before an upstream counts as silent: one
+ * may be lost on its way and the next may wait for another node. */
+#define MISSED_INTERVALS 3
+
+/* Makes an empty inventory. */
+void
+upstream_open(struct upstream_set *set, uint32_t self, uint64_t interval_ms)
+{
+    memset(set, 0, sizeof(*set));
+    set->self = self;
+    set->interval_ms = interval_ms;
+    set->all = g_ptr_array_new_with_free_func(g_free);
+    set->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+    set->by_token = g_hash_table_new(g_direct_hash, g_direct_equal);
+    set->services = g_ptr_array_new_with_free_func(g_free);
+    set->changed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+}
+
+/* Frees it. */
+void
+upstream_close(struct upstream_set *set)
+{
+    g_hash_table_destroy(set->by_id);
+    g_hash_table_destroy(set->by_token);
+    g_ptr_array_free(set->all, TRUE);
+    g_ptr_array_free(set->services, TRUE);
+    g_array_free(set->changed, TRUE);
+}
+
+/* Handle of a service's name. */
+uint16_t
+upstream_service(struct upstream_set *set, const char *name)
+{
+    for (guint i = 0; i < set->services->len; i++) {
+        if (strcmp(g_ptr_array_index(set->services, i), name) == 0) {
+            return (uint16_t)i;
+        }
+    }
+    if (set->services->len == UPSTREAM_NO_SERVICE) {
+        return UPSTREAM_NO_SERVICE;
+    }
+    g_ptr_array_add(set->services, g_strdup(name));
+    return (uint16_t)(set->services->len - 1);
+}
+
+/* Name of a handle. */
+const char *
+upstream_service_name(const struct upstream_set *set, uint16_t service)
+{
+    return service < set->services->len
+               ? g_ptr_array_index(set->services, service)
+               : "";
+}
+
+/* Token of an incarnation. */
+uint32_t
+upstream_token(uint64_t id)
+{
+    uint32_t token = (uint32_t)hash_pair(HASH_UPSTREAM, id, 0);
+
+    return token != 0 ? token : 1;
+}
+
+/* Finds by token. */
+struct upstream *
+upstream_by_token(const struct upstream_set *set, uint32_t token)
+{
+    return g_hash_table_lookup(set->by_token, GUINT_TO_POINTER(token));
+}
+
+/* Finds by id. */
+struct upstream *
+upstream_by_id(const struct upstream_set *set, uint64_t id)
+{
+    return g_hash_table_lookup(set->by_id, &id);
+}
+
+/* Notes that a record must be spread. */
+static void
+note_change(struct upstream_set *set, const struct upstream *upstream)
+{
+    g_array_append_val(set->changed, upstream->id);
+}
+
+/* Makes a record. Of two incarnations with one token the older keeps it; the
+ * newer is never found by its token, so it is not chosen either. */
+static struct upstream *
+add_upstream(struct upstream_set *set, uint64_t id)
+{
+    struct upstream *upstream = g_new0(struct upstream, 1);
+
+    upstream->id = id;
+    upstream->token = upstream_token(id);
+    g_ptr_array_add(set->all, upstream);
+    g_hash_table_insert(set->by_id, &upstream->id, upstream);
+    if (upstream_by_token(set, upstream->token) == NULL) {
+        g_hash_table_insert(set->by_token,
+                            GUINT_TO_POINTER(upstream->token), upstream);
+    }
+    return upstream;
+}
+
+/* Drops a record. */
+static void
+drop_upstream(struct upstream_set *set, struct upstream *upstream)
+{
+    g_hash_table_remove(set->by_id, &upstream->id);
+    if (upstream_by_token(set, upstream->token) == upstream) {
+        g_hash_table_remove(set->by_token, GUINT_TO_POINTER(upstream->token));
+    }
+    g_ptr_array_remove_fast(set->all, upstream);
+}
+
+/* Deadline by which the next registration must have come. */
+static uint64_t
+next_expiry(const struct upstream_set *set, uint64_t now)
+{
+    return now + MISSED_INTERVALS * set->interval_ms;
+}
+
+/* Says whether a state and sequence replace those that are believed. */
+static bool
+is_newer(const struct upstream *upstream, enum upstream_state state,
+         uint64_t sequence)
+{
+    if (upstream->state == UPSTREAM_GONE || state == UPSTREAM_GONE) {
+        return upstream->state != UPSTREAM_GONE;
+    }
+    if (sequence != upstream->sequence) {
+        return sequence > upstream->sequence;
+    }
+    return state > upstream->state;
+}
+
+/* Takes a registration. */
+void
+upstream_register(struct upstream_set *set, uint64_t now,
+                  const struct upstream_registration *r)
+{
+    struct upstream *upstream = upstream_by_id(set, r->id);
+    enum upstream_state state = r->leaving ? UPSTREAM_LEAVING : UPSTREAM_READY;
+    bool is_new = upstream == NULL;
+    bool differs;
+
+    if (is_new) {
+        upstream = add_upstream(set, r->id);
+    }
+    else if (!is_newer(upstream, state, r->sequence)) {
+        return;
+    }
+    differs = is_new || upstream->state != state ||
+              upstream->keeper != set->self ||
+              upstream->address != r->address || upstream->port != r->port;
+    upstream->service = upstream_service(set, r->service);
+    g_strlcpy(upstream->hall, r->hall, sizeof(upstream->hall));
+    upstream->address = r->address;
+    upstream->port = r->port;
+    upstream->slots = MAX(r->slots, 1);
+    upstream->state = state;
+    upstream->sequence = r->sequence;
+    upstream->keeper = set->self;
+    upstream->warm_at = now + r->warm_ms;
+    upstream->expire_at = next_expiry(set, now);
+    if (differs) {
+        note_change(set, upstream);
+    }
+}
+
+/* Marks a record gone. */
+static void
+set_gone(struct upstream *upstream, uint64_t now)
+{
+    upstream->state = UPSTREAM_GONE;
+    upstream->expire_at = 0;
+    upstream->forget_at = now + UPSTREAM_GONE_MS;
+}
+
+/* Takes an upstream's word that it ends. */
+void
+upstream_deregister(struct upstream_set *set, uint64_t now, uint64_t id)
+{
+    struct upstream *upstream = upstream_by_id(set, id);
+
+    if (upstream == NULL) {
+        upstream = add_upstream(set, id);
+        upstream->service = UPSTREAM_NO_SERVICE;
+    }
+    if (upstream->state != UPSTREAM_GONE) {
+        set_gone(upstream, now);
+        note_change(set, upstream);
+    }
+}
+
+/* Takes a record of another node. */
+bool
+upstream_merge(struct upstream_set *set, uint64_t now,
+               const wire_upstream *record)
+{
+    struct upstream *upstream = upstream_by_id(set, record->id);
+    bool is_new = upstream == NULL;
+    bool differs;
+
+    if (record->state > UPSTREAM_GONE ||
+        (!is_new && !is_newer(upstream, (enum upstream_state)record->state,
+                              record->sequence))) {
+        return false;
+    }
+    if (is_new) {
+        upstream = add_upstream(set, record->id);
+    }
+    differs = is_new || upstream->state != record->state ||
+              upstream->keeper != record->keeper;
+    upstream->service = upstream_service(set, record->service);
+    g_strlcpy(upstream->hall, record->hall, sizeof(upstream->hall));
+    upstream->address = record->address;
+    upstream->port = (uint16_t)record->port;
+    upstream->slots = MAX(record->slots, 1);
+    upstream->state = (enum upstream_state)record->state;
+    upstream->sequence = record->sequence;
+    upstream->keeper = record->keeper;
+    upstream->warm_at = now + record->warm_ms;
+    /* What this node heard before it was restarted, it watches again. */
+    upstream->expire_at = upstream->keeper == set->self &&
+                                  upstream->state < UPSTREAM_SILENT
+                              ? next_expiry(set, now)
+                              : 0;
+    if (upstream->state == UPSTREAM_GONE) {
+        set_gone(upstream, now);
+    }
+    return differs;
+}
+
+/* Lets time pass. */
+void
+upstream_tick(struct upstream_set *set, uint64_t now)
+{
+    for (guint i = set->all->len; i > 0; i--) {
+        struct upstream *upstream = g_ptr_array_index(set->all, i - 1);
+
+        if (upstream->state == UPSTREAM_GONE) {
+            if (now >= upstream->forget_at) {
+                drop_upstream(set, upstream);
+            }
+        }
+        else if (upstream->expire_at != 0 && now >= upstream->expire_at) {
+            upstream->expire_at = 0;
+            upstream->state = UPSTREAM_SILENT;
+            note_change(set, upstream);
+        }
+    }
+}
+
+/* Earliest deadline. */
+uint64_t
+upstream_deadline(const struct upstream_set *set)
+{
+    uint64_t at = UINT64_MAX;
+
+    for (guint i = 0; i < set->all->len; i++) {
+        const struct upstream *upstream = g_ptr_array_index(set->all, i);
+
+        if (upstream->state != UPSTREAM_GONE && upstream->expire_at != 0) {
+            at = MIN(at, upstream->expire_at);
+        }
+    }
+    return at;
+}
+
+/* Puts off what is to be noticed. */
+void
+upstream_excuse(struct upstream_set *set, uint64_t now, uint64_t gap)
+{
+    for (guint i = 0; i < set->all->len; i++) {
+        struct upstream *upstream = g_ptr_array_index(set->all, i);
+
+        if (upstream->expire_at != 0) {
+            upstream->expire_at =
+                MAX(upstream->expire_at + gap, next_expiry(set, now));
+        }
+    }
+}
+
+/* Watches what a lost keeper watched. */
+void
+upstream_adopt(struct upstream_set *set, uint32_t keeper, uint64_t deadline)
+{
+    for (guint i = 0; i < set->all->len; i++) {
+        struct upstream *upstream = g_ptr_array_index(set->all, i);
+
+        if (upstream->keeper == keeper && upstream->expire_at == 0 &&
+            upstream->state < UPSTREAM_SILENT) {
+            upstream->expire_at = deadline;
+        }
+    }
+}
+
+/* Digests by bucket: who, what state, heard by whom. The sequence is left
+ * out, since it rises all the time. */
+void
+upstream_digests(const struct upstream_set *set, uint32_t out[WIRE_BUCKETS])
+{
+    memset(out, 0, WIRE_BUCKETS * sizeof(*out));
+    for (guint i = 0; i < set->all->len; i++) {
+        const struct upstream *upstream = g_ptr_array_index(set->all, i);
+        uint64_t about = (uint64_t)upstream->state << 32 |
+                         (upstream->state == UPSTREAM_GONE ? 0
+                                                           : upstream->keeper);
+
+        out[upstream->token % WIRE_BUCKETS] +=
+            (uint32_t)hash_pair(HASH_UPSTREAM, upstream->id, about);
+    }
+}
+
+/* Fills a record for the wire. */
+void
+upstream_pack(const struct upstream_set *set, uint64_t now,
+              const struct upstream *upstream, wire_upstream *out)
+{
+    *out = (wire_upstream){
+        .id = upstream->id,
+        .sequence = upstream->sequence,
+        .address = upstream->address,
+        .port = upstream->port,
+        .slots = upstream->slots,
+        .state = upstream->state,
+        .warm_ms =
+            upstream->warm_at > now ? (u_int)(upstream->warm_at - now) : 0,
+        .keeper = upstream->keeper,
+        .service = (char *)upstream_service_name(set, upstream->service),
+        .hall = (char *)upstream->hall};
+}
--- /dev/null
+++ b/upstream.h
@@ -0,0 +1,139 @@
+/**
+ * @file upstream.h
+ * The inventory of upstreams that register themselves, beside the bundle:
+ * one record for each incarnation, merged by a rule that does not depend on
+ * the order of arrival, so that every node ends with the same. Does no I/O;
+ * the caller spreads what upstream_changes() lists.
+ */
+#ifndef RIDGERIDGE_UPSTREAM_H
+#define RIDGERIDGE_UPSTREAM_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "generated/wire.h"
+
+#define UPSTREAM_NAME_MAX 63
+#define UPSTREAM_GONE_MS 60000U /**< a gone record is kept this long, so that
+                                     no late message brings it back */
+#define UPSTREAM_NO_SERVICE UINT16_MAX
+
+/** What is believed of an incarnation; at equal sequence the higher wins. */
+enum upstream_state {
+    UPSTREAM_READY,   /**< takes new flows */
+    UPSTREAM_LEAVING, /**< keeps its flows, takes no new ones */
+    UPSTREAM_SILENT,  /**< its registrations stayed away */
+    UPSTREAM_GONE     /**< it said that it ends; never comes back */
+};
+
+/** What an upstream says when it registers. */
+struct upstream_registration {
+    uint64_t id;                         /**< of this incarnation */
+    char service[UPSTREAM_NAME_MAX + 1]; /**< which it serves */
+    char hall[UPSTREAM_NAME_MAX + 1];    /**< data hall it runs in */
+    uint32_t address;                    /**< IPv4, host order */
+    uint16_t port;                       /**< where packets go */
+    uint32_t slots;                      /**< requests it runs at once */
+    bool leaving;                        /**< it is about to end */
+    uint32_t warm_ms;                    /**< how much longer it is slow */
+    uint64_t sequence;                   /**< rises with each registration */
+};
+
+/** One incarnation. */
+struct upstream {
+    uint64_t id;                      /**< as registered */
+    uint32_t token;                   /**< names it in packets; never 0 */
+    uint16_t service;                 /**< handle of its service's name */
+    char hall[UPSTREAM_NAME_MAX + 1]; /**< data hall */
+    uint32_t address;                 /**< IPv4, host order */
+    uint16_t port;                    /**< UDP */
+    uint32_t slots;                   /**< requests it runs at once */
+    enum upstream_state state;        /**< what is believed */
+    uint64_t sequence;                /**< of the registration believed */
+    uint32_t keeper;                  /**< node that hears it, by address */
+    uint64_t warm_at;                 /**< deadline: slow until then */
+    uint64_t expire_at;               /**< deadline: silent then; 0: another
+                                           node watches it */
+    uint64_t forget_at;               /**< GONE: dropped then */
+    uint64_t suspect_until;           /**< no new flows until then: packets
+                                           to it went without an answer */
+    uint32_t open;                    /**< flows of this node that are open */
+    uint32_t busy;                    /**< of those, awaiting an answer */
+};
+
+/** The inventory of one node. */
+struct upstream_set {
+    uint32_t self;        /**< this node's address */
+    uint64_t interval_ms; /**< between the registrations of an upstream */
+    GPtrArray *all;       /**< struct upstream, by handle */
+    GHashTable *by_id;    /**< uint64_t to struct upstream */
+    GHashTable *by_token; /**< uint32_t to struct upstream */
+    GPtrArray *services;  /**< names, by handle */
+    GArray *changed;      /**< uint64_t: ids to be spread */
+    uint64_t digest_at;   /**< changes of the inventory so far */
+};
+
+/** Makes an empty inventory. */
+void upstream_open(struct upstream_set *set, uint32_t self,
+                   uint64_t interval_ms);
+
+/** Frees it. */
+void upstream_close(struct upstream_set *set);
+
+/** Handle of a service's name, made when it is new. */
+uint16_t upstream_service(struct upstream_set *set, const char *name);
+
+/** Name of a service's handle. */
+const char *upstream_service_name(const struct upstream_set *set,
+                                  uint16_t service);
+
+/** Token of an incarnation: a hash of its id that is never 0. */
+uint32_t upstream_token(uint64_t id);
+
+/**
+ * Takes a registration heard by this node, which from now on watches the
+ * incarnation. A late one, by its sequence, changes nothing.
+ */
+void upstream_register(struct upstream_set *set, uint64_t now,
+                       const struct upstream_registration *registration);
+
+/** Takes an upstream's word that it ends. */
+void upstream_deregister(struct upstream_set *set, uint64_t now, uint64_t id);
+
+/** Takes a record of another node; true when it told something new. */
+bool upstream_merge(struct upstream_set *set, uint64_t now,
+                    const wire_upstream *record);
+
+/** Lets time pass: what this node watches and does not hear is silent. */
+void upstream_tick(struct upstream_set *set, uint64_t now);
+
+/** Earliest deadline, UINT64_MAX when there is none. */
+uint64_t upstream_deadline(const struct upstream_set *set);
+
+/** Puts off what is to be noticed, after this process itself stood still. */
+void upstream_excuse(struct upstream_set *set, uint64_t now, uint64_t gap);
+
+/**
+ * Watches upstreams whose keeper is lost: unless another node hears them
+ * before `deadline`, they are silent.
+ */
+void upstream_adopt(struct upstream_set *set, uint32_t keeper,
+                    uint64_t deadline);
+
+/** Finds an incarnation by the token in a packet; NULL when unknown. */
+struct upstream *upstream_by_token(const struct upstream_set *set,
+                                   uint32_t token);
+
+/** Finds an incarnation by id; NULL when unknown. */
+struct upstream *upstream_by_id(const struct upstream_set *set, uint64_t id);
+
+/** Digests of the records, by bucket, so that two nodes can compare. */
+void upstream_digests(const struct upstream_set *set,
+                      uint32_t out[WIRE_BUCKETS]);
+
+/** Fills a record for the wire; its strings are borrowed. */
+void upstream_pack(const struct upstream_set *set, uint64_t now,
+                   const struct upstream *upstream, wire_upstream *out);
+
+#endif
