order: count the own disk, so that three disks make three voters

Ruled out: elections (no voter but the founder was in the log at all). Change: the own disk counts; disks count for growth only when fresh; a voter gone for good that no disk can replace is dropped.

--- a/order.c
+++ b/order.c
@@ -358,25 +358,30 @@
     return true;
 }
 
-/* How many voters are wanted: as many as there are disks, but an odd number,
- * since an even one survives no more losses than the odd one below it. */
+/* How many voters are wanted: as many as there are disks, the own one with
+ * them, but an odd number, since an even one survives no more losses than the
+ * odd one below it. */
 static u_int
-wanted_voters(const struct order *order)
+wanted_voters(const struct order *order, uint64_t now)
 {
-    u_int disks = (u_int)MIN(order->disk_count, CONS_REPLICAS_MAX);
+    u_int disks = 1;
 
-    return disks % 2 == 0 && disks > 0 ? disks - 1 : MAX(disks, 1);
+    for (size_t i = 0; i < order->disk_count; i++) {
+        disks += now <= order->disks[i].heard_at + ORDER_FRESH_MS;
+    }
+    disks = MIN(disks, CONS_REPLICAS_MAX);
+    return disks % 2 == 0 ? disks - 1 : disks;
 }
 
 /* Adds voters until there are as many as wanted, two at a time so that the
  * number stays odd. Returns true when the list changed. */
 static bool
-grow_voters(struct order *order, wire_config *config)
+grow_voters(struct order *order, uint64_t now, wire_config *config)
 {
     u_int before = config->voters.voters_len;
     const struct order_disk *spare;
 
-    while (config->voters.voters_len < wanted_voters(order) &&
+    while (config->voters.voters_len < wanted_voters(order, now) &&
            (spare = next_spare(order, config)) != NULL) {
         config->voters.voters_val[config->voters.voters_len++] = (wire_voter){
             .replica = spare->replica, .identity = spare->identity};
@@ -388,6 +393,50 @@
     return config->voters.voters_len != before;
 }
 
+/* Takes one voter off a list. */
+static void
+drop_voter(wire_config *config, u_int place)
+{
+    config->voters.voters_len--;
+    config->voters.voters_val[place] =
+        config->voters.voters_val[config->voters.voters_len];
+}
+
+/* Drops a voter that is gone and that no disk can replace, and another one so
+ * that the number stays odd. Returns true when the list changed. */
+static bool
+shrink_voters(struct order *order, uint64_t now, wire_config *config)
+{
+    u_int count = config->voters.voters_len;
+    u_int dead = count;
+    u_int other = count;
+
+    if (count <= wanted_voters(order, now) ||
+        now <= order->cons.elected_at + ORDER_SHRINK_MS) {
+        return false;
+    }
+    for (u_int i = 0; i < count; i++) {
+        uint32_t replica = config->voters.voters_val[i].replica;
+
+        if (replica == order->cons.self) {
+            continue;
+        }
+        if (dead == count &&
+            now > voter_heard_at(order, replica) + ORDER_SHRINK_MS) {
+            dead = i;
+        }
+        else {
+            other = i;
+        }
+    }
+    if (dead == count || other == count) {
+        return false;
+    }
+    drop_voter(config, MAX(dead, other));
+    drop_voter(config, MIN(dead, other));
+    return true;
+}
+
 /* LEADER: proposes a better list of voters, one change at a time. */
 static void
 mend_voters(struct order *order, uint64_t now)
@@ -410,7 +459,8 @@
     for (u_int i = 0; i < config->voters.voters_len && !changed; i++) {
         changed = mend_voter(order, now, config, &voters[i]);
     }
-    if (changed || grow_voters(order, config)) {
+    if (changed || grow_voters(order, now, config) ||
+        shrink_voters(order, now, config)) {
         (void)cons_propose(&order->cons, now, &command);
     }
 }
--- /dev/null
+++ b/tests/fleet-sim.c
@@ -0,0 +1,665 @@
+/* Simulated time over the nodes of a fleet. */
+#include "fleet-sim.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "codec.h"
+
+#define STEP_MS 5
+#define DELAY_MS 1
+#define JITTER_MS 3
+#define FIRST_ADDRESS 0x0a010010U
+#define BEAT_TRY_MS 1000
+
+/* A message under way. */
+struct flight {
+    uint64_t at;
+    int from;
+    int to;
+    GByteArray *bytes;
+};
+
+/* Random number below a bound; any when it is 0. */
+uint64_t
+fleet_sim_random(struct fleet_sim *sim, uint64_t below)
+{
+    uint64_t z = (sim->random += 0x9e3779b97f4a7c15ULL);
+
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    z ^= z >> 31;
+    return below ? z % below : z;
+}
+
+/* Notes the first broken promise. */
+void
+fleet_sim_note(struct fleet_sim *sim, const char *format, ...)
+{
+    va_list args;
+
+    if (sim->broken[0] != '\0') {
+        return;
+    }
+    va_start(args, format);
+    (void)vsnprintf(sim->broken, sizeof(sim->broken), format, args);
+    va_end(args);
+}
+
+/* Node at an address, -1 when there is none. */
+static int
+node_at(const struct fleet_sim *sim, uint32_t address)
+{
+    for (int i = 0; i < sim->count; i++) {
+        if (sim->nodes[i].address == address) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Says whether a node runs now. */
+static bool
+is_running(const struct fleet_sim *sim, int n)
+{
+    return sim->nodes[n].up && sim->now >= sim->nodes[n].frozen_until;
+}
+
+/* Sends bytes. */
+static void
+send_bytes(struct fleet_sim *sim, int from, uint32_t to_address,
+           const GByteArray *bytes)
+{
+    struct flight flight = {.from = from, .to = node_at(sim, to_address)};
+
+    sim->bytes += bytes->len;
+    if (flight.to < 0 || sim->cut[from][flight.to] ||
+        fleet_sim_random(sim, 1000) < sim->options.loss) {
+        return;
+    }
+    flight.at =
+        sim->now + DELAY_MS + fleet_sim_random(sim, JITTER_MS + 1);
+    flight.bytes = g_byte_array_ref((GByteArray *)bytes);
+    g_array_append_val(sim->queue, flight);
+}
+
+/* Carries out an action of consensus. */
+static void
+act_cons(struct fleet_sim *sim, int n, struct cons_action *action)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+    const struct cons *cons = &node->order.cons;
+    GByteArray *bytes;
+
+    switch (action->kind) {
+    case CONS_SAVE_TERM:
+        node->disk.term = cons->term;
+        node->disk.vote = cons->vote;
+        return;
+    case CONS_SAVE_ENTRIES:
+        sim_disk_append(&node->disk, cons, action->index, action->count);
+        return;
+    case CONS_SAVE_CUT:
+        sim_disk_cut(&node->disk, action->index);
+        return;
+    case CONS_SAVE_SNAPSHOT:
+        sim_disk_snapshot(&node->disk, cons);
+        return;
+    case CONS_SEND:
+        bytes = codec_encode(&action->msg);
+        send_bytes(sim, n, action->to, bytes);
+        g_byte_array_unref(bytes);
+        return;
+    case CONS_LOAD:
+        return;
+    }
+}
+
+/* Takes an answer to an operator. */
+static void
+take_reply(struct fleet_sim *sim, int n, const struct order_action *action)
+{
+    uint64_t *wait = g_hash_table_lookup(sim->waiting, &action->token);
+    uint64_t version = wait != NULL ? *wait : 0;
+
+    if (action->status.kind != STATUS_OK) {
+        sim->refusals++;
+        return;
+    }
+    sim->answers++;
+    if (action->with_table) {
+        sim->read = sim->nodes[n].order.version;
+        if (sim->read < version) {
+            fleet_sim_note(sim,
+                           "read %llu at %llu ms after %llu was acknowledged",
+                           (unsigned long long)sim->read,
+                           (unsigned long long)sim->now,
+                           (unsigned long long)version);
+        }
+        return;
+    }
+    sim->acked = MAX(sim->acked, version);
+}
+
+static void start_order(struct fleet_sim *sim, int n);
+
+/* Becomes the founder. */
+static void
+found(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+
+    if (cons_last_index(&node->order.cons) > 0 ||
+        node->order.cons.leader != 0) {
+        return;
+    }
+    node->disk.identity = node->address;
+    node->fleet.self.identity = node->address;
+    order_close(&node->order);
+    start_order(sim, n);
+}
+
+/* Says who leads. */
+static void
+tell_leader(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+    const struct cons *cons = &node->order.cons;
+    bool leads = cons->role == CONS_LEADER && cons_is_ready(cons);
+
+    if (leads || cons->role != CONS_LEADER) {
+        fleet_set_leader(&node->fleet, sim->now, cons->term, cons->leader);
+    }
+}
+
+/* Takes a committed table. */
+static void
+apply_order(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+    gsize length = 0;
+    const void *bytes = g_bytes_get_data(node->order.routes, &length);
+    wire_command command;
+
+    g_assert_true(codec_decode_command(bytes, length, &command));
+    (void)fleet_set_routes(&node->fleet, sim->now,
+                           &command.wire_command_u.routes);
+    codec_free_command(&command);
+}
+
+/* Carries out the actions of a voter. */
+static void
+act_order(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+    size_t count;
+    const struct order_action *all = order_actions(&node->order, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        struct order_action action = all[i];
+
+        switch (action.kind) {
+        case ORDER_CONS:
+            act_cons(sim, n, &action.cons);
+            break;
+        case ORDER_REPLY:
+            take_reply(sim, n, &action);
+            break;
+        case ORDER_APPLY:
+            apply_order(sim, n);
+            break;
+        }
+    }
+    order_clear(&node->order);
+    tell_leader(sim, n);
+}
+
+/* Carries out a node's actions. */
+static void
+act(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+    bool founds = false;
+    size_t count;
+    struct fleet_action *all;
+
+    if (node->has_disk) {
+        act_order(sim, n);
+    }
+    if (node->upstreams.changed->len > 0) {
+        fleet_spread(&node->fleet, sim->now);
+    }
+    all = fleet_actions(&node->fleet, &count);
+    for (size_t i = 0; i < count; i++) {
+        switch (all[i].kind) {
+        case FLEET_SEND:
+            send_bytes(sim, n, all[i].to, all[i].bytes);
+            break;
+        case FLEET_DISK:
+            if (node->has_disk) {
+                order_hear(&node->order, sim->now, all[i].node.address,
+                           all[i].node.identity);
+            }
+            break;
+        case FLEET_FOUND:
+            founds = node->has_disk;
+            break;
+        case FLEET_TABLE:
+            if (all[i].version < node->version_seen) {
+                fleet_sim_note(sim, "node %d went back to version %llu", n,
+                               (unsigned long long)all[i].version);
+            }
+            node->version_seen = all[i].version;
+            break;
+        }
+    }
+    fleet_clear(&node->fleet);
+    if (founds) {
+        found(sim, n);
+    }
+    node->evidence.settled = node->fleet.settled;
+}
+
+/* Starts a voter from its disk. */
+static void
+start_order(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+    struct cons_stored stored;
+
+    sim_disk_load(&node->disk, &stored);
+    order_open(&node->order, sim->now, node->address, node->disk.identity,
+               node->disk.identity == node->address,
+               fleet_sim_random(sim, 0), &stored, &node->counters);
+}
+
+/* Starts a node. */
+static void
+start_node(struct fleet_sim *sim, int n, bool first_start)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+    struct fleet_options options = {
+        .address = node->address,
+        .incarnation = fleet_sim_random(sim, 0),
+        .identity = node->has_disk ? node->disk.identity : 0,
+        .first_start = first_start,
+        .seed = fleet_sim_random(sim, 0)};
+    uint32_t seeds[3];
+    size_t count = 0;
+
+    for (int i = 0; i < sim->count && count < 3; i++) {
+        if (!sim->nodes[i].gone) {
+            seeds[count++] = sim->nodes[i].address;
+        }
+    }
+    node->up = true;
+    node->version_seen = 0;
+    upstream_open(&node->upstreams, node->address, FLEET_SIM_INTERVAL_MS);
+    evidence_open(&node->evidence, &node->upstreams, &node->counters, 60000,
+                  0);
+    fleet_open(&node->fleet, sim->now, &options, &node->upstreams);
+    fleet_set_seeds(&node->fleet, seeds, count);
+    if (node->has_disk) {
+        const wire_config *config;
+
+        start_order(sim, n);
+        config = cons_config(&node->order.cons);
+        for (u_int i = 0; i < config->voters.voters_len; i++) {
+            fleet_add_contact(&node->fleet,
+                              config->voters.voters_val[i].replica);
+        }
+    }
+}
+
+/* Kills a node; its disk stays. */
+void
+fleet_sim_kill(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+
+    if (!node->up) {
+        return;
+    }
+    node->up = false;
+    node->frozen_until = 0;
+    if (node->has_disk) {
+        order_close(&node->order);
+    }
+    fleet_close(&node->fleet);
+    evidence_close(&node->evidence);
+    upstream_close(&node->upstreams);
+}
+
+/* Starts a node again. */
+void
+fleet_sim_start(struct fleet_sim *sim, int n)
+{
+    if (!sim->nodes[n].up && !sim->nodes[n].gone) {
+        start_node(sim, n, false);
+    }
+}
+
+/* Kills a node and loses its disk. */
+void
+fleet_sim_wipe(struct fleet_sim *sim, int n)
+{
+    fleet_sim_kill(sim, n);
+    sim_disk_wipe(&sim->nodes[n].disk);
+    sim->nodes[n].disk.identity = fleet_sim_random(sim, 0) | 1ULL << 63;
+}
+
+/* Freezes a node. */
+void
+fleet_sim_freeze(struct fleet_sim *sim, int n, uint64_t until)
+{
+    sim->nodes[n].frozen_until = until;
+}
+
+/* Cuts a node from all others, or joins it again. */
+void
+fleet_sim_isolate(struct fleet_sim *sim, int n, bool cut)
+{
+    for (int i = 0; i < FLEET_SIM_NODES; i++) {
+        sim->cut[n][i] = cut;
+        sim->cut[i][n] = cut;
+    }
+}
+
+/* Adds a node that has not started. */
+static int
+add_node(struct fleet_sim *sim, bool has_disk)
+{
+    int n = sim->count++;
+    struct fleet_sim_node *node = &sim->nodes[n];
+
+    g_assert_cmpint(n, <, FLEET_SIM_NODES);
+    node->address = FIRST_ADDRESS + (uint32_t)n;
+    node->has_disk = has_disk;
+    node->disk.log = g_array_new(FALSE, FALSE, sizeof(struct cons_entry));
+    node->disk.identity = fleet_sim_random(sim, 0) | 1ULL << 63;
+    return n;
+}
+
+/* Replaces a node by an empty one. */
+int
+fleet_sim_replace(struct fleet_sim *sim, int n)
+{
+    int successor;
+
+    fleet_sim_kill(sim, n);
+    sim->nodes[n].gone = true;
+    successor = add_node(sim, sim->nodes[n].has_disk);
+    start_node(sim, successor, false);
+    return successor;
+}
+
+/* The node that leads. */
+int
+fleet_sim_leader(const struct fleet_sim *sim)
+{
+    int best = -1;
+
+    for (int i = 0; i < sim->count; i++) {
+        const struct fleet_sim_node *node = &sim->nodes[i];
+
+        if (is_running(sim, i) && node->has_disk &&
+            cons_is_ready(&node->order.cons) &&
+            (best < 0 || node->order.cons.term >
+                             sim->nodes[best].order.cons.term)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* The node that serves an operator who asked another one. */
+static int
+serving(const struct fleet_sim *sim, int n)
+{
+    int leader;
+
+    if (!is_running(sim, n)) {
+        return -1;
+    }
+    leader = node_at(sim, sim->nodes[n].fleet.leader);
+    return leader >= 0 && is_running(sim, leader) &&
+                   sim->nodes[leader].has_disk
+               ? leader
+               : -1;
+}
+
+/* Remembers what a token waits for. */
+static uint64_t
+new_token(struct fleet_sim *sim, uint64_t version)
+{
+    uint64_t *pair = g_new(uint64_t, 2);
+
+    pair[0] = ++sim->last_token;
+    pair[1] = version;
+    g_hash_table_insert(sim->waiting, &pair[0], &pair[1]);
+    return pair[0];
+}
+
+/* Sends a table. */
+void
+fleet_sim_submit(struct fleet_sim *sim, int n, uint64_t version)
+{
+    int leader = serving(sim, n);
+    char text[32];
+    wire_routes routes = {.bundle_version = version};
+
+    if (leader < 0) {
+        return;
+    }
+    (void)snprintf(text, sizeof(text), "table %llu",
+                   (unsigned long long)version);
+    routes.length = (u_int)strlen(text);
+    routes.packed.packed_val = text;
+    routes.packed.packed_len = routes.length;
+    order_submit(&sim->nodes[leader].order, sim->now,
+                 new_token(sim, version), &routes);
+    act(sim, leader);
+}
+
+/* Asks for the table in force. */
+void
+fleet_sim_read(struct fleet_sim *sim, int n)
+{
+    int leader = serving(sim, n);
+
+    if (leader >= 0) {
+        order_read(&sim->nodes[leader].order, sim->now,
+                   new_token(sim, sim->acked));
+        act(sim, leader);
+    }
+}
+
+/* Sends one version until it is acknowledged. */
+bool
+fleet_sim_put(struct fleet_sim *sim, uint64_t version, uint64_t limit_ms)
+{
+    uint64_t until = sim->now + limit_ms;
+
+    while (sim->acked < version && sim->now < until) {
+        fleet_sim_submit(sim, (int)fleet_sim_random(sim, (uint64_t)sim->count),
+                         version);
+        fleet_sim_run(sim, sim->now + 100);
+    }
+    return sim->acked >= version;
+}
+
+/* Reads until a quorum answers. */
+bool
+fleet_sim_get(struct fleet_sim *sim, uint64_t limit_ms)
+{
+    uint64_t until = sim->now + limit_ms;
+
+    sim->read = 0;
+    while (sim->read == 0 && sim->now < until) {
+        fleet_sim_read(sim, (int)fleet_sim_random(sim, (uint64_t)sim->count));
+        fleet_sim_run(sim, sim->now + 100);
+    }
+    return sim->read != 0;
+}
+
+/* Lets an upstream register. */
+static void
+beat(struct fleet_sim *sim, struct fleet_sim_upstream *u, int index)
+{
+    struct upstream_registration registration = {.id = u->id,
+                                                 .service = "feed",
+                                                 .hall = "hall",
+                                                 .address = 0x0a800000,
+                                                 .port = 8080,
+                                                 .slots = 2,
+                                                 .leaving = u->leaving};
+    int n = u->keeper >= 0
+                ? u->keeper
+                : (int)fleet_sim_random(sim, (uint64_t)sim->count);
+
+    registration.address += (uint32_t)index;
+    registration.sequence = ++u->sequence;
+    if (!is_running(sim, n)) {
+        u->keeper = -1;
+        u->beat_at = sim->now + BEAT_TRY_MS;
+        return;
+    }
+    u->keeper = n;
+    u->beat_at = sim->now + FLEET_SIM_INTERVAL_MS;
+    upstream_register(&sim->nodes[n].upstreams, sim->now, &registration);
+    act(sim, n);
+    if (u->leaving && u->left_at == 0) {
+        u->left_at = sim->now;
+    }
+}
+
+/* Lets upstreams register. */
+static void
+beat_all(struct fleet_sim *sim)
+{
+    for (int i = 0; i < sim->upstream_count; i++) {
+        struct fleet_sim_upstream *u = &sim->upstreams[i];
+
+        if (u->up && sim->now >= u->beat_at) {
+            beat(sim, u, i);
+        }
+    }
+}
+
+/* Gives a message to a node. */
+static void
+deliver(struct fleet_sim *sim, const struct flight *flight)
+{
+    struct fleet_sim_node *node = &sim->nodes[flight->to];
+    wire_msg msg;
+
+    g_assert_true(
+        codec_decode(flight->bytes->data, flight->bytes->len, &msg));
+    if (msg.kind >= WIRE_HELLO) {
+        fleet_receive(&node->fleet, sim->now, &msg);
+    }
+    else if (node->has_disk) {
+        order_receive(&node->order, sim->now, &msg);
+    }
+    codec_free(&msg);
+    act(sim, flight->to);
+}
+
+/* Delivers messages that are due; those for a frozen node wait. */
+static void
+deliver_due(struct fleet_sim *sim)
+{
+    for (guint i = 0; i < sim->queue->len;) {
+        struct flight flight = g_array_index(sim->queue, struct flight, i);
+
+        if (flight.at > sim->now ||
+            (sim->nodes[flight.to].up && !is_running(sim, flight.to))) {
+            i++;
+            continue;
+        }
+        g_array_remove_index(sim->queue, i);
+        if (sim->nodes[flight.to].up && !sim->cut[flight.from][flight.to]) {
+            deliver(sim, &flight);
+        }
+        g_byte_array_unref(flight.bytes);
+    }
+}
+
+/* Lets time pass at a node. */
+static void
+tick(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+
+    upstream_tick(&node->upstreams, sim->now);
+    evidence_tick(&node->evidence, sim->now);
+    fleet_tick(&node->fleet, sim->now);
+    if (node->has_disk && sim->now >= order_deadline(&node->order)) {
+        order_tick(&node->order, sim->now);
+    }
+    act(sim, n);
+}
+
+/* Runs until a time. */
+void
+fleet_sim_run(struct fleet_sim *sim, uint64_t until)
+{
+    while (sim->now < until) {
+        sim->now += STEP_MS;
+        beat_all(sim);
+        deliver_due(sim);
+        for (int i = 0; i < sim->count; i++) {
+            if (is_running(sim, i)) {
+                tick(sim, i);
+            }
+        }
+    }
+}
+
+/* Makes a fleet and starts it. */
+struct fleet_sim *
+fleet_sim_new(const struct fleet_sim_options *options)
+{
+    struct fleet_sim *sim = g_new0(struct fleet_sim, 1);
+
+    sim->options = *options;
+    sim->now = 1000000;
+    sim->random = options->seed;
+    sim->queue = g_array_new(FALSE, FALSE, sizeof(struct flight));
+    sim->waiting =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    for (int i = 0; i < options->nodes; i++) {
+        (void)add_node(sim, i < options->disks);
+    }
+    for (int i = 0; i < options->nodes; i++) {
+        start_node(sim, i, true);
+    }
+    sim->upstream_count = options->upstreams;
+    for (int i = 0; i < options->upstreams; i++) {
+        sim->upstreams[i] = (struct fleet_sim_upstream){
+            .id = fleet_sim_random(sim, 0) >> 24 | 1,
+            .up = true,
+            .keeper = -1,
+            .beat_at = sim->now + fleet_sim_random(sim, 770)};
+    }
+    return sim;
+}
+
+/* Frees it. */
+void
+fleet_sim_free(struct fleet_sim *sim)
+{
+    for (int i = 0; i < sim->count; i++) {
+        fleet_sim_kill(sim, i);
+        sim_disk_wipe(&sim->nodes[i].disk);
+        g_free(sim->nodes[i].disk.snapshot.config.voters.voters_val);
+        g_array_free(sim->nodes[i].disk.log, TRUE);
+    }
+    for (guint i = 0; i < sim->queue->len; i++) {
+        g_byte_array_unref(
+            g_array_index(sim->queue, struct flight, i).bytes);
+    }
+    g_array_free(sim->queue, TRUE);
+    g_hash_table_destroy(sim->waiting);
+    g_free(sim);
+}
--- /dev/null
+++ b/tests/fleet-sim.h
@@ -0,0 +1,98 @@
+/**
+ * @file fleet-sim.h
+ * Simulated time over the nodes of a fleet that finds itself: their fleet,
+ * inventory, steering and order cores exchange messages with delay and loss;
+ * nodes are killed, frozen, cut off, wiped and replaced, all from one seed.
+ */
+#ifndef RIDGERIDGE_FLEET_SIM_H
+#define RIDGERIDGE_FLEET_SIM_H
+
+#include "evidence.h"
+#include "fleet.h"
+#include "order.h"
+#include "sim-disk.h"
+
+#define FLEET_SIM_NODES 32
+#define FLEET_SIM_UPSTREAMS 64
+#define FLEET_SIM_INTERVAL_MS 770
+
+/* One node. */
+struct fleet_sim_node {
+    bool up;
+    bool has_disk;
+    bool gone; /* removed for good */
+    uint64_t frozen_until;
+    uint32_t address;
+    struct sim_disk disk;
+    struct counters counters;
+    struct upstream_set upstreams;
+    struct evidence evidence;
+    struct fleet fleet;
+    struct order order;
+    uint64_t version_seen; /* in force in this run */
+};
+
+/* One upstream that registers. */
+struct fleet_sim_upstream {
+    uint64_t id;
+    uint64_t sequence;
+    bool up;
+    bool leaving;
+    uint64_t left_at; /* a node acknowledged that it leaves, 0: none */
+    int keeper;       /* node that it registers with, -1: any */
+    uint64_t beat_at;
+};
+
+struct fleet_sim_options {
+    int nodes;
+    int disks;
+    int upstreams;
+    uint64_t seed;
+    unsigned loss; /* of 1,000 messages */
+};
+
+struct fleet_sim {
+    struct fleet_sim_options options;
+    uint64_t now;
+    uint64_t random;
+    int count;
+    struct fleet_sim_node nodes[FLEET_SIM_NODES];
+    int upstream_count;
+    struct fleet_sim_upstream upstreams[FLEET_SIM_UPSTREAMS];
+    bool cut[FLEET_SIM_NODES][FLEET_SIM_NODES];
+    GArray *queue;       /* messages under way */
+    GHashTable *waiting; /* token to version; 0: a read */
+    uint64_t last_token;
+    uint64_t acked;  /* highest version acknowledged */
+    uint64_t read;   /* version of the last read that was answered */
+    unsigned answers;
+    unsigned refusals;
+    uint64_t bytes;  /* sent between nodes */
+    char broken[256]; /* first promise that did not hold */
+};
+
+struct fleet_sim *fleet_sim_new(const struct fleet_sim_options *options);
+void fleet_sim_free(struct fleet_sim *sim);
+uint64_t fleet_sim_random(struct fleet_sim *sim, uint64_t below);
+void fleet_sim_run(struct fleet_sim *sim, uint64_t until);
+void fleet_sim_kill(struct fleet_sim *sim, int node);
+void fleet_sim_start(struct fleet_sim *sim, int node);
+void fleet_sim_wipe(struct fleet_sim *sim, int node);
+void fleet_sim_freeze(struct fleet_sim *sim, int node, uint64_t until);
+void fleet_sim_isolate(struct fleet_sim *sim, int node, bool cut);
+/* Removes a node for good; an empty one starts at another address. */
+int fleet_sim_replace(struct fleet_sim *sim, int node);
+/* Sends a table to a node, which passes it to the leader it knows. */
+void fleet_sim_submit(struct fleet_sim *sim, int node, uint64_t version);
+void fleet_sim_read(struct fleet_sim *sim, int node);
+/* Sends one version until it is acknowledged; false after `limit_ms`. */
+bool fleet_sim_put(struct fleet_sim *sim, uint64_t version, uint64_t limit_ms);
+/* Reads until a quorum answers; false after `limit_ms`. */
+bool fleet_sim_get(struct fleet_sim *sim, uint64_t limit_ms);
+/* The node that leads, -1 when none does. */
+int fleet_sim_leader(const struct fleet_sim *sim);
+/* Notes the first broken promise. */
+void fleet_sim_note(struct fleet_sim *sim, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+#endif
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -199,56 +199,6 @@
     return n >= 0 && n < sim->options.entries ? sim_entry(sim, n) : -1;
 }
 
-/* Drops what a disk holds from an index on. */
-static void
-disk_cut(struct sim_disk *disk, uint64_t index)
-{
-    guint keep = index > disk->snapshot.index + 1
-                     ? (guint)(index - disk->snapshot.index - 1)
-                     : 0;
-
-    for (guint i = keep; i < disk->log->len; i++) {
-        g_bytes_unref(g_array_index(disk->log, struct cons_entry, i).command);
-    }
-    g_array_set_size(disk->log, MIN(keep, disk->log->len));
-}
-
-/* Copies entries of the core's log to the disk. */
-static void
-disk_append(struct sim_disk *disk, const struct cons *cons, uint64_t index,
-            uint32_t count)
-{
-    disk_cut(disk, index);
-    for (uint32_t i = 0; i < count; i++) {
-        struct cons_entry entry = *cons_entry_at(cons, index + i);
-
-        entry.command = g_bytes_ref(entry.command);
-        g_array_append_val(disk->log, entry);
-    }
-}
-
-/* Copies a snapshot struct. */
-static void
-copy_snapshot(const struct cons_snapshot *from, struct cons_snapshot *to)
-{
-    g_free(to->config.voters.voters_val);
-    g_clear_pointer(&to->state, g_bytes_unref);
-    *to = *from;
-    to->config.voters.voters_val =
-        g_memdup2(from->config.voters.voters_val,
-                  from->config.voters.voters_len * sizeof(wire_voter));
-    to->state = from->state ? g_bytes_ref(from->state) : NULL;
-}
-
-/* Stores the core's snapshot and the entries after it. */
-static void
-disk_snapshot(struct sim_disk *disk, const struct cons *cons)
-{
-    disk_cut(disk, disk->snapshot.index + 1);
-    copy_snapshot(&cons->snapshot, &disk->snapshot);
-    disk_append(disk, cons, cons->snapshot.index + 1, cons->log->len);
-}
-
 /* Carries out an action of consensus. */
 static void
 act_cons(struct sim *sim, int index, struct cons_action *action)
@@ -264,15 +214,15 @@
     case CONS_SAVE_ENTRIES:
         /* A shell that does not sync loses what it acknowledged. */
         if (!unsaved || sim_random(sim, 3) != 0) {
-            disk_append(&node->disk, &node->core.cons, action->index,
+            sim_disk_append(&node->disk, &node->core.cons, action->index,
                         action->count);
         }
         return;
     case CONS_SAVE_CUT:
-        disk_cut(&node->disk, action->index);
+        sim_disk_cut(&node->disk, action->index);
         return;
     case CONS_SAVE_SNAPSHOT:
-        disk_snapshot(&node->disk, &node->core.cons);
+        sim_disk_snapshot(&node->disk, &node->core.cons);
         return;
     case CONS_SEND:
         send_msg(sim, index, replica_node(sim, action->to), &action->msg);
@@ -379,8 +329,7 @@
     uint32_t replicas[SIM_CONTROLS_MAX];
     wire_voter voters[SIM_CONTROLS_MAX];
     wire_config founders = {.voters = {.voters_val = voters}};
-    struct cons_stored stored = {.term = node->disk.term,
-                                 .vote = node->disk.vote};
+    struct cons_stored stored;
 
     for (int i = 0; i < o->controls; i++) {
         replicas[i] = (uint32_t)i + 1;
@@ -389,15 +338,7 @@
             voters[founders.voters.voters_len++].identity = replicas[i];
         }
     }
-    stored.log = g_array_new(FALSE, FALSE, sizeof(struct cons_entry));
-    for (guint i = 0; i < node->disk.log->len; i++) {
-        struct cons_entry entry =
-            g_array_index(node->disk.log, struct cons_entry, i);
-
-        entry.command = g_bytes_ref(entry.command);
-        g_array_append_val(stored.log, entry);
-    }
-    copy_snapshot(&node->disk.snapshot, &stored.snapshot);
+    sim_disk_load(&node->disk, &stored);
     control_core_open(&node->core, sim->now, (uint32_t)index + 1,
                       node->disk.identity, replicas, (size_t)o->controls,
                       &founders, sim_random(sim, 0), &stored, &sim->counters);
@@ -485,12 +426,7 @@
     sim_kill(sim, index);
     g_clear_pointer(&node->saved_text, g_free);
     if (node->control) {
-        struct cons_snapshot none = {0};
-
-        disk_cut(&node->disk, node->disk.snapshot.index + 1);
-        copy_snapshot(&none, &node->disk.snapshot);
-        node->disk.term = 0;
-        node->disk.vote = 0;
+        sim_disk_wipe(&node->disk);
         node->disk.identity = 1000 + sim_random(sim, 0) / 2;
     }
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -9,21 +9,13 @@
 
 #include "control-core.h"
 #include "entry-core.h"
+#include "sim-disk.h"
 
 #define SIM_CONTROLS_MAX 7
 #define SIM_ENTRIES_MAX 64
 #define SIM_NODES_MAX (SIM_CONTROLS_MAX + SIM_ENTRIES_MAX)
 #define SIM_WALL 1000000000000ULL /* wall clock at simulated time 0 */
 
-/* What a control replica has synced. */
-struct sim_disk {
-    uint64_t identity;
-    uint64_t term;
-    uint32_t vote;
-    struct cons_snapshot snapshot;
-    GArray *log; /* struct cons_entry */
-};
-
 /* One node: a control replica or an entry. */
 struct sim_node {
     bool control;
--- /dev/null
+++ b/tests/test-fleet.c
@@ -0,0 +1,260 @@
+/*
+ * A fleet that finds itself: founding, voters that take over from lost disks,
+ * acknowledged tables that survive, reads that are never old, and what nodes
+ * know of upstreams. All in simulated time.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet-sim.h"
+
+#define SEEDS 8
+#define SETTLE_MS 6000 /* from the first start to the first table */
+
+/* One scene; what happens is a string of letters, a second apart. */
+struct scene {
+    const char *name;
+    int nodes;
+    int disks;
+    unsigned loss;
+    unsigned voters; /* that are expected at the end */
+    const char *events;
+};
+
+/*
+ * p put the next version       g read it back
+ * k kill the leader            s start all that are down
+ * f freeze the leader for 3 s  w wipe the leader, start it empty
+ * v wipe a voter that follows  r replace the leader by an empty node
+ * c cut the leader off         h heal all cuts
+ * a kill all and start them    . wait
+ */
+static const struct scene scenes[] = {
+    {"three-disks", 11, 3, 0, 3, "pg"},
+    {"four-disks", 11, 4, 0, 3, "pg"},
+    {"five-disks", 12, 5, 0, 5, "pg"},
+    {"six-disks", 12, 6, 0, 5, "pg"},
+    {"one-disk", 4, 1, 0, 1, "pg"},
+    {"lossy", 11, 3, 50, 3, "pgpgpg"},
+    {"kill-leader", 11, 3, 5, 3, "pk...gps...pg"},
+    {"freeze-leader", 11, 3, 5, 3, "pf.p..gp...pg"},
+    {"cut-leader", 11, 3, 5, 3, "pc..pg..h..gp"},
+    {"wipe-leader", 11, 3, 5, 3, "pw....pgw....pgw....pg"},
+    {"wipe-follower", 11, 3, 5, 3, "pv....pgv....pgv....pg"},
+    {"replace-leader", 11, 3, 5, 3, "pr......pgr......pgr......pg"},
+    {"replace-with-spare", 11, 4, 5, 3, "pr......pgr......pgr......pg"},
+    {"kill-all", 11, 3, 5, 3, "pa...gpa...gp"},
+    {"two-wiped", 12, 5, 5, 5, "pwv......pgwv......pg"},
+    {"two-wiped-of-six", 12, 6, 5, 5, "pwv......pgwv......pg"},
+};
+
+/* Starts all that are down. */
+static void
+start_all(struct fleet_sim *sim)
+{
+    for (int i = 0; i < sim->count; i++) {
+        fleet_sim_start(sim, i);
+    }
+}
+
+/* Loses the disk of a voter that follows. */
+static void
+wipe_follower(struct fleet_sim *sim, int leader)
+{
+    const wire_config *config = cons_config(&sim->nodes[leader].order.cons);
+
+    for (u_int i = 0; i < config->voters.voters_len; i++) {
+        uint32_t replica = config->voters.voters_val[i].replica;
+
+        for (int n = 0; n < sim->count; n++) {
+            if (n != leader && sim->nodes[n].up &&
+                sim->nodes[n].address == replica) {
+                fleet_sim_wipe(sim, n);
+                fleet_sim_start(sim, n);
+                return;
+            }
+        }
+    }
+}
+
+/* Lets one event happen. */
+static void
+happen(struct fleet_sim *sim, char event, uint64_t *version)
+{
+    int leader = fleet_sim_leader(sim);
+
+    switch (event) {
+    case 'p':
+        if (!fleet_sim_put(sim, ++*version, 8000)) {
+            fleet_sim_note(sim, "version %llu was not acknowledged",
+                           (unsigned long long)*version);
+        }
+        return;
+    case 'g':
+        if (!fleet_sim_get(sim, 8000) || sim->read < sim->acked) {
+            fleet_sim_note(sim, "read %llu, acknowledged was %llu",
+                           (unsigned long long)sim->read,
+                           (unsigned long long)sim->acked);
+        }
+        return;
+    case 's':
+        start_all(sim);
+        return;
+    case 'h':
+        memset(sim->cut, 0, sizeof(sim->cut));
+        return;
+    case 'a':
+        for (int i = 0; i < sim->count; i++) {
+            fleet_sim_kill(sim, i);
+        }
+        start_all(sim);
+        return;
+    default:
+        break;
+    }
+    if (leader < 0) {
+        return;
+    }
+    switch (event) {
+    case 'k':
+        fleet_sim_kill(sim, leader);
+        return;
+    case 'f':
+        fleet_sim_freeze(sim, leader, sim->now + 3000);
+        return;
+    case 'w':
+        fleet_sim_wipe(sim, leader);
+        fleet_sim_start(sim, leader);
+        return;
+    case 'v':
+        wipe_follower(sim, leader);
+        return;
+    case 'r':
+        (void)fleet_sim_replace(sim, leader);
+        return;
+    case 'c':
+        fleet_sim_isolate(sim, leader, true);
+        return;
+    default:
+        return;
+    }
+}
+
+/* Plays a scene with one seed. */
+static void
+play(const struct scene *scene, uint64_t seed)
+{
+    struct fleet_sim_options options = {.nodes = scene->nodes,
+                                        .disks = scene->disks,
+                                        .upstreams = 6,
+                                        .seed = seed,
+                                        .loss = scene->loss};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    uint64_t version = 0;
+    int leader;
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    for (const char *event = scene->events; *event != '\0'; event++) {
+        happen(sim, *event, &version);
+        fleet_sim_run(sim, sim->now + 1000);
+    }
+    fleet_sim_run(sim, sim->now + 8000);
+    leader = fleet_sim_leader(sim);
+    g_test_message("%s seed %llu: %s", scene->name, (unsigned long long)seed,
+                   sim->broken);
+    g_assert_cmpstr(sim->broken, ==, "");
+    g_assert_cmpint(leader, >=, 0);
+    g_assert_cmpuint(
+        cons_config(&sim->nodes[leader].order.cons)->voters.voters_len, ==,
+        scene->voters);
+    for (int i = 0; i < sim->count; i++) {
+        if (sim->nodes[i].up) {
+            g_assert_cmpuint(sim->nodes[i].fleet.routes.bundle_version, ==,
+                             version);
+        }
+    }
+    fleet_sim_free(sim);
+}
+
+/* Plays a scene with several seeds. */
+static void
+test_scene(const void *data)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        play(data, seed);
+    }
+}
+
+/* What becomes known of upstreams. */
+struct known {
+    const char *name;
+    unsigned loss;
+    bool leave;       /* upstream 0 says that it leaves */
+    bool die;         /* upstream 0 says nothing any more */
+    bool lose_keeper; /* at the same moment its keeper dies */
+    uint64_t within_ms;
+    enum upstream_state state;
+};
+
+static const struct known knowns[] = {
+    {"ready", 0, false, false, false, 2000, UPSTREAM_READY},
+    {"leaving", 0, true, false, false, 2000, UPSTREAM_LEAVING},
+    {"leaving-lossy", 100, true, false, false, 3500, UPSTREAM_LEAVING},
+    {"dies", 0, false, true, false, 4000, UPSTREAM_SILENT},
+    {"dies-with-keeper", 0, false, true, true, 12000, UPSTREAM_SILENT},
+    {"keeper-dies", 0, false, false, true, 12000, UPSTREAM_READY},
+};
+
+/* Checks that all nodes believe the same of upstream 0. */
+static void
+test_known(const void *data)
+{
+    const struct known *known = data;
+    struct fleet_sim_options options = {.nodes = 11,
+                                        .disks = 3,
+                                        .upstreams = 18,
+                                        .seed = 3,
+                                        .loss = known->loss};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    struct fleet_sim_upstream *u = &sim->upstreams[0];
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    u->leaving = known->leave;
+    u->up = !known->die;
+    if (known->lose_keeper) {
+        fleet_sim_kill(sim, u->keeper);
+    }
+    fleet_sim_run(sim, sim->now + known->within_ms);
+    for (int i = 0; i < sim->count; i++) {
+        const struct upstream *found;
+
+        if (!sim->nodes[i].up) {
+            continue;
+        }
+        found = upstream_by_id(&sim->nodes[i].upstreams, u->id);
+        g_assert_nonnull(found);
+        g_assert_cmpint(found->state, ==, known->state);
+        g_assert_cmpuint(sim->nodes[i].upstreams.all->len, ==, 18);
+    }
+    fleet_sim_free(sim);
+}
+
+/* Lists the tests. */
+int
+main(int argc, char **argv)
+{
+    char path[128];
+
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(scenes); i++) {
+        (void)snprintf(path, sizeof(path), "/fleet/%s", scenes[i].name);
+        g_test_add_data_func(path, &scenes[i], test_scene);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(knowns); i++) {
+        (void)snprintf(path, sizeof(path), "/fleet/upstream/%s",
+                       knowns[i].name);
+        g_test_add_data_func(path, &knowns[i], test_known);
+    }
+    return g_test_run();
+}
