--- a/cons-internal.h
+++ b/cons-internal.h
@@ -19,6 +19,7 @@
 bool cons_quorum(const struct cons *cons, cons_test test, uint64_t data);
 bool cons_config_pending(const struct cons *cons);
 bool cons_may_lead(const struct cons *cons);
+bool cons_is_settled(const struct cons *cons);
 void cons_copy_config(const wire_config *from, wire_config *to);
 struct cons_peer *cons_peer_of(struct cons *cons, uint32_t replica);
 
--- a/cons-voters.c
+++ b/cons-voters.c
@@ -128,6 +128,43 @@
     return cons->change_index > cons->commit;
 }
 
+/* Says whether two lists name the same voters in the same order. */
+static bool
+same_voters(const wire_config *a, const wire_config *b)
+{
+    if (a->voters.voters_len != b->voters.voters_len) {
+        return false;
+    }
+    for (u_int i = 0; i < a->voters.voters_len; i++) {
+        if (a->voters.voters_val[i].replica !=
+                b->voters.voters_val[i].replica ||
+            a->voters.voters_val[i].identity !=
+                b->voters.voters_val[i].identity) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Says whether the log itself shows that the last change of voters was
+ * committed: the same list stands in it twice, or in the snapshot. A replica
+ * that restarts does not know what was committed, and would ask for a
+ * majority of the list before, whose disks may be lost by then. */
+bool
+cons_is_settled(const struct cons *cons)
+{
+    wire_config before = {0};
+    bool same;
+
+    if (cons->change_index <= cons->snapshot.index) {
+        return true;
+    }
+    config_of(cons, last_change(cons, cons->change_index - 1), &before);
+    same = same_voters(&before, &cons->latest);
+    g_free(before.voters.voters_val);
+    return same;
+}
+
 /* The voters at the end of the log. */
 const wire_config *
 cons_config(const struct cons *cons)
--- a/cons.c
+++ b/cons.c
@@ -288,6 +288,19 @@
            (peer != NULL && peer->heard_at >= since);
 }
 
+/* Writes a committed change of voters once more, so that the log shows it. */
+static void
+settle_voters(struct cons *cons, uint64_t now)
+{
+    wire_command command = {.kind = WIRE_CMD_CONFIG};
+
+    if (cons_is_ready(cons) && !cons_config_pending(cons) &&
+        !cons_is_settled(cons)) {
+        command.wire_command_u.config.voters = cons->latest.voters;
+        (void)cons_propose(cons, now, &command);
+    }
+}
+
 /* Lets a leader's time pass: rounds, and stepping down when cut off. */
 static void
 tick_leader(struct cons *cons, uint64_t now)
@@ -307,6 +320,7 @@
         set_election(cons, now);
         return;
     }
+    settle_voters(cons, now);
     if (now >= cons->heartbeat_at) {
         cons_broadcast(cons, now);
     }
--- a/node-voter.c
+++ b/node-voter.c
@@ -67,6 +67,7 @@
     uint64_t reopen_at;
     uint64_t told_term;     /* last leader told */
     uint32_t told_leader;
+    uint64_t told_change;   /* index of the last list of voters logged */
     bool stop;
 } voter;
 
@@ -221,6 +222,29 @@
     loop_post(on_news, news);
 }
 
+/* Logs who votes, when that changed. */
+static void
+log_voters(void)
+{
+    const wire_config *config = cons_config(&voter.order.cons);
+    GString *text;
+
+    if (voter.order.cons.change_index == voter.told_change) {
+        return;
+    }
+    voter.told_change = voter.order.cons.change_index;
+    text = g_string_new(NULL);
+    for (u_int i = 0; i < config->voters.voters_len; i++) {
+        const wire_voter *v = &config->voters.voters_val[i];
+
+        g_string_append_printf(text, "%s%08x/%016" PRIx64, i ? "," : "",
+                               v->replica, (uint64_t)v->identity);
+    }
+    log_event(LOG_INFO, "voters", "index=%" PRIu64 " voters=%s",
+              voter.told_change, text->str);
+    g_string_free(text, TRUE);
+}
+
 /* Carries out all actions; what the disk refused is not answered, and
  * nothing that follows it in the same batch is done. */
 static void
@@ -261,6 +285,7 @@
     }
     order_clear(&voter.order);
     tell_leader();
+    log_voters();
 }
 
 /* Tells the loop what the folder holds. */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -29,6 +29,8 @@
  * v wipe a voter that follows  r replace the leader by an empty node
  * c cut the leader off         h heal all cuts
  * a kill all and start them    . wait
+ * x kill all; as many voters as a quorum can spare lose their disks, the
+ *   oldest first; start all
  */
 static const struct scene scenes[] = {
     {"three-disks", 11, 3, 0, 3, "pg"},
@@ -45,6 +47,9 @@
     {"replace-leader", 11, 3, 5, 3, "pr......pgr......pgr......pg"},
     {"replace-with-spare", 11, 4, 5, 3, "pr......pgr......pgr......pg"},
     {"kill-all", 11, 3, 5, 3, "pa...gpa...gp"},
+    {"kill-all-wipe-one", 11, 3, 5, 3, "px...gp..x...gp"},
+    {"kill-all-wipe-two", 12, 5, 5, 5, "px...gp..x...gp"},
+    {"kill-all-wipe-two-of-six", 12, 6, 5, 5, "px...gp..x...gp"},
     {"two-wiped", 12, 5, 5, 5, "pwv......pgwv......pg"},
     {"two-wiped-of-six", 12, 6, 5, 5, "pwv......pgwv......pg"},
 };
@@ -78,6 +83,28 @@
     }
 }
 
+/* Kills all nodes; voters that a quorum can spare lose their disks. */
+static void
+power_off(struct fleet_sim *sim, int leader)
+{
+    const wire_config *config = cons_config(&sim->nodes[leader].order.cons);
+    u_int spare = (config->voters.voters_len - 1) / 2;
+    uint32_t lost[CONS_REPLICAS_MAX];
+
+    for (u_int i = 0; i < spare; i++) {
+        lost[i] = config->voters.voters_val[i].replica;
+    }
+    for (int n = 0; n < sim->count; n++) {
+        fleet_sim_kill(sim, n);
+        for (u_int i = 0; i < spare; i++) {
+            if (sim->nodes[n].address == lost[i]) {
+                fleet_sim_wipe(sim, n);
+            }
+        }
+    }
+    start_all(sim);
+}
+
 /* Lets one event happen. */
 static void
 happen(struct fleet_sim *sim, char event, uint64_t *version)
@@ -133,6 +160,9 @@
     case 'r':
         (void)fleet_sim_replace(sim, leader);
         return;
+    case 'x':
+        power_off(sim, leader);
+        return;
     case 'c':
         fleet_sim_isolate(sim, leader, true);
         return;
