--- a/cons-voters.c
+++ b/cons-voters.c
@@ -225,8 +225,8 @@
         return false;
     }
     cons->replicas[place] = replica;
-    cons->peers[place] = (struct cons_peer){.next = cons_last_index(cons) + 1,
-                                            .heard_at = now};
+    cons->peers[place] =
+        (struct cons_peer){.next = cons_last_index(cons) + 1, .heard_at = now};
     cons->replica_count++;
     return true;
 }
--- a/cons.h
+++ b/cons.h
@@ -18,8 +18,8 @@
 #define CONS_HEARTBEAT_MS 200U     /**< between a leader's rounds */
 #define CONS_ELECTION_MS 800U      /**< least time without a leader */
 #define CONS_ELECTION_SPAN_MS 800U /**< random time added to it */
-#define CONS_REPLICAS_MAX 7U /**< voters at most */
-#define CONS_PEERS_MAX 16U   /**< voters and those that learn, at most */
+#define CONS_REPLICAS_MAX 7U       /**< voters at most */
+#define CONS_PEERS_MAX 16U         /**< voters and those that learn, at most */
 
 /** Role of a replica. */
 enum cons_role { CONS_FOLLOWER, CONS_CANDIDATE, CONS_LEADER };
@@ -81,13 +81,13 @@
 
 /** A replica. */
 struct cons {
-    uint32_t self;                        /**< own number */
-    uint64_t identity;                    /**< of the own disk */
-    uint32_t replicas[CONS_PEERS_MAX];    /**< all that may be talked to */
-    size_t replica_count;                 /**< of replicas */
-    uint64_t random;                      /**< state of the generator */
-    enum cons_role role;                  /**< own role */
-    bool pre;                             /**< CANDIDATE: only asking */
+    uint32_t self;                     /**< own number */
+    uint64_t identity;                 /**< of the own disk */
+    uint32_t replicas[CONS_PEERS_MAX]; /**< all that may be talked to */
+    size_t replica_count;              /**< of replicas */
+    uint64_t random;                   /**< state of the generator */
+    enum cons_role role;               /**< own role */
+    bool pre;                          /**< CANDIDATE: only asking */
     bool failed;                   /**< storage failed: takes part no more */
     uint64_t term;                 /**< stored */
     uint32_t vote;                 /**< stored; 0: none in this term */
@@ -104,8 +104,8 @@
     uint64_t confirmed;       /**< last round a quorum answered */
     uint64_t elected_at;      /**< LEADER: since when */
     struct cons_peer peers[CONS_PEERS_MAX]; /**< as `replicas` */
-    enum cons_fault fault;                     /**< for tests */
-    GArray *actions;                           /**< struct cons_action */
+    enum cons_fault fault;                  /**< for tests */
+    GArray *actions;                        /**< struct cons_action */
 };
 
 /** What was stored by an earlier run. */
--- a/control.c
+++ b/control.c
@@ -204,7 +204,8 @@
     struct cons_stored stored;
     uint64_t seed;
 
-    if (store_open(&control->store, s->data, STORE_TAIL_STRICT, &stored, st) != STATUS_OK) {
+    if (store_open(&control->store, s->data, STORE_TAIL_STRICT, &stored, st) !=
+        STATUS_OK) {
         return st->kind;
     }
     if (control->store.cut_bytes > 0) {
--- a/counter.h
+++ b/counter.h
@@ -63,8 +63,7 @@
     X(TABLES_UNCONFIRMED, "tables_unconfirmed_total",                         \
       "answered 503: no leader, or no quorum in time")                        \
     X(REDIRECTS, "redirects_total", "operators sent to the leader")           \
-    X(LOG_LINES_LOST, "log_lines_lost_total",                                 \
-      "not written: the pipe was full")
+    X(LOG_LINES_LOST, "log_lines_lost_total", "not written: the pipe was full")
 
 /** Index of a counter. */
 enum counter_id {
--- a/evidence.c
+++ b/evidence.c
@@ -259,8 +259,8 @@
 /* Steers a packet that opens a flow. */
 static void
 steer_first(struct evidence *ev, uint64_t now,
-            const struct evidence_packet *packet,
-            const struct route *route, struct evidence_verdict *verdict)
+            const struct evidence_packet *packet, const struct route *route,
+            struct evidence_verdict *verdict)
 {
     struct evidence_flow *flow =
         g_hash_table_lookup(ev->flows, &verdict->flow);
@@ -428,8 +428,8 @@
     g_hash_table_iter_init(&iter, ev->flows);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct evidence_flow *flow = value;
-        uint64_t rest = ev->table->idle_ms ? ev->table->idle_ms
-                                           : ev->flow_max_ms;
+        uint64_t rest =
+            ev->table->idle_ms ? ev->table->idle_ms : ev->flow_max_ms;
 
         if ((flow->forget_at != 0 && now >= flow->forget_at) ||
             now > flow->seen_at + rest) {
--- a/fleet.c
+++ b/fleet.c
@@ -92,8 +92,7 @@
 static void
 send_routes(struct fleet *fleet, uint32_t to)
 {
-    wire_msg msg = {.kind = WIRE_ROUTES,
-                    .wire_msg_u.routes = fleet->routes};
+    wire_msg msg = {.kind = WIRE_ROUTES, .wire_msg_u.routes = fleet->routes};
 
     send_to(fleet, to, &msg);
 }
@@ -388,8 +387,7 @@
 
         if (member->node.identity != 0 &&
             (fleet->founder == 0 || fleet->founder == member->node.address) &&
-            (lowest == NULL ||
-             member->node.address < lowest->node.address)) {
+            (lowest == NULL || member->node.address < lowest->node.address)) {
             lowest = member;
         }
     }
@@ -441,14 +439,15 @@
 static void
 greet(struct fleet *fleet, uint64_t now)
 {
-    bool lost = fleet->leads_since == 0 &&
-                (fleet->leader == 0 ||
-                 now > fleet->leader_heard_at + FLEET_LEADER_MS);
+    bool lost =
+        fleet->leads_since == 0 &&
+        (fleet->leader == 0 || now > fleet->leader_heard_at + FLEET_LEADER_MS);
 
     if (lost) {
         fleet->leader = 0;
         seek(fleet);
-        if (names_founder(fleet) && now >= fleet->started_at + FLEET_FOUND_MS) {
+        if (names_founder(fleet) &&
+            now >= fleet->started_at + FLEET_FOUND_MS) {
             name_founder(fleet);
         }
     }
@@ -456,8 +455,8 @@
         send_hello(fleet, fleet->leader, false);
     }
     send_hello(fleet, random_member(fleet), false);
-    fleet->hello_at = now + (lost || !fleet->settled ? FLEET_SEEK_MS
-                                                     : FLEET_HELLO_MS);
+    fleet->hello_at =
+        now + (lost || !fleet->settled ? FLEET_SEEK_MS : FLEET_HELLO_MS);
 }
 
 /* Lets time pass. */
@@ -496,8 +495,7 @@
     if (hello->self.identity != 0) {
         act(fleet, FLEET_DISK)->node = hello->self;
     }
-    note_leader(fleet, now, hello->term, hello->leader,
-                hello->leader == from);
+    note_leader(fleet, now, hello->term, hello->leader, hello->leader == from);
     if (hello->routes < fleet->routes.bundle_version) {
         send_routes(fleet, from);
     }
--- a/fleet.h
+++ b/fleet.h
@@ -18,14 +18,16 @@
 #include "upstream.h"
 
 #define FLEET_SEEDS_MAX 16
-#define FLEET_HELLO_MS 500U  /**< between comparisons; two lost datagrams in
-                                  a row still leave time within 3 s */
-#define FLEET_SEEK_MS 100U   /**< the same until a leader is known */
-#define FLEET_LOST_MS 4000U  /**< the leader drops a member unheard so long */
+#define FLEET_HELLO_MS                                                        \
+    500U                      /**< between comparisons; two lost datagrams in \
+                                   a row still leave time within 3 s */
+#define FLEET_SEEK_MS 100U    /**< the same until a leader is known */
+#define FLEET_LOST_MS 4000U   /**< the leader drops a member unheard so long */
 #define FLEET_LEADER_MS 2500U /**< a leader unheard so long is looked for */
-#define FLEET_FOUND_MS 1500U /**< after the first start, nodes have so long
-                                  to report before a founder is named */
-#define FLEET_PUSH_MS 250U   /**< least time between two pushes of tables */
+#define FLEET_FOUND_MS                                                        \
+    1500U                  /**< after the first start, nodes have so long     \
+                                to report before a founder is named */
+#define FLEET_PUSH_MS 250U /**< least time between two pushes of tables */
 
 /** What the shell must do. */
 enum fleet_action_kind {
--- a/log.c
+++ b/log.c
@@ -133,11 +133,10 @@
     if (held > 0) {
         (void)snprintf(held_text, sizeof(held_text), " held_back=%u", held);
     }
-    n = snprintf(out, size - 1,
-                 "time=%s.%03ldZ level=%s process=%s event=%s%s%s%s", stamp,
-                 now->tv_nsec / 1000000, log_level_names[level],
-                 log_state.process, event, pairs[0] ? " " : "", pairs,
-                 held_text);
+    n = snprintf(
+        out, size - 1, "time=%s.%03ldZ level=%s process=%s event=%s%s%s%s",
+        stamp, now->tv_nsec / 1000000, log_level_names[level],
+        log_state.process, event, pairs[0] ? " " : "", pairs, held_text);
     n = CLAMP(n, 0, (int)size - 2);
     out[n++] = '\n';
     return (size_t)n;
@@ -163,8 +162,8 @@
         va_start(args, format);
         (void)vsnprintf(pairs, sizeof(pairs), format, args);
         va_end(args);
-        length = format_line(line, sizeof(line), level, event, pairs, held,
-                             &now);
+        length =
+            format_line(line, sizeof(line), level, event, pairs, held, &now);
         if (write(log_state.file, line, length) != (ssize_t)length) {
             log_state.lost++;
         }
--- a/node-http.c
+++ b/node-http.c
@@ -89,15 +89,15 @@
         return refuse(call, MHD_HTTP_SERVICE_UNAVAILABLE,
                       "no leader is known; send it again to any node");
     }
-    (void)snprintf(location, sizeof(location), "http://%s%s",
-                   address_format(node->fleet.leader,
-                                  node->settings.control.port, place),
-                   path);
+    (void)snprintf(
+        location, sizeof(location), "http://%s%s",
+        address_format(node->fleet.leader, node->settings.control.port, place),
+        path);
     counter_add(&node->counters, COUNTER_REDIRECTS, 1);
     out = MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
     (void)MHD_add_response_header(out, "Location", location);
-    result = MHD_queue_response(call->connection,
-                                MHD_HTTP_TEMPORARY_REDIRECT, out);
+    result =
+        MHD_queue_response(call->connection, MHD_HTTP_TEMPORARY_REDIRECT, out);
     MHD_destroy_response(out);
     return result;
 }
@@ -206,8 +206,7 @@
 serve_counters(struct call *call)
 {
     char *text = g_malloc(COUNTERS_MAX);
-    size_t length =
-        counter_print(&call->node->counters, text, COUNTERS_MAX);
+    size_t length = counter_print(&call->node->counters, text, COUNTERS_MAX);
     enum MHD_Result result =
         answer(call, MHD_HTTP_OK, "text/plain; version=0.0.4", text, length);
 
@@ -232,9 +231,8 @@
     switch (platform_classify(method, path, &rest)) {
     case PLATFORM_READY:
         return answer(call,
-                      node_is_ready(call->node)
-                          ? MHD_HTTP_OK
-                          : MHD_HTTP_SERVICE_UNAVAILABLE,
+                      node_is_ready(call->node) ? MHD_HTTP_OK
+                                                : MHD_HTTP_SERVICE_UNAVAILABLE,
                       "text/plain", "", 0);
     case PLATFORM_REGISTER:
         return register_upstream(call, rest);
@@ -331,9 +329,8 @@
 static struct MHD_Response *
 make_body(const struct status *status, const wire_routes *table)
 {
-    char *text = table != NULL && status->kind == STATUS_OK
-                     ? node_unpack(table)
-                     : NULL;
+    char *text =
+        table != NULL && status->kind == STATUS_OK ? node_unpack(table) : NULL;
     struct MHD_Response *out;
     json_object *doc;
 
@@ -382,8 +379,7 @@
     }
     call->out = make_body(status, table);
     if (!ok) {
-        (void)MHD_add_response_header(call->out, "Retry-After",
-                                      RETRY_AFTER_S);
+        (void)MHD_add_response_header(call->out, "Retry-After", RETRY_AFTER_S);
     }
     (void)g_hash_table_remove(node->calls, &token);
     MHD_resume_connection(call->connection);
--- a/node-pack.c
+++ b/node-pack.c
@@ -12,8 +12,7 @@
     uLongf size = compressBound(length);
     Bytef *packed = g_malloc(size);
 
-    (void)compress2(packed, &size, (const Bytef *)text, length,
-                    Z_BEST_SPEED);
+    (void)compress2(packed, &size, (const Bytef *)text, length, Z_BEST_SPEED);
     out->length = (u_int)length;
     out->packed.packed_val = (char *)packed;
     out->packed.packed_len = (u_int)size;
--- a/node-packets.c
+++ b/node-packets.c
@@ -141,9 +141,9 @@
     int n;
 
     for (unsigned i = 0; i < BATCH; i++) {
-        batch.in[i] = (struct iovec){
-            .iov_base = batch.buffers[i] + PLATFORM_PREFIX_BYTES,
-            .iov_len = PACKET_MAX + 1};
+        batch.in[i] = (struct iovec){.iov_base = batch.buffers[i] +
+                                                 PLATFORM_PREFIX_BYTES,
+                                     .iov_len = PACKET_MAX + 1};
         batch.received[i].msg_hdr =
             (struct msghdr){.msg_iov = &batch.in[i], .msg_iovlen = 1};
     }
--- a/node-peers.c
+++ b/node-peers.c
@@ -29,14 +29,13 @@
 node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
                   size_t length)
 {
-    struct sockaddr_in at = {
-        .sin_family = AF_INET,
-        .sin_port = htons((uint16_t)node->settings.peer_port),
-        .sin_addr.s_addr = htonl(to)};
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_port =
+                                 htons((uint16_t)node->settings.peer_port),
+                             .sin_addr.s_addr = htonl(to)};
     uint64_t sum = checksum(bytes, length);
-    struct iovec parts[2] = {
-        {.iov_base = &sum, .iov_len = sizeof(sum)},
-        {.iov_base = (void *)bytes, .iov_len = length}};
+    struct iovec parts[2] = {{.iov_base = &sum, .iov_len = sizeof(sum)},
+                             {.iov_base = (void *)bytes, .iov_len = length}};
     struct msghdr msg = {.msg_name = &at,
                          .msg_namelen = sizeof(at),
                          .msg_iov = parts,
@@ -49,8 +48,9 @@
     counter_add(&node->counters, COUNTER_CONTROL_BYTES_OUT,
                 length + sizeof(sum));
     if (sendmsg(node->peers_fd, &msg, MSG_DONTWAIT) < 0) {
-        log_event(LOG_WARN, "peer-send-failed", "to=%08x bytes=%zu error=\"%s\"",
-                  to, length, g_strerror(errno));
+        log_event(LOG_WARN, "peer-send-failed",
+                  "to=%08x bytes=%zu error=\"%s\"", to, length,
+                  g_strerror(errno));
     }
 }
 
@@ -106,8 +106,8 @@
             continue;
         }
         memcpy(&sum, bytes, sizeof(sum));
-        if (sum != checksum(bytes + CHECKSUM_BYTES,
-                            (size_t)n - CHECKSUM_BYTES)) {
+        if (sum !=
+            checksum(bytes + CHECKSUM_BYTES, (size_t)n - CHECKSUM_BYTES)) {
             counter_add(&node->counters, COUNTER_MSGS_FORGED, 1);
             continue;
         }
--- a/node-settings.c
+++ b/node-settings.c
@@ -18,9 +18,8 @@
     {.key = NULL},
 };
 #undef AT
-static const struct schema seed_schema = {.name = "seed",
-                                          .size = sizeof(struct node_seed),
-                                          .fields = seed_fields};
+static const struct schema seed_schema = {
+    .name = "seed", .size = sizeof(struct node_seed), .fields = seed_fields};
 
 #define AT(field) offsetof(struct node_settings, field)
 static const struct schema_field fields[] = {
@@ -118,10 +117,10 @@
     {.key = NULL},
 };
 #undef AT
-const struct schema node_settings_schema = {
-    .name = "Settings of a node",
-    .size = sizeof(struct node_settings),
-    .fields = fields};
+const struct schema node_settings_schema = {.name = "Settings of a node",
+                                            .size =
+                                                sizeof(struct node_settings),
+                                            .fields = fields};
 
 /* Reads and checks a file. */
 enum status_kind
--- a/node-voter.c
+++ b/node-voter.c
@@ -31,27 +31,27 @@
 /* One job. */
 struct job {
     enum job_kind kind;
-    GByteArray *bytes;   /* MESSAGE */
-    wire_node disk;      /* DISK */
-    uint64_t token;      /* SUBMIT, READ */
-    wire_routes routes;  /* SUBMIT; packed is owned */
-    uint64_t asked_at;   /* SUBMIT, READ: when */
+    GByteArray *bytes;  /* MESSAGE */
+    wire_node disk;     /* DISK */
+    uint64_t token;     /* SUBMIT, READ */
+    wire_routes routes; /* SUBMIT; packed is owned */
+    uint64_t asked_at;  /* SUBMIT, READ: when */
 };
 
 /* What the voter tells the loop. */
 struct news {
     struct node *node;
-    bool opened;          /* the folder was opened: `identity` */
+    bool opened; /* the folder was opened: `identity` */
     uint64_t identity;
-    uint64_t term;        /* with `leader` */
+    uint64_t term; /* with `leader` */
     uint32_t leader;
-    bool has_leader;      /* `term` and `leader` are told */
-    bool has_answer;      /* `token` and `status` are told */
+    bool has_leader; /* `term` and `leader` are told */
+    bool has_answer; /* `token` and `status` are told */
     uint64_t token;
     struct status status;
-    bool with_table;      /* the answer carries the table */
-    bool apply;           /* the table was committed */
-    wire_routes routes;   /* packed is owned */
+    bool with_table;                    /* the answer carries the table */
+    bool apply;                         /* the table was committed */
+    wire_routes routes;                 /* packed is owned */
     uint32_t voters[CONS_REPLICAS_MAX]; /* addresses, when opened */
     u_int voter_count;
 };
@@ -61,13 +61,13 @@
     struct node *node;
     GThread *thread;
     GAsyncQueue *jobs;
-    bool open;              /* order and store are */
+    bool open; /* order and store are */
     struct order order;
     struct store store;
     uint64_t reopen_at;
-    uint64_t told_term;     /* last leader told */
+    uint64_t told_term; /* last leader told */
     uint32_t told_leader;
-    uint64_t told_change;   /* index of the last list of voters logged */
+    uint64_t told_change; /* index of the last list of voters logged */
     bool stop;
 } voter;
 
@@ -129,9 +129,8 @@
     bytes = g_bytes_get_data(order->routes, &length);
     if (codec_decode_command(bytes, length, &command)) {
         news->routes = command.wire_command_u.routes;
-        news->routes.packed.packed_val =
-            g_memdup2(news->routes.packed.packed_val,
-                      news->routes.packed.packed_len);
+        news->routes.packed.packed_val = g_memdup2(
+            news->routes.packed.packed_val, news->routes.packed.packed_len);
         codec_free_command(&command);
     }
 }
@@ -176,8 +175,9 @@
     }
     if (st.kind != STATUS_OK) {
         counter_add(&voter.node->counters, COUNTER_STORE_ERRORS, 1);
-        log_event(LOG_ERROR, "storage-failed", "took_ms=%" PRIu64
-                  " message=\"%s\"", loop_now() - before, st.message);
+        log_event(LOG_ERROR, "storage-failed",
+                  "took_ms=%" PRIu64 " message=\"%s\"", loop_now() - before,
+                  st.message);
         return false;
     }
     return true;
@@ -201,9 +201,8 @@
     struct news *news;
 
     /* A new leader answers only when it knows all that was committed. */
-    uint32_t leader = cons->role == CONS_LEADER && !cons_is_ready(cons)
-                          ? 0
-                          : cons->leader;
+    uint32_t leader =
+        cons->role == CONS_LEADER && !cons_is_ready(cons) ? 0 : cons->leader;
 
     if (cons->term == voter.told_term && leader == voter.told_leader) {
         return;
@@ -333,8 +332,8 @@
                &voter.node->counters);
     voter.open = true;
     log_event(LOG_INFO, "storage-opened",
-              "identity=%016" PRIx64 " last_index=%" PRIu64
-              " version=%" PRIu64 " torn_bytes=%" PRIu64,
+              "identity=%016" PRIx64 " last_index=%" PRIu64 " version=%" PRIu64
+              " torn_bytes=%" PRIu64,
               voter.store.identity, cons_last_index(&voter.order.cons),
               voter.order.version, voter.store.cut_bytes);
     tell_opened();
@@ -460,9 +459,8 @@
     open_folder();
     while (!voter.stop) {
         uint64_t us = wait_us();
-        struct job *job =
-            us > 0 ? g_async_queue_timeout_pop(voter.jobs, us)
-                   : g_async_queue_try_pop(voter.jobs);
+        struct job *job = us > 0 ? g_async_queue_timeout_pop(voter.jobs, us)
+                                 : g_async_queue_try_pop(voter.jobs);
 
         if (job != NULL) {
             do_job(job);
--- a/node.c
+++ b/node.c
@@ -77,8 +77,7 @@
 static void
 log_upstreams(const struct node *node)
 {
-    static const char *const states[] = {"ready", "leaving", "silent",
-                                         "gone"};
+    static const char *const states[] = {"ready", "leaving", "silent", "gone"};
     const GArray *changed = node->upstreams.changed;
 
     for (guint i = 0; i < changed->len; i++) {
@@ -163,8 +162,7 @@
     struct status st = {STATUS_OK, ""};
 
     node->settings_changed = changed_at(node->settings_path);
-    if (node_settings_load(node->settings_path, &settings, &st) !=
-        STATUS_OK) {
+    if (node_settings_load(node->settings_path, &settings, &st) != STATUS_OK) {
         log_event(LOG_WARN, "reload-refused", "message=\"%s\"", st.message);
         return;
     }
--- a/node.h
+++ b/node.h
@@ -26,23 +26,23 @@
 
 /** A node. */
 struct node {
-    struct node_settings settings;  /**< as loaded */
-    const char *settings_path;      /**< to be read again */
-    int64_t settings_changed;       /**< time of the file's last change */
-    uint64_t settings_at;           /**< deadline: look at it again */
-    struct counters counters;       /**< of the process */
-    struct upstream_set upstreams;  /**< the inventory */
-    struct evidence evidence;       /**< steering */
-    struct fleet fleet;             /**< other nodes */
-    struct node_voter voter;        /**< what its thread told */
-    int packets_fd;                 /**< UDP: callers and upstreams */
-    int peers_fd;                   /**< UDP: other nodes */
-    struct MHD_Daemon *http[3];     /**< ready, control, metrics */
-    GHashTable *calls;              /**< token to a suspended call */
-    uint64_t last_token;            /**< of calls */
-    uint64_t ticked_at;             /**< last tick, to notice a standstill */
-    uint64_t unready_at;            /**< stop: when it began, 0: not */
-    uint64_t end_at;                /**< stop: deadline of the end */
+    struct node_settings settings; /**< as loaded */
+    const char *settings_path;     /**< to be read again */
+    int64_t settings_changed;      /**< time of the file's last change */
+    uint64_t settings_at;          /**< deadline: look at it again */
+    struct counters counters;      /**< of the process */
+    struct upstream_set upstreams; /**< the inventory */
+    struct evidence evidence;      /**< steering */
+    struct fleet fleet;            /**< other nodes */
+    struct node_voter voter;       /**< what its thread told */
+    int packets_fd;                /**< UDP: callers and upstreams */
+    int peers_fd;                  /**< UDP: other nodes */
+    struct MHD_Daemon *http[3];    /**< ready, control, metrics */
+    GHashTable *calls;             /**< token to a suspended call */
+    uint64_t last_token;           /**< of calls */
+    uint64_t ticked_at;            /**< last tick, to notice a standstill */
+    uint64_t unready_at;           /**< stop: when it began, 0: not */
+    uint64_t end_at;               /**< stop: deadline of the end */
 };
 
 /** Runs a node until a planned stop is done. */
--- a/order.c
+++ b/order.c
@@ -160,8 +160,7 @@
     }
     if (now >= wait->deadline) {
         reply(order, wait->token, STATUS_UNCONFIRMED,
-              "no quorum of disks confirmed it in time; send it again",
-              false);
+              "no quorum of disks confirmed it in time; send it again", false);
         return true;
     }
     return false;
@@ -192,9 +191,9 @@
 
 /* Starts a replica. */
 void
-order_open(struct order *order, uint64_t now, uint32_t self,
-           uint64_t identity, bool founder, uint64_t seed,
-           struct cons_stored *stored, struct counters *counters)
+order_open(struct order *order, uint64_t now, uint32_t self, uint64_t identity,
+           bool founder, uint64_t seed, struct cons_stored *stored,
+           struct counters *counters)
 {
     wire_voter alone = {.replica = self, .identity = identity};
     wire_config founders = {
@@ -613,8 +612,8 @@
 order_deadline(const struct order *order)
 {
     const struct cons *cons = &order->cons;
-    uint64_t at = cons->role == CONS_LEADER ? cons->heartbeat_at
-                                            : cons->election_at;
+    uint64_t at =
+        cons->role == CONS_LEADER ? cons->heartbeat_at : cons->election_at;
 
     for (guint i = 0; i < order->waits->len; i++) {
         at = MIN(at,
--- a/order.h
+++ b/order.h
@@ -15,19 +15,25 @@
 #include "counter.h"
 #include "status.h"
 
-#define ORDER_ANSWER_MS 900U  /**< longest wait of an operator, who asks
-                                   another node after a second */
-#define ORDER_REPLACE_MS 3000U /**< a voter unheard so long is replaced, if
-                                    another disk holds the log */
-#define ORDER_FRESH_MS 1500U   /**< a disk counts for more voters only when
-                                    it reported this lately */
-#define ORDER_SHRINK_MS 10000U /**< a voter unheard so long that no disk can
-                                    replace is dropped */
-#define ORDER_FORGET_MS 6000U  /**< a disk that reports nothing so long is
-                                    not talked to, unless it votes */
-#define ORDER_SETTLE_MS 2000U  /**< after founding, disks have so long to
-                                    join before the first order is taken */
-#define ORDER_COMPACT 64U      /**< entries of the log before a snapshot */
+#define ORDER_ANSWER_MS                                                       \
+    900U /**< longest wait of an operator, who asks                           \
+              another node after a second */
+#define ORDER_REPLACE_MS                                                      \
+    3000U /**< a voter unheard so long is replaced, if                        \
+               another disk holds the log */
+#define ORDER_FRESH_MS                                                        \
+    1500U /**< a disk counts for more voters only when                        \
+               it reported this lately */
+#define ORDER_SHRINK_MS                                                       \
+    10000U /**< a voter unheard so long that no disk can                      \
+                replace is dropped */
+#define ORDER_FORGET_MS                                                       \
+    6000U /**< a disk that reports nothing so long is                         \
+               not talked to, unless it votes */
+#define ORDER_SETTLE_MS                                                       \
+    2000U                 /**< after founding, disks have so long to          \
+                               join before the first order is taken */
+#define ORDER_COMPACT 64U /**< entries of the log before a snapshot */
 #define ORDER_DISKS_MAX CONS_PEERS_MAX
 
 /** What the shell must do. */
--- a/schema.c
+++ b/schema.c
@@ -117,8 +117,7 @@
     struct schema_endpoint at;
 
     if (!json_object_is_type(value, json_type_string) ||
-        !address_parse(json_object_get_string(value), &at.address,
-                       &at.port)) {
+        !address_parse(json_object_get_string(value), &at.address, &at.port)) {
         return refuse(r, path, field, "is not an IPv4 address and port");
     }
     memcpy(out, &at, sizeof(at));
--- a/schema.h
+++ b/schema.h
@@ -18,16 +18,16 @@
 
 /** How a value is read. */
 enum schema_type {
-    SCHEMA_TEXT,  /**< string into char[max + 1] */
-    SCHEMA_UINT,  /**< integer into uint64_t, within min and max */
-    SCHEMA_SECONDS, /**< seconds, a fraction allowed, into uint64_t ms within
-                         min and max; the default is in ms as well */
+    SCHEMA_TEXT,     /**< string into char[max + 1] */
+    SCHEMA_UINT,     /**< integer into uint64_t, within min and max */
+    SCHEMA_SECONDS,  /**< seconds, a fraction allowed, into uint64_t ms within
+                          min and max; the default is in ms as well */
     SCHEMA_ENDPOINT, /**< "address:port" into struct schema_endpoint */
-    SCHEMA_IPV4,  /**< dotted quad into uint32_t, host order */
-    SCHEMA_HEX,   /**< 2 * max hex digits into unsigned char[max] */
-    SCHEMA_WORD,  /**< one of `words`, its index into int */
-    SCHEMA_LIST,  /**< array of objects: pointer, and a size_t after it */
-    SCHEMA_OBJECT /**< an object, in place */
+    SCHEMA_IPV4,     /**< dotted quad into uint32_t, host order */
+    SCHEMA_HEX,      /**< 2 * max hex digits into unsigned char[max] */
+    SCHEMA_WORD,     /**< one of `words`, its index into int */
+    SCHEMA_LIST,     /**< array of objects: pointer, and a size_t after it */
+    SCHEMA_OBJECT    /**< an object, in place */
 };
 
 /** An IPv4 address and a port. */
--- a/store.h
+++ b/store.h
@@ -23,16 +23,16 @@
 
 /** An open data folder. */
 struct store {
-    char path[256];     /**< the folder */
-    int folder;         /**< its descriptor */
-    int lock;           /**< held while the process lives */
-    int log;            /**< descriptor of the log */
-    uint64_t first;     /**< index of the first record in the log */
-    GArray *offsets;    /**< off_t of each record, and of the end */
-    uint64_t identity;  /**< of this disk */
-    bool founder;       /**< the folder was made by init */
+    char path[256];       /**< the folder */
+    int folder;           /**< its descriptor */
+    int lock;             /**< held while the process lives */
+    int log;              /**< descriptor of the log */
+    uint64_t first;       /**< index of the first record in the log */
+    GArray *offsets;      /**< off_t of each record, and of the end */
+    uint64_t identity;    /**< of this disk */
+    bool founder;         /**< the folder was made by init */
     enum store_tail tail; /**< how a bad end is taken */
-    uint64_t cut_bytes; /**< of a torn tail, cut at open */
+    uint64_t cut_bytes;   /**< of a torn tail, cut at open */
 };
 
 /**
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -77,8 +77,7 @@
         fleet_sim_random(sim, 1000) < sim->options.loss) {
         return;
     }
-    flight.at =
-        sim->now + DELAY_MS + fleet_sim_random(sim, JITTER_MS + 1);
+    flight.at = sim->now + DELAY_MS + fleet_sim_random(sim, JITTER_MS + 1);
     flight.bytes = g_byte_array_ref((GByteArray *)bytes);
     g_array_append_val(sim->queue, flight);
 }
@@ -130,11 +129,10 @@
     if (action->with_table) {
         sim->read = sim->nodes[n].order.version;
         if (sim->read < version) {
-            fleet_sim_note(sim,
-                           "read %llu at %llu ms after %llu was acknowledged",
-                           (unsigned long long)sim->read,
-                           (unsigned long long)sim->now,
-                           (unsigned long long)version);
+            fleet_sim_note(
+                sim, "read %llu at %llu ms after %llu was acknowledged",
+                (unsigned long long)sim->read, (unsigned long long)sim->now,
+                (unsigned long long)version);
         }
         return;
     }
@@ -269,8 +267,8 @@
 
     sim_disk_load(&node->disk, &stored);
     order_open(&node->order, sim->now, node->address, node->disk.identity,
-               node->disk.identity == node->address,
-               fleet_sim_random(sim, 0), &stored, &node->counters);
+               node->disk.identity == node->address, fleet_sim_random(sim, 0),
+               &stored, &node->counters);
 }
 
 /* Starts a node. */
@@ -404,8 +402,8 @@
 
         if (is_running(sim, i) && node->has_disk &&
             cons_is_ready(&node->order.cons) &&
-            (best < 0 || node->order.cons.term >
-                             sim->nodes[best].order.cons.term)) {
+            (best < 0 ||
+             node->order.cons.term > sim->nodes[best].order.cons.term)) {
             best = i;
         }
     }
@@ -456,8 +454,8 @@
     routes.length = (u_int)strlen(text);
     routes.packed.packed_val = text;
     routes.packed.packed_len = routes.length;
-    order_submit(&sim->nodes[leader].order, sim->now,
-                 new_token(sim, version), &routes);
+    order_submit(&sim->nodes[leader].order, sim->now, new_token(sim, version),
+                 &routes);
     act(sim, leader);
 }
 
@@ -513,9 +511,8 @@
                                                  .port = 8080,
                                                  .slots = 2,
                                                  .leaving = u->leaving};
-    int n = u->keeper >= 0
-                ? u->keeper
-                : (int)fleet_sim_random(sim, (uint64_t)sim->count);
+    int n = u->keeper >= 0 ? u->keeper
+                           : (int)fleet_sim_random(sim, (uint64_t)sim->count);
 
     registration.address += (uint32_t)index;
     registration.sequence = ++u->sequence;
@@ -553,8 +550,7 @@
     struct fleet_sim_node *node = &sim->nodes[flight->to];
     wire_msg msg;
 
-    g_assert_true(
-        codec_decode(flight->bytes->data, flight->bytes->len, &msg));
+    g_assert_true(codec_decode(flight->bytes->data, flight->bytes->len, &msg));
     if (msg.kind >= WIRE_HELLO) {
         fleet_receive(&node->fleet, sim->now, &msg);
     }
@@ -656,8 +652,7 @@
         g_array_free(sim->nodes[i].disk.log, TRUE);
     }
     for (guint i = 0; i < sim->queue->len; i++) {
-        g_byte_array_unref(
-            g_array_index(sim->queue, struct flight, i).bytes);
+        g_byte_array_unref(g_array_index(sim->queue, struct flight, i).bytes);
     }
     g_array_free(sim->queue, TRUE);
     g_hash_table_destroy(sim->waiting);
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -63,11 +63,11 @@
     GArray *queue;       /* messages under way */
     GHashTable *waiting; /* token to version; 0: a read */
     uint64_t last_token;
-    uint64_t acked;  /* highest version acknowledged */
-    uint64_t read;   /* version of the last read that was answered */
+    uint64_t acked; /* highest version acknowledged */
+    uint64_t read;  /* version of the last read that was answered */
     unsigned answers;
     unsigned refusals;
-    uint64_t bytes;  /* sent between nodes */
+    uint64_t bytes;   /* sent between nodes */
     char broken[256]; /* first promise that did not hold */
 };
 
--- a/tests/sim-disk.c
+++ b/tests/sim-disk.c
@@ -18,7 +18,7 @@
 /* Copies entries of the core's log to the disk. */
 void
 sim_disk_append(struct sim_disk *disk, const struct cons *cons, uint64_t index,
-            uint32_t count)
+                uint32_t count)
 {
     sim_disk_cut(disk, index);
     for (uint32_t i = 0; i < count; i++) {
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -215,7 +215,7 @@
         /* A shell that does not sync loses what it acknowledged. */
         if (!unsaved || sim_random(sim, 3) != 0) {
             sim_disk_append(&node->disk, &node->core.cons, action->index,
-                        action->count);
+                            action->count);
         }
         return;
     case CONS_SAVE_CUT:
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -31,7 +31,8 @@
     struct cons_stored stored;
 
     st->kind = STATUS_OK;
-    if (store_open(&f->store, f->path, STORE_TAIL_STRICT, &stored, st) != STATUS_OK) {
+    if (store_open(&f->store, f->path, STORE_TAIL_STRICT, &stored, st) !=
+        STATUS_OK) {
         for (guint i = 0; stored.log != NULL && i < stored.log->len; i++) {
             g_bytes_unref(
                 g_array_index(stored.log, struct cons_entry, i).command);
--- a/upstream.c
+++ b/upstream.c
@@ -104,8 +104,8 @@
     g_ptr_array_add(set->all, upstream);
     g_hash_table_insert(set->by_id, &upstream->id, upstream);
     if (upstream_by_token(set, upstream->token) == NULL) {
-        g_hash_table_insert(set->by_token,
-                            GUINT_TO_POINTER(upstream->token), upstream);
+        g_hash_table_insert(set->by_token, GUINT_TO_POINTER(upstream->token),
+                            upstream);
     }
     return upstream;
 }
@@ -230,10 +230,10 @@
     upstream->keeper = record->keeper;
     upstream->warm_at = now + record->warm_ms;
     /* What this node heard before it was restarted, it watches again. */
-    upstream->expire_at = upstream->keeper == set->self &&
-                                  upstream->state < UPSTREAM_SILENT
-                              ? next_expiry(set, now)
-                              : 0;
+    upstream->expire_at =
+        upstream->keeper == set->self && upstream->state < UPSTREAM_SILENT
+            ? next_expiry(set, now)
+            : 0;
     if (upstream->state == UPSTREAM_GONE) {
         set_gone(upstream, now);
     }
@@ -312,9 +312,9 @@
     memset(out, 0, WIRE_BUCKETS * sizeof(*out));
     for (guint i = 0; i < set->all->len; i++) {
         const struct upstream *upstream = g_ptr_array_index(set->all, i);
-        uint64_t about = (uint64_t)upstream->state << 32 |
-                         (upstream->state == UPSTREAM_GONE ? 0
-                                                           : upstream->keeper);
+        uint64_t about =
+            (uint64_t)upstream->state << 32 |
+            (upstream->state == UPSTREAM_GONE ? 0 : upstream->keeper);
 
         out[upstream->token % WIRE_BUCKETS] +=
             (uint32_t)hash_pair(HASH_UPSTREAM, upstream->id, about);
--- a/upstream.h
+++ b/upstream.h
@@ -15,8 +15,9 @@
 #include "generated/wire.h"
 
 #define UPSTREAM_NAME_MAX 63
-#define UPSTREAM_GONE_MS 60000U /**< a gone record is kept this long, so that
-                                     no late message brings it back */
+#define UPSTREAM_GONE_MS                                                      \
+    60000U /**< a gone record is kept this long, so that                      \
+                no late message brings it back */
 #define UPSTREAM_NO_SERVICE UINT16_MAX
 
 /** What is believed of an incarnation; at equal sequence the higher wins. */
