--- a/cons.c
+++ b/cons.c
@@ -68,6 +68,10 @@
             cons->commit = stored->snapshot.index;
         }
     }
+    if (stored != NULL && cons->log != NULL) {
+        cons->commit =
+            MAX(cons->commit, MIN(stored->commit, cons_last_index(cons)));
+    }
     if (cons->log == NULL) {
         cons->log = g_array_new(FALSE, FALSE, sizeof(struct cons_entry));
     }
--- a/cons.h
+++ b/cons.h
@@ -114,6 +114,7 @@
     uint32_t vote;
     struct cons_snapshot snapshot; /**< index 0: none; taken over */
     GArray *log;                   /**< struct cons_entry; taken over */
+    uint64_t commit; /**< an entry known to be committed, 0: none */
 };
 
 /** Starts a replica. `stored` may be NULL. `founders` vote at first. */
--- a/fleet.c
+++ b/fleet.c
@@ -398,6 +398,25 @@
     }
 }
 
+/* LEADER: watches upstreams whose keeper is no member; after a loss of power
+ * on all nodes their records come from disks. */
+static void
+watch_unkept(struct fleet *fleet, uint64_t now)
+{
+    const struct upstream_set *set = fleet->upstreams;
+
+    for (guint i = 0; i < set->all->len; i++) {
+        const struct upstream *u = g_ptr_array_index(set->all, i);
+
+        if (u->expire_at == 0 && u->state < UPSTREAM_SILENT &&
+            u->keeper != fleet->self.address &&
+            !g_hash_table_contains(fleet->members,
+                                   GUINT_TO_POINTER(u->keeper))) {
+            lose_keeper(fleet, now, u->keeper);
+        }
+    }
+}
+
 /* LEADER: drops members that are silent. */
 static void
 drop_lost(struct fleet *fleet, uint64_t now)
@@ -415,6 +434,9 @@
             g_hash_table_iter_remove(&iter);
         }
     }
+    if (now > fleet->leads_since + FLEET_LOST_MS) {
+        watch_unkept(fleet, now);
+    }
 }
 
 /* LEADER: pushes the table to all members. */
--- a/node-voter.c
+++ b/node-voter.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "hash.h"
 #include "log.h"
 #include "loop.h"
 #include "node.h"
@@ -15,7 +16,8 @@
 #include "store.h"
 
 #define REOPEN_MS 300U /* a refusing disk is tried again so often */
-#define IDLE_MS 1000U  /* longest sleep of the thread */
+#define KEPT_FILE "upstreams"
+#define IDLE_MS 1000U /* longest sleep of the thread */
 
 /* What the loop asks of the voter. */
 enum job_kind {
@@ -24,6 +26,7 @@
     JOB_FOUND,   /* found the quorum */
     JOB_SUBMIT,  /* an operator's table */
     JOB_READ,    /* an operator's question */
+    JOB_KEEP,    /* store the inventory */
     JOB_RESIGN,  /* give up leading */
     JOB_STOP     /* end the thread */
 };
@@ -31,7 +34,7 @@
 /* One job. */
 struct job {
     enum job_kind kind;
-    GByteArray *bytes;  /* MESSAGE */
+    GByteArray *bytes;  /* MESSAGE, KEEP */
     wire_node disk;     /* DISK */
     uint64_t token;     /* SUBMIT, READ */
     wire_routes routes; /* SUBMIT; packed is owned */
@@ -54,6 +57,7 @@
     wire_routes routes;                 /* packed is owned */
     uint32_t voters[CONS_REPLICAS_MAX]; /* addresses, when opened */
     u_int voter_count;
+    GByteArray *kept; /* the inventory stored, when opened */
 };
 
 /* The thread's state. */
@@ -71,6 +75,24 @@
     bool stop;
 } voter;
 
+/* Merges the inventory that was stored, as if a peer had sent it. */
+static void
+merge_kept(struct node *node, const GByteArray *kept, uint64_t now)
+{
+    wire_msg msg;
+
+    if (!codec_decode(kept->data, kept->len, &msg)) {
+        log_event(LOG_WARN, "inventory-unreadable", "bytes=%u", kept->len);
+        return;
+    }
+    if (msg.kind == WIRE_UPSTREAMS) {
+        fleet_receive(&node->fleet, now, &msg);
+        log_event(LOG_INFO, "inventory-loaded", "upstreams=%u",
+                  msg.wire_msg_u.upstreams.list.list_len);
+    }
+    codec_free(&msg);
+}
+
 /* Takes news on the loop's thread. */
 static void
 on_news(void *data)
@@ -87,6 +109,10 @@
             fleet_add_contact(&node->fleet, news->voters[i]);
         }
     }
+    if (news->kept != NULL) {
+        merge_kept(node, news->kept, now);
+        g_byte_array_unref(news->kept);
+    }
     if (news->has_leader) {
         node->voter.leader = news->leader;
         node->voter.term = news->term;
@@ -287,6 +313,48 @@
     log_voters();
 }
 
+/* Reads the inventory that was stored; NULL when there is none. */
+static GByteArray *
+read_kept(void)
+{
+    GByteArray *bytes = store_read_file(voter.store.folder, KEPT_FILE);
+    uint64_t sum;
+
+    if (bytes == NULL) {
+        return NULL;
+    }
+    if (bytes->len > sizeof(sum)) {
+        memcpy(&sum, bytes->data, sizeof(sum));
+        g_byte_array_remove_range(bytes, 0, sizeof(sum));
+        if (sum == hash_bytes(HASH_KEY, bytes->data, bytes->len)) {
+            return bytes;
+        }
+    }
+    log_event(LOG_WARN, "inventory-damaged", "bytes=%u", bytes->len);
+    g_byte_array_unref(bytes);
+    return NULL;
+}
+
+/* Stores the inventory. It is only a help, so a refusing disk is logged and
+ * nothing more. */
+static void
+keep(const GByteArray *bytes)
+{
+    uint64_t sum = hash_bytes(HASH_KEY, bytes->data, bytes->len);
+    GByteArray *file = g_byte_array_new();
+    struct status st = {STATUS_OK, ""};
+
+    g_byte_array_append(file, (const guint8 *)&sum, sizeof(sum));
+    g_byte_array_append(file, bytes->data, bytes->len);
+    if (store_write_file(voter.store.folder, KEPT_FILE, file->data, file->len,
+                         &st) != STATUS_OK) {
+        counter_add(&voter.node->counters, COUNTER_STORE_ERRORS, 1);
+        log_event(LOG_WARN, "inventory-not-stored", "message=\"%s\"",
+                  st.message);
+    }
+    g_byte_array_unref(file);
+}
+
 /* Tells the loop what the folder holds. */
 static void
 tell_opened(void)
@@ -296,6 +364,7 @@
 
     news->opened = true;
     news->identity = voter.store.identity;
+    news->kept = read_kept();
     for (u_int i = 0; i < config->voters.voters_len; i++) {
         news->voters[news->voter_count++] =
             config->voters.voters_val[i].replica;
@@ -418,6 +487,11 @@
             order_submit(&voter.order, now, job->token, &job->routes);
         }
         break;
+    case JOB_KEEP:
+        if (voter.open) {
+            keep(job->bytes);
+        }
+        break;
     case JOB_RESIGN:
         if (voter.open) {
             order_resign(&voter.order, now);
@@ -581,3 +655,13 @@
     job->token = token;
     push(node, job);
 }
+
+/* Stores the inventory. */
+void
+node_voter_keep(struct node *node, GByteArray *bytes)
+{
+    struct job *job = new_job(JOB_KEEP);
+
+    job->bytes = bytes;
+    push(node, job);
+}
--- a/node.c
+++ b/node.c
@@ -17,6 +17,9 @@
 #define GRACE_MARGIN_MS 1500U
 /* Settings may change without a signal. */
 #define SETTINGS_CHECK_MS 2000U
+/* Least time between two stores of the inventory: two syncs of 5 ms are then
+ * at most a hundredth of a disk's time. */
+#define KEEP_MS 1000U
 /* A tick later than this by its deadline means that the process stood still,
  * and what it did not hear meanwhile proves nothing. */
 #define STANDSTILL_MS 400U
@@ -94,6 +97,20 @@
     }
 }
 
+/* Stores the inventory when it changed, so that a start after a loss of power
+ * need not wait until every upstream registered again. */
+static void
+keep_upstreams(struct node *node, uint64_t now)
+{
+    if (!node->voter.running || node->kept == node->upstreams.changes ||
+        now < node->keep_at || !node->fleet.settled) {
+        return;
+    }
+    node->kept = node->upstreams.changes;
+    node->keep_at = now + KEEP_MS;
+    node_voter_keep(node, upstream_save(&node->upstreams, now));
+}
+
 /* Sets the next wake-up. */
 static void
 schedule(struct node *node)
@@ -226,6 +243,7 @@
     upstream_tick(&node->upstreams, now);
     evidence_tick(&node->evidence, now);
     fleet_tick(&node->fleet, now);
+    keep_upstreams(node, now);
     node_poll_http(node);
     node_act(node);
 }
--- a/node.h
+++ b/node.h
@@ -82,6 +82,9 @@
 void node_voter_submit(struct node *node, uint64_t token, const char *text,
                        size_t length, uint64_t version);
 void node_voter_read(struct node *node, uint64_t token);
+/** Stores the inventory, so that a start after a loss of power knows it;
+ * takes the bytes over. */
+void node_voter_keep(struct node *node, GByteArray *bytes);
 
 /* node-pack.c */
 /** Deflates a document; free `packed` with g_free(). */
--- a/store.c
+++ b/store.c
@@ -15,7 +15,7 @@
 #include "codec.h"
 #include "hash.h"
 
-#define LOG_MAGIC 0x31474f4c52524952ULL      /* "RIRRLOG1" */
+#define LOG_MAGIC 0x32474f4c52524952ULL      /* "RIRRLOG2" */
 #define RECORD_MAGIC 0x44434552U             /* "RECD": first of a sync */
 #define RECORD_NEXT_MAGIC 0x4e434552U        /* "RECN": more of that sync */
 #define VOTE_MAGIC 0x31544f5652524952ULL     /* "RIRRVOT1" */
@@ -28,7 +28,8 @@
     uint32_t length; /* of the command that follows */
     uint64_t index;
     uint64_t term;
-    uint64_t checksum; /* of the four fields above and the command */
+    uint64_t commit;   /* highest entry known to be committed by then */
+    uint64_t checksum; /* of the fields above and the command */
 };
 
 /* The file of term and vote. */
@@ -116,8 +117,8 @@
 }
 
 /* Reads a small file; NULL when it is not there. */
-static GByteArray *
-read_file(int folder, const char *name)
+GByteArray *
+store_read_file(int folder, const char *name)
 {
     int fd = openat(folder, name, O_RDONLY | O_CLOEXEC);
     struct stat info;
@@ -154,7 +155,7 @@
 static enum status_kind
 load_vote(struct store *store, struct cons_stored *stored, struct status *st)
 {
-    GByteArray *bytes = read_file(store->folder, "vote");
+    GByteArray *bytes = store_read_file(store->folder, "vote");
     struct vote_file file;
 
     if (bytes == NULL) {
@@ -201,7 +202,7 @@
 load_snapshot(struct store *store, struct cons_stored *stored,
               struct status *st)
 {
-    GByteArray *bytes = read_file(store->folder, "snapshot");
+    GByteArray *bytes = store_read_file(store->folder, "snapshot");
     struct snapshot_file file;
     const guint8 *body;
     bool ok;
@@ -280,6 +281,7 @@
     if (header->index <= stored->snapshot.index) {
         return true;
     }
+    stored->commit = MAX(stored->commit, header->commit);
     entry.term = header->term;
     entry.command = g_bytes_new(command, header->length);
     g_array_append_val(stored->log, entry);
@@ -343,7 +345,7 @@
 load_log(struct store *store, struct cons_stored *stored, struct status *st)
 {
     uint64_t magic = LOG_MAGIC;
-    GByteArray *bytes = read_file(store->folder, "log");
+    GByteArray *bytes = store_read_file(store->folder, "log");
     enum status_kind kind;
 
     if (bytes == NULL || bytes->len == 0) {
@@ -354,7 +356,7 @@
                              st) != STATUS_OK) {
             return st->kind;
         }
-        bytes = read_file(store->folder, "log");
+        bytes = store_read_file(store->folder, "log");
     }
     store->log = openat(store->folder, "log", O_RDWR | O_CLOEXEC);
     if (store->log < 0 || bytes == NULL) {
@@ -376,7 +378,7 @@
 static enum status_kind
 load_identity(struct store *store, struct status *st)
 {
-    GByteArray *bytes = read_file(store->folder, "identity");
+    GByteArray *bytes = store_read_file(store->folder, "identity");
 
     if (bytes != NULL && bytes->len == sizeof(store->identity)) {
         memcpy(&store->identity, bytes->data, sizeof(store->identity));
@@ -554,14 +556,16 @@
 /* Adds one record to a buffer. */
 static void
 pack_record(GByteArray *out, uint32_t magic, uint64_t index,
-            const struct cons_entry *entry)
+            const struct cons *cons)
 {
+    const struct cons_entry *entry = cons_entry_at(cons, index);
     gsize length = 0;
     const void *command = g_bytes_get_data(entry->command, &length);
     struct record_header header = {.magic = magic,
                                    .length = (uint32_t)length,
                                    .index = index,
-                                   .term = entry->term};
+                                   .term = entry->term,
+                                   .commit = cons->commit};
 
     header.checksum = record_checksum(&header, command);
     g_byte_array_append(out, (const guint8 *)&header, sizeof(header));
@@ -612,7 +616,7 @@
         off_t next;
 
         pack_record(out, i == 0 ? RECORD_MAGIC : RECORD_NEXT_MAGIC, index + i,
-                    cons_entry_at(cons, index + i));
+                    cons);
         next = end + (off_t)out->len;
         g_array_append_val(store->offsets, next);
     }
@@ -669,7 +673,7 @@
         g_array_append_val(store->offsets, at);
         if (i <= cons_last_index(cons)) {
             pack_record(out, i == first ? RECORD_MAGIC : RECORD_NEXT_MAGIC, i,
-                        cons_entry_at(cons, i));
+                        cons);
         }
     }
     store->first = first;
--- a/store.h
+++ b/store.h
@@ -75,6 +75,9 @@
 enum status_kind store_snapshot(struct store *store, const struct cons *cons,
                                 struct status *st);
 
+/** Reads a small file; NULL when it is not there. */
+GByteArray *store_read_file(int folder, const char *name);
+
 /** Writes a whole small file under a folder: temporary, sync, rename. */
 enum status_kind store_write_file(int folder, const char *name,
                                   const void *bytes, size_t length,
--- a/tests/sim-disk.h
+++ b/tests/sim-disk.h
@@ -14,6 +14,7 @@
     uint32_t vote;
     struct cons_snapshot snapshot;
     GArray *log; /* struct cons_entry */
+    uint64_t commit;
 };
 
 /* Drops what a disk holds from an index on. */
--- a/upstream.h
+++ b/upstream.h
@@ -72,7 +72,7 @@
     GHashTable *by_token; /**< uint32_t to struct upstream */
     GPtrArray *services;  /**< names, by handle */
     GArray *changed;      /**< uint64_t: ids to be spread */
-    uint64_t digest_at;   /**< changes of the inventory so far */
+    uint64_t changes;     /**< of the inventory so far, own and merged */
 };
 
 /** Makes an empty inventory. */
@@ -133,6 +133,9 @@
 void upstream_digests(const struct upstream_set *set,
                       uint32_t out[WIRE_BUCKETS]);
 
+/** Encodes all records that are alive, to be stored; a WIRE_UPSTREAMS. */
+GByteArray *upstream_save(const struct upstream_set *set, uint64_t now);
+
 /** Fills a record for the wire; its strings are borrowed. */
 void upstream_pack(const struct upstream_set *set, uint64_t now,
                    const struct upstream *upstream, wire_upstream *out);
