--- a/node.h
+++ b/node.h
@@ -40,6 +40,8 @@
     struct MHD_Daemon *http[3];    /**< ready, control, metrics */
     GHashTable *calls;             /**< token to a suspended call */
     uint64_t last_token;           /**< of calls */
+    uint64_t kept;                 /**< changes of the inventory stored */
+    uint64_t keep_at;              /**< deadline: it may be stored again */
     uint64_t ticked_at;            /**< last tick, to notice a standstill */
     uint64_t unready_at;           /**< stop: when it began, 0: not */
     uint64_t end_at;               /**< stop: deadline of the end */
