--- /dev/null
+++ b/tests/test-evidence.c
@@ -0,0 +1,547 @@
+/*
+ * Steering by evidence, the inventory's merge rules, and what the platform's
+ * bytes are read as. Tables of cases.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "codec.h"
+#include "evidence.h"
+#include "platform/platform.h"
+
+#define NOW 1000000
+#define INTERVAL_MS 770
+#define ROUTE_ADDRESS 0xc6120001U
+#define ROUTE_PORT 443
+#define SELF 0x0a010010U
+
+/* An entry with a table and upstreams 1 to 4 of "feed". */
+struct fixture {
+    struct counters counters;
+    struct upstream_set upstreams;
+    struct evidence ev;
+};
+
+/* Registers an upstream. */
+static void
+reg(struct fixture *f, uint64_t now, uint64_t id, uint64_t sequence,
+    bool leaving)
+{
+    struct upstream_registration r = {.id = id,
+                                      .service = "feed",
+                                      .hall = "hall",
+                                      .address = 0x0a800000U + (uint32_t)id,
+                                      .port = 8080,
+                                      .slots = 2,
+                                      .leaving = leaving,
+                                      .sequence = sequence};
+
+    upstream_register(&f->upstreams, now, &r);
+}
+
+/* A table of one version with one route to "feed". */
+static struct route_table *
+table_of(uint64_t version, uint16_t port)
+{
+    struct route_table *table = route_new();
+    struct route route = {.name = "r",
+                          .address = ROUTE_ADDRESS,
+                          .port = port,
+                          .target_count = 1};
+
+    route.targets = g_new0(struct route_target, 1);
+    g_strlcpy(route.targets[0].service, "feed", ROUTE_NAME_MAX);
+    route.targets[0].weight = 1;
+    g_assert_true(route_add(table, &route));
+    table->version = version;
+    return table;
+}
+
+/* Makes an entry. */
+static void
+set_up(struct fixture *f, unsigned upstreams)
+{
+    memset(f, 0, sizeof(*f));
+    upstream_open(&f->upstreams, SELF, INTERVAL_MS);
+    evidence_open(&f->ev, &f->upstreams, &f->counters, 60000, 0);
+    f->ev.settled = true;
+    for (unsigned id = 1; id <= upstreams; id++) {
+        reg(f, NOW, id, 1, false);
+    }
+    g_assert_true(evidence_apply(&f->ev, table_of(1, ROUTE_PORT)));
+}
+
+/* Frees it. */
+static void
+tear_down(struct fixture *f)
+{
+    evidence_close(&f->ev);
+    upstream_close(&f->upstreams);
+}
+
+/* A packet of caller N. */
+static struct evidence_packet
+packet_of(uint16_t caller, bool first, uint32_t token, uint32_t acknowledged)
+{
+    return (struct evidence_packet){.source = 0x64400001,
+                                    .source_port = caller,
+                                    .destination = ROUTE_ADDRESS,
+                                    .destination_port = ROUTE_PORT,
+                                    .first = first,
+                                    .token = token,
+                                    .acknowledged = acknowledged};
+}
+
+/* What becomes of one packet. */
+struct steer_case {
+    const char *name;
+    bool first;
+    bool reset;
+    uint64_t named; /* upstream that the token names, 0: none */
+    uint16_t port;  /* of the route */
+    char before;    /* l: 1 leaves, s: 1 is silent, g: 1 has gone, u: a
+                       reused address, d: route dropped, n: no upstream,
+                       x: nothing settled and no upstream, t: no table */
+    enum evidence_action action;
+    enum ring_rule rule;
+};
+
+static const struct steer_case steers[] = {
+    {"first", true, false, 0, ROUTE_PORT, '-', EVIDENCE_FORWARD,
+     RULE_LEAST_WORK},
+    {"named", false, false, 1, ROUTE_PORT, '-', EVIDENCE_FORWARD,
+     RULE_EVIDENCE},
+    {"named-leaving", false, false, 1, ROUTE_PORT, 'l', EVIDENCE_FORWARD,
+     RULE_EVIDENCE},
+    {"named-silent", false, false, 1, ROUTE_PORT, 's', EVIDENCE_FORWARD,
+     RULE_EVIDENCE},
+    {"named-gone", false, false, 1, ROUTE_PORT, 'g', EVIDENCE_REFUSE,
+     RULE_UPSTREAM_GONE},
+    {"reset-to-gone", false, true, 1, ROUTE_PORT, 'g', EVIDENCE_DROP,
+     RULE_UPSTREAM_GONE},
+    {"named-reused-address", false, false, 1, ROUTE_PORT, 'u',
+     EVIDENCE_FORWARD, RULE_EVIDENCE},
+    {"nothing-named", false, false, 0, ROUTE_PORT, '-', EVIDENCE_DROP,
+     RULE_NO_EVIDENCE},
+    {"unknown-named", false, false, 99, ROUTE_PORT, '-', EVIDENCE_DROP,
+     RULE_UNKNOWN_EVIDENCE},
+    {"first-no-route", true, false, 0, 9, '-', EVIDENCE_REFUSE, RULE_NO_ROUTE},
+    {"open-flow-of-a-route-not-known-yet", false, false, 1, 9, '-',
+     EVIDENCE_FORWARD, RULE_EVIDENCE},
+    {"open-flow-of-a-dropped-route", false, false, 1, ROUTE_PORT, 'd',
+     EVIDENCE_REFUSE, RULE_ROUTE_DROPPED},
+    {"first-of-a-dropped-route", true, false, 0, ROUTE_PORT, 'd',
+     EVIDENCE_REFUSE, RULE_NO_ROUTE},
+    {"first-no-upstream", true, false, 0, ROUTE_PORT, 'n', EVIDENCE_REFUSE,
+     RULE_NO_UPSTREAM},
+    {"first-before-the-inventory", true, false, 0, ROUTE_PORT, 'x',
+     EVIDENCE_DROP, RULE_NO_UPSTREAM},
+    {"first-before-the-table", true, false, 0, ROUTE_PORT, 't', EVIDENCE_DROP,
+     RULE_NO_TABLE},
+};
+
+/* Brings an entry into the state of a case. */
+static void
+prepare(struct fixture *f, char before)
+{
+    set_up(f, before == 'n' || before == 'x' ? 0 : 1);
+    switch (before) {
+    case 'l':
+        reg(f, NOW, 1, 2, true);
+        return;
+    case 's':
+        upstream_tick(&f->upstreams, NOW + 10 * INTERVAL_MS);
+        return;
+    case 'g':
+        upstream_deregister(&f->upstreams, NOW, 1);
+        return;
+    case 'u':
+        reg(f, NOW, 2, 1, false);
+        upstream_by_id(&f->upstreams, 2)->address =
+            upstream_by_id(&f->upstreams, 1)->address;
+        return;
+    case 'd':
+        g_assert_true(evidence_apply(&f->ev, table_of(2, 9)));
+        return;
+    case 'x':
+        f->ev.settled = false;
+        return;
+    case 't':
+        evidence_close(&f->ev);
+        evidence_open(&f->ev, &f->upstreams, &f->counters, 60000, 0);
+        return;
+    default:
+        return;
+    }
+}
+
+/* Steers one packet. */
+static void
+test_steer(const void *data)
+{
+    const struct steer_case *c = data;
+    uint32_t token = c->named != 0 ? upstream_token(c->named) : 0;
+    struct evidence_packet packet = packet_of(7, c->first, token, 0);
+    struct evidence_verdict verdict;
+    struct fixture f;
+
+    prepare(&f, c->before);
+    packet.destination_port = c->port;
+    packet.reset = c->reset;
+    evidence_steer(&f.ev, NOW, &packet, &verdict);
+    g_assert_cmpstr(ring_rule_name(verdict.rule), ==, ring_rule_name(c->rule));
+    g_assert_cmpint(verdict.action, ==, c->action);
+    if (c->action == EVIDENCE_FORWARD) {
+        g_assert_cmpuint(verdict.upstream->id, ==, 1);
+    }
+    tear_down(&f);
+}
+
+/* Copies of a first packet, as they are sent after 200 and 600 ms. */
+struct copy_case {
+    const char *name;
+    uint32_t copies;
+    bool answered; /* the upstream answered the first one */
+    bool leaves;   /* it says that it leaves before the copy comes */
+    bool same;     /* the copy goes where the first went */
+};
+
+static const struct copy_case copies[] = {
+    {"first-copy", 1, false, false, true},
+    {"second-copy", 2, false, false, false},
+    {"second-copy-after-an-answer", 2, true, false, true},
+    {"first-copy-when-it-leaves", 1, false, true, false},
+};
+
+/* Sends a first packet and a copy of it. */
+static void
+test_copy(const void *data)
+{
+    const struct copy_case *c = data;
+    struct evidence_packet packet = packet_of(7, true, 0, 0);
+    struct evidence_verdict verdict;
+    struct fixture f;
+    uint64_t first;
+
+    set_up(&f, 4);
+    evidence_steer(&f.ev, NOW, &packet, &verdict);
+    first = verdict.upstream->id;
+    if (c->answered) {
+        struct evidence_packet next =
+            packet_of(7, false, verdict.upstream->token, 5);
+
+        evidence_steer(&f.ev, NOW + 10, &next, &verdict);
+    }
+    if (c->leaves) {
+        reg(&f, NOW, first, 2, true);
+    }
+    packet.acknowledged = c->copies;
+    evidence_steer(&f.ev, NOW + 600, &packet, &verdict);
+    g_assert_cmpint(verdict.action, ==, EVIDENCE_FORWARD);
+    g_assert_cmpint(verdict.upstream->id == first, ==, c->same);
+    tear_down(&f);
+}
+
+/* New flows spread over upstreams, and away from a suspect. */
+static void
+test_spread(void)
+{
+    unsigned got[5] = {0};
+    struct evidence_packet packet;
+    struct evidence_verdict verdict;
+    struct fixture f;
+
+    set_up(&f, 4);
+    for (uint16_t caller = 1; caller <= 400; caller++) {
+        packet = packet_of(caller, true, 0, 0);
+        evidence_steer(&f.ev, NOW, &packet, &verdict);
+        got[verdict.upstream->id]++;
+    }
+    for (unsigned id = 1; id <= 4; id++) {
+        g_assert_cmpuint(got[id], ==, 100);
+    }
+    upstream_by_id(&f.upstreams, 3)->suspect_until = NOW + 1;
+    for (uint16_t caller = 1001; caller <= 1030; caller++) {
+        packet = packet_of(caller, true, 0, 0);
+        evidence_steer(&f.ev, NOW, &packet, &verdict);
+        g_assert_cmpuint(verdict.upstream->id, !=, 3);
+    }
+    tear_down(&f);
+}
+
+/* Records of one incarnation, in both orders of arrival. */
+struct merge_case {
+    const char *name;
+    uint64_t sequence[2];
+    uint32_t state[2];
+    enum upstream_state state_after;
+};
+
+static const struct merge_case merges[] = {
+    {"later-wins",
+     {4, 5},
+     {UPSTREAM_READY, UPSTREAM_LEAVING},
+     UPSTREAM_LEAVING},
+    {"late-one-loses",
+     {5, 4},
+     {UPSTREAM_READY, UPSTREAM_LEAVING},
+     UPSTREAM_READY},
+    {"silent-at-the-same",
+     {4, 4},
+     {UPSTREAM_READY, UPSTREAM_SILENT},
+     UPSTREAM_SILENT},
+    {"heard-again", {4, 5}, {UPSTREAM_SILENT, UPSTREAM_READY}, UPSTREAM_READY},
+    {"gone-for-good", {4, 9}, {UPSTREAM_GONE, UPSTREAM_READY}, UPSTREAM_GONE},
+};
+
+/* Merges the records of a case in one order. */
+static enum upstream_state
+merge_in_order(const struct merge_case *c, int first)
+{
+    struct upstream_set set;
+    enum upstream_state state;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    for (int i = 0; i < 2; i++) {
+        int n = (first + i) % 2;
+        wire_upstream record = {.id = 7,
+                                .sequence = c->sequence[n],
+                                .state = c->state[n],
+                                .slots = 1,
+                                .keeper = 9,
+                                .service = "feed",
+                                .hall = "hall"};
+
+        (void)upstream_merge(&set, NOW, &record);
+    }
+    state = upstream_by_id(&set, 7)->state;
+    upstream_close(&set);
+    return state;
+}
+
+/* The order of arrival makes no difference. */
+static void
+test_merge(const void *data)
+{
+    const struct merge_case *c = data;
+
+    g_assert_cmpint(merge_in_order(c, 0), ==, c->state_after);
+    g_assert_cmpint(merge_in_order(c, 1), ==, c->state_after);
+}
+
+/* The example of the platform's pages, and heads that are none. */
+static const uint8_t example[] = {
+    0xd5, 0xc3, 0xb2, 0xa1, 0x41, 0x9c, 0x01, 0x00, 0x12, 0xc6, 0x07, 0x00,
+    0x40, 0x64, 0xbb, 0x01, 0x00, 0x00, 0x00, 0x00, 0x44, 0x33, 0x22, 0x11,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x40, 0x00, 0x00, 0x00, 0x00, 0x00};
+static const uint8_t example_reset[] = {
+    0x00, 0x00, 0x00, 0x00, 0xbb, 0x01, 0x07, 0x00, 0x40, 0x64, 0x01, 0x00,
+    0x12, 0xc6, 0x41, 0x9c, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+    0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x20, 0x00, 0x00, 0x00, 0x00, 0x00};
+
+/* Reads the example and answers it. */
+static void
+test_packet(void)
+{
+    struct evidence_packet packet;
+    uint8_t reset[PLATFORM_HEAD_BYTES];
+    uint8_t copy[sizeof(example)];
+
+    g_assert_true(platform_read_packet(example, sizeof(example), &packet));
+    g_assert_true(packet.first && !packet.closing);
+    g_assert_cmphex(packet.source, ==, 0x64400007);
+    g_assert_cmpuint(packet.source_port, ==, 40001);
+    g_assert_cmphex(packet.destination, ==, 0xc6120001);
+    g_assert_cmpuint(packet.destination_port, ==, 443);
+    platform_write_reset(&packet, reset);
+    g_assert_cmpmem(reset, sizeof(reset), example_reset,
+                    sizeof(example_reset));
+    memcpy(copy, example, sizeof(copy));
+    platform_mark_packet(copy, 0xa1b2c3d4);
+    g_assert_true(platform_read_packet(copy, sizeof(copy), &packet));
+    g_assert_cmphex(packet.token, ==, 0xa1b2c3d4);
+    for (size_t length = 0; length < sizeof(example); length++) {
+        g_assert_false(platform_read_packet(example, length, &packet));
+    }
+    copy[28] = 1;
+    g_assert_false(platform_read_packet(copy, sizeof(copy), &packet));
+}
+
+/* Documents of routing tables. */
+struct table_case {
+    const char *name;
+    const char *routes;
+    const char *rest; /* replaces version, services and limits */
+    bool valid;
+};
+
+#define REST                                                                  \
+    "\"version\":7,\"services\":[{\"name\":\"a\"},{\"name\":\"b\"}],"         \
+    "\"limits\":{\"idle_timeout_ms\":15000}"
+#define ROUTE(place, service)                                                 \
+    "{\"name\":\"r\",\"hostname\":\"198.18.0.1\",\"path_prefix\":\"" place    \
+    "\",\"kind\":\"safe\",\"timeout_ms\":5," service "}"
+
+static const struct table_case tables[] = {
+    {"one-route", ROUTE("/8080/", "\"service\":\"a\""), REST, true},
+    {"no-route", "", REST, true},
+    {"unknown-field", ROUTE("/8080/", "\"new\":1,\"service\":\"a\""), REST,
+     true},
+    {"split",
+     ROUTE("/8080/", "\"traffic_split\":[{\"service\":\"a\",\"weight\":90},"
+                     "{\"service\":\"b\",\"weight\":0}]"),
+     REST, true},
+    {"unknown-service", ROUTE("/8080/", "\"service\":\"c\""), REST, false},
+    {"unknown-service-in-split",
+     ROUTE("/8080/", "\"traffic_split\":[{\"service\":\"c\",\"weight\":1}]"),
+     REST, false},
+    {"no-weight",
+     ROUTE("/8080/", "\"traffic_split\":[{\"service\":\"a\",\"weight\":0}]"),
+     REST, false},
+    {"weight-missing",
+     ROUTE("/8080/", "\"traffic_split\":[{\"service\":\"a\"}]"), REST, false},
+    {"same-place",
+     ROUTE("/8080/", "\"service\":\"a\"") "," ROUTE("/8080/",
+                                                    "\"service\":\"b\""),
+     REST, false},
+    {"no-timeout",
+     "{\"name\":\"r\",\"hostname\":\"198.18.0.1\",\"path_prefix\":\"/1/\","
+     "\"timeout_ms\":0,\"service\":\"a\"}",
+     REST, false},
+    {"no-port", ROUTE("/x/", "\"service\":\"a\""), REST, false},
+    {"port-too-large", ROUTE("/70000/", "\"service\":\"a\""), REST, false},
+    {"text-after-the-port", ROUTE("/80/x", "\"service\":\"a\""), REST, false},
+    {"version-zero", "", "\"version\":0,\"services\":[]", false},
+    {"version-negative", "", "\"version\":-1,\"services\":[]", false},
+    {"version-past-2-53", "", "\"version\":9007199254740993,\"services\":[]",
+     false},
+    {"version-text", "", "\"version\":\"7\",\"services\":[]", false},
+    {"services-missing", "", "\"version\":7", false},
+};
+
+/* Reads one document, and each of its beginnings, which is none. */
+static void
+test_table(const void *data)
+{
+    const struct table_case *c = data;
+    char *text = g_strdup_printf("{\"routes\":[%s],%s}", c->routes, c->rest);
+    struct status st = {STATUS_OK, ""};
+    struct route_table *table = platform_read_table(text, strlen(text), &st);
+
+    g_assert_cmpint(table != NULL, ==, c->valid);
+    g_assert_cmpint(st.kind == STATUS_OK, ==, c->valid);
+    route_free(table);
+    for (size_t length = 0; length < strlen(text); length++) {
+        st.kind = STATUS_OK;
+        g_assert_null(platform_read_table(text, length, &st));
+        g_assert_cmpint(st.kind, ==, STATUS_BAD_INPUT);
+    }
+    g_free(text);
+}
+
+/* Registrations. */
+struct registration_case {
+    const char *name;
+    const char *id;
+    const char *body;
+    bool valid;
+};
+
+#define BODY(state, address)                                                  \
+    "{\"service\":\"a\",\"address\":\"" address                               \
+    "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":2,\"state\":\"" state     \
+    "\",\"warmup_remaining_ms\":5,\"sequence\":4}"
+
+static const struct registration_case registrations[] = {
+    {"ready", "i-7f3a91c2", BODY("ready", "10.128.0.9:8080"), true},
+    {"draining", "i-17ce7f0ee9", BODY("draining", "10.128.0.9:8080"), true},
+    {"sixteen-digits", "i-0123456789abcdef", BODY("ready", "10.0.0.9:80"),
+     true},
+    {"seventeen-digits", "i-0123456789abcdef0", BODY("ready", "10.0.0.9:80"),
+     false},
+    {"not-hex", "i-xyz", BODY("ready", "10.0.0.9:80"), false},
+    {"empty-id", "", BODY("ready", "10.0.0.9:80"), false},
+    {"id-zero", "i-0", BODY("ready", "10.0.0.9:80"), false},
+    {"unknown-state", "i-1", BODY("idle", "10.0.0.9:80"), false},
+    {"no-port", "i-1", BODY("ready", "10.0.0.9"), false},
+    {"not-an-address", "i-1", BODY("ready", "10.0.0.999:80"), false},
+    {"empty", "i-1", "", false},
+    {"list", "i-1", "[]", false},
+    {"deep", "i-1", "[[[[[[[[[[[[[[[[[[[[[[[[", false},
+};
+
+/* Reads one registration. */
+static void
+test_registration(const void *data)
+{
+    const struct registration_case *c = data;
+    struct upstream_registration r;
+    struct status st = {STATUS_OK, ""};
+    enum status_kind kind =
+        platform_read_registration(c->id, c->body, strlen(c->body), &r, &st);
+
+    g_assert_cmpint(kind == STATUS_OK, ==, c->valid);
+    if (c->valid) {
+        g_assert_cmpuint(r.sequence, ==, 4);
+        g_assert_cmpuint(r.slots, ==, 2);
+    }
+}
+
+/* Bytes drawn by lot, and valid bytes with some changed, for each reader. */
+static void
+test_fuzz(void)
+{
+    GRand *rand = g_rand_new_with_seed(20261202);
+    const char *texts[] = {
+        BODY("ready", "10.0.0.9:80"),
+        "{\"routes\":[" ROUTE("/8080/", "\"service\":\"a\"") "]," REST "}"};
+
+    for (int i = 0; i < 20000; i++) {
+        const char *text = texts[i % 2];
+        size_t length = strlen(text);
+        char *bytes = g_strdup(text);
+        struct upstream_registration r;
+        struct evidence_packet packet;
+        struct status st = {STATUS_OK, ""};
+        wire_msg msg;
+
+        for (int n = g_rand_int_range(rand, 1, 6); n > 0; n--) {
+            bytes[g_rand_int_range(rand, 0, (gint32)length)] =
+                (char)g_rand_int_range(rand, 0, 256);
+        }
+        (void)platform_read_registration("i-1", bytes, length, &r, &st);
+        route_free(platform_read_table(bytes, length, &st));
+        (void)platform_read_packet((const uint8_t *)bytes, length, &packet);
+        if (codec_decode(bytes, length / 4 * 4, &msg)) {
+            codec_free(&msg);
+        }
+        g_free(bytes);
+    }
+    g_rand_free(rand);
+}
+
+/* Adds a table of cases. */
+#define ADD(prefix, cases, function)                                          \
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
+        (void)snprintf(path, sizeof(path), prefix "%s", (cases)[i].name);     \
+        g_test_add_data_func(path, &(cases)[i], function);                    \
+    }
+
+/* Lists the tests. */
+int
+main(int argc, char **argv)
+{
+    char path[128];
+
+    g_test_init(&argc, &argv, NULL);
+    ADD("/evidence/steer/", steers, test_steer)
+    ADD("/evidence/copy/", copies, test_copy)
+    ADD("/upstream/merge/", merges, test_merge)
+    ADD("/platform/table/", tables, test_table)
+    ADD("/platform/registration/", registrations, test_registration)
+    g_test_add_func("/evidence/spread", test_spread);
+    g_test_add_func("/platform/packet", test_packet);
+    g_test_add_func("/platform/fuzz", test_fuzz);
+    return g_test_run();
+}
