--- a/loop.c
+++ b/loop.c
@@ -49,6 +49,16 @@
     return clock_ms(CLOCK_BOOTTIME);
 }
 
+/* Monotonic microseconds. */
+uint64_t
+loop_now_us(void)
+{
+    struct timespec now;
+
+    (void)clock_gettime(CLOCK_BOOTTIME, &now);
+    return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
 /* Wall clock. */
 uint64_t
 loop_wall(void)
--- a/loop.h
+++ b/loop.h
@@ -15,6 +15,9 @@
 /** Monotonic milliseconds. */
 uint64_t loop_now(void);
 
+/** Monotonic microseconds, for durations. */
+uint64_t loop_now_us(void);
+
 /** Wall clock, ms since 1970. */
 uint64_t loop_wall(void);
 
--- a/node-http.c
+++ b/node-http.c
@@ -30,8 +30,9 @@
     struct MHD_Connection *connection;
     GByteArray *body;
     bool too_large;
+    bool registers;           /* is a registration */
     uint64_t token;           /* 0: not suspended */
-    uint64_t began_at;        /* for its duration */
+    uint64_t began_us;        /* for its duration */
     struct MHD_Response *out; /* set when it is resumed */
     unsigned code;            /* of `out` */
 };
@@ -173,6 +174,7 @@
         return refuse(call, MHD_HTTP_BAD_REQUEST, st.message);
     }
     counter_add(&node->counters, COUNTER_REGISTRATIONS, 1);
+    call->registers = true;
     upstream_register(&node->upstreams, loop_now(), &registration);
     node_act(node);
     if (node->unready_at != 0) {
@@ -277,7 +279,7 @@
         call->node = node;
         call->connection = connection;
         call->body = g_byte_array_new();
-        call->began_at = loop_now();
+        call->began_us = loop_now_us();
         *state = call;
         return MHD_YES;
     }
@@ -314,6 +316,10 @@
     if (call == NULL) {
         return;
     }
+    if (call->registers) {
+        histogram_add(&node->histograms, HISTOGRAM_REGISTRATION,
+                      loop_now_us() - call->began_us);
+    }
     if (call->token != 0) {
         (void)g_hash_table_remove(node->calls, &call->token);
     }
@@ -360,17 +366,18 @@
 {
     struct call *call = g_hash_table_lookup(node->calls, &token);
     bool ok = status->kind == STATUS_OK;
+    uint64_t took_us = call != NULL ? loop_now_us() - call->began_us : 0;
 
     log_event(ok ? LOG_INFO : LOG_WARN, "operator-answered",
               "call=%llu result=%s took_ms=%llu reason=\"%s\"",
               (unsigned long long)token, status_name(status->kind),
-              call ? (unsigned long long)(loop_now() - call->began_at) : 0,
-              status->message);
+              (unsigned long long)took_us / 1000, status->message);
     counter_add(&node->counters,
                 ok ? COUNTER_TABLES_TAKEN : COUNTER_TABLES_UNCONFIRMED, 1);
     if (call == NULL) {
         return;
     }
+    histogram_add(&node->histograms, HISTOGRAM_OPERATOR, took_us);
     if (table != NULL && table->bundle_version == 0) {
         call->code = MHD_HTTP_SERVICE_UNAVAILABLE;
     }
--- a/node-packets.c
+++ b/node-packets.c
@@ -137,6 +137,7 @@
 static int
 take_batch(struct node *node)
 {
+    uint64_t began;
     uint64_t now;
     int n;
 
@@ -148,11 +149,16 @@
             (struct msghdr){.msg_iov = &batch.in[i], .msg_iovlen = 1};
     }
     n = recvmmsg(node->packets_fd, batch.received, BATCH, MSG_DONTWAIT, NULL);
-    now = loop_now();
+    began = loop_now_us();
+    now = began / 1000;
     for (int i = 0; i < n; i++) {
         take_packet(node, now, batch.buffers[i], batch.received[i].msg_len);
     }
     send_out(node);
+    if (n > 0) {
+        histogram_add(&node->histograms, HISTOGRAM_PACKET,
+                      loop_now_us() - began);
+    }
     return n;
 }
 
--- a/node-voter.c
+++ b/node-voter.c
@@ -177,7 +177,8 @@
 {
     const struct cons *cons = &voter.order.cons;
     struct status st = {STATUS_OK, ""};
-    uint64_t before = loop_now();
+    uint64_t before = loop_now_us();
+    uint64_t took_us;
 
     switch (action->kind) {
     case CONS_SAVE_TERM:
@@ -199,6 +200,8 @@
     case CONS_LOAD:
         return true;
     }
+    took_us = loop_now_us() - before;
+    histogram_add(&voter.node->histograms, HISTOGRAM_SYNC, took_us);
     if (st.kind != STATUS_OK) {
         counter_add(&voter.node->counters, COUNTER_STORE_ERRORS, 1);
         log_event(LOG_ERROR, "storage-failed",
--- a/node.c
+++ b/node.c
@@ -29,6 +29,7 @@
 apply_table(struct node *node)
 {
     const wire_routes *routes = &node->fleet.routes;
+    uint64_t began = loop_now_us();
     struct status st = {STATUS_OK, ""};
     char *text = node_unpack(routes);
     struct route_table *table =
@@ -41,6 +42,8 @@
         return;
     }
     if (evidence_apply(&node->evidence, table)) {
+        histogram_add(&node->histograms, HISTOGRAM_APPLY,
+                      loop_now_us() - began);
         log_event(LOG_INFO, "table-in-force",
                   "version=%llu routes=%u leader=%08x term=%llu",
                   (unsigned long long)routes->bundle_version,
--- a/node.h
+++ b/node.h
@@ -12,6 +12,7 @@
 #include "counter.h"
 #include "evidence.h"
 #include "fleet.h"
+#include "histogram.h"
 #include "node-settings.h"
 #include "status.h"
 #include "upstream.h"
@@ -31,6 +32,7 @@
     int64_t settings_changed;      /**< time of the file's last change */
     uint64_t settings_at;          /**< deadline: look at it again */
     struct counters counters;      /**< of the process */
+    struct histograms histograms;  /**< of the process */
     struct upstream_set upstreams; /**< the inventory */
     struct evidence evidence;      /**< steering */
     struct fleet fleet;            /**< other nodes */
--- a/page.c
+++ b/page.c
@@ -56,8 +56,8 @@
 }
 
 /* Writes processor time and greatest memory of this process. */
-static size_t
-print_process(char *out, size_t size)
+size_t
+page_print_process(char *out, size_t size)
 {
     struct rusage usage;
     int n;
@@ -86,7 +86,7 @@
     char *text = g_malloc(COUNTERS_MAX);
     size_t length = counter_print(counters, text, COUNTERS_MAX);
 
-    length += print_process(text + length, COUNTERS_MAX - length);
+    length += page_print_process(text + length, COUNTERS_MAX - length);
     (void)ulfius_set_binary_body_response(response, 200, text, length);
     (void)u_map_put(response->map_header, "Content-Type",
                     "text/plain; version=0.0.4");
--- a/page.h
+++ b/page.h
@@ -42,6 +42,10 @@
 void page_counters(struct _u_response *response,
                    const struct counters *counters);
 
+/** Writes processor time and greatest memory of this process as Prometheus
+ * text; returns the bytes written. */
+size_t page_print_process(char *out, size_t size);
+
 /** Adds a number to an object. */
 void page_add_number(json_object *doc, const char *key, uint64_t value);
 
