evidence: a first copy moves off when its upstream gave no sign of life for a second

Change: the first copy, at 200 ms, goes to another upstream unless a packet of this entry showed within a second that the first one is alive.

--- a/evidence.c
+++ b/evidence.c
@@ -13,6 +13,9 @@
 /* First packets are repeated after 200 and 600 ms and given up after 1.4 s:
  * an upstream that let one go without an answer is avoided for that long. */
 #define SUSPECT_MS 1500U
+/* An upstream that gave a sign of life this lately is alive: a first packet
+ * without an answer was lost on its way. */
+#define ALIVE_MS 1000U
 /* An open flow at rest weighs this share of a request that runs. */
 #define REST_SHARE 8U
 /* Work at an upstream that has just started takes this much longer, in
@@ -248,12 +251,8 @@
     if (packet->acknowledged == 0 || flow->answered) {
         return true;
     }
-    if (packet->acknowledged == 1) {
-        upstream->suspect_until = now + SUSPECT_MS;
-        return true;
-    }
     upstream->suspect_until = now + SUSPECT_MS;
-    return false;
+    return packet->acknowledged == 1 && now <= upstream->alive_at + ALIVE_MS;
 }
 
 /* Steers a packet that opens a flow. */
@@ -315,6 +314,7 @@
     if (progress) {
         flow->acknowledged = packet->acknowledged;
         upstream->suspect_until = 0;
+        upstream->alive_at = now;
         set_idle(ev, flow);
     }
     if (packet->length > 0 && !flow->busy) {
--- a/upstream.h
+++ b/upstream.h
@@ -59,6 +59,7 @@
     uint64_t forget_at;               /**< GONE: dropped then */
     uint64_t suspect_until;           /**< no new flows until then: packets
                                            to it went without an answer */
+    uint64_t alive_at;                /**< last sign of life in a packet */
     uint32_t open;                    /**< flows of this node that are open */
     uint32_t busy;                    /**< of those, awaiting an answer */
 };
