upstream: silent after two intervals, and used before a refusal

Cause: an upstream that fell dark was given new flows for 2.3 s; and a service whose registrations all stay away for a while was refused although it runs. Change: two intervals instead of three; silent upstreams are the last choice.

--- a/evidence.c
+++ b/evidence.c
@@ -165,14 +165,27 @@
     upstream->open++;
 }
 
-/* Says whether an upstream takes new flows. */
+/* Says whether an upstream takes new flows: one that is ready, or silent. */
 static bool
 takes_new(const struct upstream_set *set, const struct upstream *upstream)
 {
-    return upstream->state == UPSTREAM_READY &&
+    return (upstream->state == UPSTREAM_READY ||
+            upstream->state == UPSTREAM_SILENT) &&
            upstream_by_token(set, upstream->token) == upstream;
 }
 
+/* How much is wrong with an upstream: those of the least rank are chosen. A
+ * silent one is used only when all others are worse, since it may be that
+ * its registrations alone do not arrive. */
+static unsigned
+rank_of(const struct upstream *upstream, uint64_t now)
+{
+    if (upstream->state == UPSTREAM_SILENT) {
+        return 2;
+    }
+    return now < upstream->suspect_until ? 1 : 0;
+}
+
 /* Work at an upstream for each of its slots, in a scale that only compares:
  * running requests, then flows at rest; more while it is slow. */
 static uint64_t
@@ -185,8 +198,8 @@
     return now < upstream->warm_at ? work * COLD_TENTHS / 10 : work;
 }
 
-/* Chooses for a new flow: the least work; among equals in turn. Suspects are
- * used when there is nobody else. */
+/* Chooses for a new flow: the least rank, then the least work; among equals
+ * in turn. */
 static struct upstream *
 choose(struct evidence *ev, uint64_t now, uint16_t service,
        const struct upstream *not_this, uint32_t *candidates)
@@ -194,13 +207,13 @@
     GPtrArray *all = ev->upstreams->all;
     struct upstream *best = NULL;
     uint64_t best_work = 0;
-    bool best_suspect = true;
+    unsigned best_rank = 0;
     uint32_t turn = ev->turn++;
 
     *candidates = 0;
     for (guint i = 0; i < all->len; i++) {
         struct upstream *u = g_ptr_array_index(all, (i + turn) % all->len);
-        bool suspect = now < u->suspect_until;
+        unsigned rank = rank_of(u, now);
         uint64_t work;
 
         if (u->service != service || u == not_this ||
@@ -209,11 +222,11 @@
         }
         (*candidates)++;
         work = work_of(u, now);
-        if (best == NULL || (best_suspect && !suspect) ||
-            (best_suspect == suspect && work < best_work)) {
+        if (best == NULL || rank < best_rank ||
+            (rank == best_rank && work < best_work)) {
             best = u;
             best_work = work;
-            best_suspect = suspect;
+            best_rank = rank;
         }
     }
     return best;
@@ -242,10 +255,10 @@
  * second upstream is asked only when the first gave no sign of life: when two
  * answer, the token and the flow may part. */
 static bool
-stays(struct evidence *ev, uint64_t now, struct evidence_flow *flow,
+stays(uint64_t now, const struct evidence_flow *flow,
       const struct evidence_packet *packet, struct upstream *upstream)
 {
-    if (upstream == NULL || !takes_new(ev->upstreams, upstream)) {
+    if (upstream == NULL || upstream->state != UPSTREAM_READY) {
         return false;
     }
     if (packet->acknowledged == 0 || flow->answered) {
@@ -267,7 +280,7 @@
     const struct route_target *target = route_pick(route, verdict->flow);
     struct upstream *upstream;
 
-    if (flow != NULL && stays(ev, now, flow, packet, before)) {
+    if (flow != NULL && stays(now, flow, packet, before)) {
         flow->seen_at = now;
         forward_to(verdict, before, RULE_SAME_AGAIN);
         return;
--- a/upstream.c
+++ b/upstream.c
@@ -9,9 +9,9 @@
 #include "codec.h"
 #include "hash.h"
 
-/* Registrations that may stay away before an upstream counts as silent: one
- * may be lost on its way and the next may wait for another node. */
-#define MISSED_INTERVALS 3
+/* Registrations that may stay away before an upstream counts as silent. A
+ * false sign costs little: its flows go on, and the next one corrects it. */
+#define MISSED_INTERVALS 2
 
 /* Makes an empty inventory. */
 void
