--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,9 @@
 LOAD := $(patsubst %.c,$(BUILD)/%.o,$(filter-out tests/test-%,$(wildcard tests/*.c)))
 TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test-*.c))
 
-all: $(BUILD)/ridgeridge $(TOOLS)
+SOAK := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/soak/*.c))
+
+all: $(BUILD)/ridgeridge $(TOOLS) $(BUILD)/soak
 
 tests: $(TESTS)
 
@@ -40,6 +42,9 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
+$(BUILD)/soak: $(SOAK) $(BUILD)/lib.a
+	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
+
 $(BUILD)/%: $(BUILD)/tools/%.o $(LOAD) $(BUILD)/lib.a
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
 
@@ -68,4 +73,4 @@
 .PHONY: all tests program install clean
 .SECONDARY: $(LOAD)
 .PRECIOUS: $(BUILD)/tests/%.o $(BUILD)/tools/%.o
--include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d)
+-include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
--- a/node-settings.c
+++ b/node-settings.c
@@ -47,6 +47,11 @@
      .required = true,
      .offset = AT(packets),
      .help = "give the UDP address and port of callers' packets"},
+    {.key = "advertise",
+     .type = SCHEMA_IPV4,
+     .offset = AT(advertise),
+     .help = "give the address that other nodes reach this one at, when it "
+             "is not that of \"packets\""},
     {.key = "ready",
      .type = SCHEMA_ENDPOINT,
      .required = true,
@@ -138,6 +143,14 @@
     return st->kind;
 }
 
+/* Address by which other nodes know this one. */
+uint32_t
+node_settings_address(const struct node_settings *settings)
+{
+    return settings->advertise != 0 ? settings->advertise
+                                    : settings->packets.address;
+}
+
 /* Frees the list. */
 void
 node_settings_free(struct node_settings *settings)
--- a/node-settings.h
+++ b/node-settings.h
@@ -23,6 +23,8 @@
     char hall[NODE_NAME_MAX + 1];   /**< data hall of this VM */
     char data[NODE_PATH_MAX + 1];   /**< data folder; empty: no disk */
     struct schema_endpoint packets; /**< UDP: callers' packets */
+    uint32_t advertise;             /**< address that other nodes use for
+                                         this one; 0: that of `packets` */
     struct schema_endpoint ready;   /**< HTTP: the fabric asks here */
     struct schema_endpoint control; /**< HTTP: operators and upstreams */
     uint64_t peer_port;             /**< UDP: between nodes */
@@ -44,6 +46,9 @@
                                     struct node_settings *out,
                                     struct status *st);
 
+/** Address by which other nodes know this one. */
+uint32_t node_settings_address(const struct node_settings *settings);
+
 /** Frees the list. */
 void node_settings_free(struct node_settings *settings);
 
--- a/node-voter.c
+++ b/node-voter.c
@@ -384,7 +384,7 @@
     const struct node_settings *s = &voter.node->settings;
     struct status st = {STATUS_OK, ""};
     struct cons_stored stored;
-    uint32_t self = s->packets.address;
+    uint32_t self = node_settings_address(s);
     uint64_t seed;
 
     if (store_open(&voter.store, s->data, STORE_TAIL_TORN, &stored, &st) !=
@@ -417,7 +417,7 @@
 found(void)
 {
     struct status st = {STATUS_OK, ""};
-    uint32_t self = voter.node->settings.packets.address;
+    uint32_t self = node_settings_address(&voter.node->settings);
 
     if (!voter.open || cons_last_index(&voter.order.cons) > 0 ||
         voter.order.cons.leader != 0) {
--- a/node.c
+++ b/node.c
@@ -256,14 +256,14 @@
 open_cores(struct node *node)
 {
     const struct node_settings *s = &node->settings;
-    struct fleet_options options = {.address = s->packets.address,
+    struct fleet_options options = {.address = node_settings_address(s),
                                     .first_start = s->first_start != 0};
     uint32_t turn;
 
     randombytes_buf(&options.incarnation, sizeof(options.incarnation));
     randombytes_buf(&options.seed, sizeof(options.seed));
     randombytes_buf(&turn, sizeof(turn));
-    upstream_open(&node->upstreams, s->packets.address, s->interval_ms);
+    upstream_open(&node->upstreams, options.address, s->interval_ms);
     evidence_open(&node->evidence, &node->upstreams, &node->counters,
                   s->flow_max_ms, turn);
     fleet_open(&node->fleet, loop_now(), &options, &node->upstreams);
--- /dev/null
+++ b/tools/soak/soak.c
@@ -0,0 +1,682 @@
+/*
+ * A fault soak of nodes as real processes on loopback. From one seed it kills,
+ * stops, pauses and restarts them, loses disks, and delays, drops or cuts what
+ * they say to each other through a proxy of its own; it plays the fabric,
+ * callers, upstreams and an operator, and checks while it runs what these see.
+ *
+ *   build/soak SECONDS SEED [NODES]
+ *
+ * Prints each fault and each broken promise; exits 1 when one was broken. It
+ * ends only processes that it started, by their ids.
+ */
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "address.h"
+#include "loop.h"
+#include "platform/platform.h"
+#include "host.h"
+
+#define NODES_MAX 24
+#define DISKS 3
+#define PACKET_PORT 17100
+#define READY_PORT 17101
+#define CONTROL_PORT 17102
+#define PEER_PORT 17103
+#define CALM_MS 5000   /* without a fault, all that is timed must hold */
+#define SETTLE_MS 6000 /* from the start to the first fault */
+#define HEAL_MS 12000  /* after the last fault */
+#define DRAIN_MS 3000  /* a leaving upstream gets no new flow after it */
+
+/* One node and its link to the others. */
+struct node_process {
+    pid_t pid;          /* 0: not running */
+    bool disk;          /* holds the table */
+    bool stopping;      /* was asked to end */
+    uint64_t start_at;  /* deadline: start it (again), 0: no */
+    uint64_t thaw_at;   /* deadline: let it go on, 0: it is not paused */
+    uint64_t heal_at;   /* deadline: its link is whole again */
+    bool cut_in;        /* nothing arrives */
+    bool cut_out;       /* nothing leaves */
+    unsigned loss;      /* of 100 datagrams */
+    unsigned delay_ms;  /* of each */
+    int proxy;          /* socket that the others send to */
+    unsigned misses;    /* questions of the fabric without an answer */
+    bool ready;         /* the fabric sends packets here */
+    uint64_t harmed_at; /* last moment of a fault on it */
+};
+
+/* A datagram that the proxy holds. */
+struct held {
+    uint64_t at;
+    int to;
+    GByteArray *bytes;
+};
+
+static struct {
+    char folder[128];
+    unsigned net; /* second octet of all addresses */
+    int nodes;
+    struct node_process node[NODES_MAX];
+    GRand *rand;
+    GArray *held;
+    uint64_t began_at;
+    uint64_t faults_until;
+    uint64_t fault_at;
+    uint64_t harmed_at; /* last moment of any fault */
+    uint64_t version;   /* sent last */
+    uint64_t acked;     /* highest acknowledged */
+    uint64_t put_at;    /* last acknowledgement */
+    uint64_t read_at;   /* last read that was answered */
+    unsigned puts, reads, faults, broken;
+    bool over;
+    GMutex lock;
+} soak;
+
+/* Notes a broken promise. */
+void
+soak_broken(const char *format, ...)
+{
+    va_list args;
+
+    va_start(args, format);
+    printf("%8.3f BROKEN ", (double)(loop_now() - soak.began_at) / 1000.0);
+    vprintf(format, args);
+    printf("\n");
+    va_end(args);
+    soak.broken++;
+}
+
+/* Notes what happens. */
+static void
+note(const char *format, ...)
+{
+    va_list args;
+
+    va_start(args, format);
+    printf("%8.3f ", (double)(loop_now() - soak.began_at) / 1000.0);
+    vprintf(format, args);
+    printf("\n");
+    va_end(args);
+}
+
+/* Address of a node itself (1), to other nodes (2), of hosts (3), callers (4).
+ */
+static uint32_t
+address_of(unsigned kind, int n)
+{
+    return 127U << 24 | soak.net << 16 | kind << 8 | (unsigned)(n + 1);
+}
+
+/* Random number below a bound. */
+static int
+below(int bound)
+{
+    return g_rand_int_range(soak.rand, 0, bound);
+}
+
+/* Opens a UDP socket. */
+int
+soak_socket(uint32_t address, uint16_t port)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_port = htons(port),
+                             .sin_addr.s_addr = htonl(address)};
+    int size = 1 << 20;
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+    if (fd < 0 || bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0) {
+        perror("soak: bind");
+        exit(2);
+    }
+    (void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    return fd;
+}
+
+/* Writes the settings of a node. */
+static char *
+write_settings(int n, bool first_start)
+{
+    char *path = g_strdup_printf("%s/node-%d.json", soak.folder, n);
+    char a[ADDRESS_TEXT], b[ADDRESS_TEXT], c[ADDRESS_TEXT], seeds[256] = "";
+    char text[2048];
+    char data[192] = "";
+    uint32_t own = address_of(1, n);
+
+    for (int i = 0; i < 3; i++) {
+        char s[ADDRESS_TEXT];
+        size_t used = strlen(seeds);
+
+        (void)snprintf(seeds + used, sizeof(seeds) - used,
+                       "%s{\"control\": \"%s\"}", i ? "," : "",
+                       address_format(address_of(2, i), CONTROL_PORT, s));
+    }
+    if (soak.node[n].disk) {
+        (void)snprintf(data, sizeof(data), "%s/data-%d", soak.folder, n);
+    }
+    (void)snprintf(
+        text, sizeof(text),
+        "{\"name\": \"node-%d\", \"hall\": \"hall-%d\", \"data\": \"%s\","
+        "\"packets\": \"%s\", \"ready\": \"%s\", \"control\": \"%s\","
+        "\"advertise\": \"127.%u.2.%d\", \"peer_port\": %d,"
+        "\"first_start\": %d, \"registration_interval_ms\": %d,"
+        "\"grace_s\": 6, \"seeds\": [%s]}",
+        n, n % 3, data, address_format(own, PACKET_PORT, a),
+        address_format(own, READY_PORT, b),
+        address_format(own, CONTROL_PORT, c), soak.net, n + 1, PEER_PORT,
+        first_start, SOAK_INTERVAL_MS, seeds);
+    g_assert_true(g_file_set_contents(path, text, -1, NULL));
+    return path;
+}
+
+/* Starts a node. */
+static void
+start_node(int n, bool first_start)
+{
+    char *settings = write_settings(n, first_start);
+    char *log = g_strdup_printf("%s/node-%d.log", soak.folder, n);
+    pid_t pid = fork();
+
+    if (pid == 0) {
+        if (freopen(log, "a", stdout) == NULL ||
+            freopen(log, "a", stderr) == NULL) {
+            _exit(3);
+        }
+        (void)execl("build/ridgeridge", "ridgeridge", "node", "--settings",
+                    settings, (char *)NULL);
+        _exit(3);
+    }
+    soak.node[n].pid = pid;
+    soak.node[n].stopping = false;
+    soak.node[n].start_at = 0;
+    g_free(settings);
+    g_free(log);
+}
+
+/* Says when a node was last harmed: timed promises wait for CALM_MS. */
+bool
+soak_is_calm(uint32_t node_address)
+{
+    int n = (int)(node_address & 255) - 1;
+    uint64_t now = loop_now();
+
+    return n >= 0 && n < soak.nodes &&
+           now > soak.node[n].harmed_at + CALM_MS &&
+           now > soak.harmed_at + CALM_MS;
+}
+
+/* A node that packets of a caller's port go to: ready, else any. */
+uint32_t
+soak_route(uint32_t hash)
+{
+    int ready = 0;
+    int best = (int)(hash % (unsigned)soak.nodes);
+    uint32_t best_rank = 0;
+
+    for (int n = 0; n < soak.nodes; n++) {
+        uint32_t rank = (hash + (uint32_t)n * 0x9e3779b9U) * 0x85ebca6bU;
+
+        if (soak.node[n].ready && (ready == 0 || rank > best_rank)) {
+            best = n;
+            best_rank = rank;
+        }
+        ready += soak.node[n].ready;
+    }
+    return address_of(1, best);
+}
+
+/* Passes a datagram between nodes, or holds, or loses it. */
+static void
+pass(int from, int to, const uint8_t *bytes, size_t length)
+{
+    struct node_process *a = &soak.node[from];
+    struct node_process *b = &soak.node[to];
+    unsigned delay = a->delay_ms + b->delay_ms;
+    struct held held = {.at = loop_now() + delay, .to = to};
+
+    if (a->cut_out || b->cut_in || (unsigned)below(100) < a->loss + b->loss) {
+        return;
+    }
+    held.bytes = g_byte_array_sized_new((guint)length);
+    g_byte_array_append(held.bytes, bytes, (guint)length);
+    g_array_append_val(soak.held, held);
+}
+
+/* Takes what others sent to a node. */
+static void
+read_proxy(int to)
+{
+    static uint8_t bytes[65536];
+    struct sockaddr_in from;
+    socklen_t size = sizeof(from);
+    ssize_t n;
+
+    while ((n = recvfrom(soak.node[to].proxy, bytes, sizeof(bytes), 0,
+                         (struct sockaddr *)&from, &size)) > 0) {
+        int sender = (int)(ntohl(from.sin_addr.s_addr) & 255) - 1;
+
+        if (sender >= 0 && sender < soak.nodes) {
+            pass(sender, to, bytes, (size_t)n);
+        }
+    }
+}
+
+/* Delivers datagrams whose delay is over. */
+static void
+deliver_held(uint64_t now)
+{
+    for (guint i = 0; i < soak.held->len;) {
+        struct held held = g_array_index(soak.held, struct held, i);
+        struct sockaddr_in at = {.sin_family = AF_INET,
+                                 .sin_port = htons(PEER_PORT),
+                                 .sin_addr.s_addr =
+                                     htonl(address_of(1, held.to))};
+
+        if (held.at > now) {
+            i++;
+            continue;
+        }
+        (void)sendto(soak.node[held.to].proxy, held.bytes->data,
+                     held.bytes->len, 0, (struct sockaddr *)&at, sizeof(at));
+        g_byte_array_unref(held.bytes);
+        g_array_remove_index(soak.held, i);
+    }
+}
+
+/* Collects an answer. */
+static size_t
+on_body(char *bytes, size_t size, size_t count, void *data)
+{
+    g_string_append_len(data, bytes, (gssize)(size * count));
+    return size * count;
+}
+
+/* Calls a node; the status, 0 without an answer, or 307 with `where`. */
+long
+soak_call(const char *method, uint32_t address, uint16_t port,
+          const char *path, const char *body, GString *answer, uint32_t *where)
+{
+    char place[ADDRESS_TEXT];
+    char *url = g_strdup_printf("http://%s%s",
+                                address_format(address, port, place), path);
+    CURL *curl = curl_easy_init();
+    char *location = NULL;
+    long status = 0;
+
+    (void)curl_easy_setopt(curl, CURLOPT_URL, url);
+    (void)curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+    (void)curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 1000L);
+    (void)curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    (void)curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+    (void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+    if (body != NULL) {
+        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+    }
+    if (curl_easy_perform(curl) == CURLE_OK) {
+        (void)curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+        (void)curl_easy_getinfo(curl, CURLINFO_REDIRECT_URL, &location);
+        if (where != NULL && location != NULL) {
+            unsigned last = 0;
+
+            (void)sscanf(location, "http://127.%*u.2.%u", &last);
+            *where = address_of(1, (int)last - 1);
+        }
+    }
+    curl_easy_cleanup(curl);
+    g_free(url);
+    return status;
+}
+
+/* An operator's call, sent on to the leader as told. */
+static long
+operate(const char *method, const char *body, GString *answer)
+{
+    uint32_t at = address_of(1, (int)(g_random_int() % (guint)soak.nodes));
+    long status = 0;
+
+    for (int hops = 0; hops < 3; hops++) {
+        uint32_t where = 0;
+
+        g_string_truncate(answer, 0);
+        status = soak_call(method, at, CONTROL_PORT, "/-/configuration", body,
+                           answer, &where);
+        if (status != 307 || where == 0) {
+            break;
+        }
+        at = where;
+    }
+    return status;
+}
+
+/* Sends the version after the last one until it is acknowledged, or reads. */
+static void
+operate_once(void)
+{
+    GString *answer = g_string_new(NULL);
+    uint64_t acked;
+    char *body;
+
+    g_mutex_lock(&soak.lock);
+    acked = soak.acked;
+    g_mutex_unlock(&soak.lock);
+    if (g_random_int() % 2 == 0) {
+        body = soak_table(soak.version = MAX(soak.version, acked) + 1);
+        if (operate("PUT", body, answer) == 200) {
+            g_mutex_lock(&soak.lock);
+            soak.acked = MAX(soak.acked, soak.version);
+            soak.puts++;
+            soak.put_at = loop_now();
+            g_mutex_unlock(&soak.lock);
+        }
+        g_free(body);
+    }
+    else if (operate("GET", NULL, answer) == 200) {
+        unsigned long long read = 0;
+
+        (void)sscanf(answer->str, "{\"version\":%llu", &read);
+        soak.reads++;
+        soak.read_at = loop_now();
+        if (read < acked) {
+            soak_broken("read version %llu after %llu was acknowledged", read,
+                        (unsigned long long)acked);
+        }
+    }
+    g_string_free(answer, TRUE);
+}
+
+/* The operator's thread. */
+static gpointer
+run_operator(gpointer unused)
+{
+    (void)unused;
+    while (!soak.over) {
+        operate_once();
+        g_usleep(200000);
+    }
+    return NULL;
+}
+
+/* The fabric's thread: asks every node twice a second. */
+static gpointer
+run_fabric(gpointer data)
+{
+    int n = GPOINTER_TO_INT(data);
+    struct node_process *node = &soak.node[n];
+
+    while (!soak.over) {
+        GString *answer = g_string_new(NULL);
+        bool ok = soak_call("GET", address_of(1, n), READY_PORT,
+                            "/-/readiness", NULL, answer, NULL) == 200;
+
+        node->misses = ok ? 0 : node->misses + 1;
+        if (ok || node->misses >= 2) {
+            node->ready = ok;
+        }
+        g_string_free(answer, TRUE);
+        g_usleep(500000);
+    }
+    return NULL;
+}
+
+/* Marks a node as harmed now, until a time. */
+static void
+harm(int n, uint64_t until)
+{
+    soak.node[n].harmed_at = MAX(soak.node[n].harmed_at, until);
+    soak.harmed_at = MAX(soak.harmed_at, until);
+    soak.faults++;
+}
+
+/* Loses a disk: only one of them, and only when all others are calm. */
+static bool
+may_wipe(int n, uint64_t now)
+{
+    for (int i = 0; i < DISKS; i++) {
+        if (i != n && (soak.node[i].pid == 0 || soak.node[i].thaw_at != 0 ||
+                       now < soak.node[i].harmed_at + CALM_MS)) {
+            return false;
+        }
+    }
+    return n < DISKS && now > soak.harmed_at + CALM_MS / 2;
+}
+
+/* Removes a node's data folder. */
+static void
+wipe(int n)
+{
+    static const char *const names[] = {"identity", "vote", "snapshot",
+                                        "log",      "lock", "upstreams"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        char *name =
+            g_strdup_printf("%s/data-%d/%s", soak.folder, n, names[i]);
+
+        (void)g_unlink(name);
+        g_free(name);
+    }
+}
+
+/* Lets one fault happen. */
+static void
+inject(uint64_t now)
+{
+    int n = below(soak.nodes);
+    struct node_process *node = &soak.node[n];
+    uint64_t for_ms = 200 + (uint64_t)below(3500);
+
+    soak.fault_at = now + 300 + (uint64_t)below(1500);
+    if (node->pid == 0 || node->thaw_at != 0 || node->stopping) {
+        return;
+    }
+    switch (below(8)) {
+    case 0:
+        note("kill node %d, start after %llu ms", n,
+             (unsigned long long)for_ms);
+        (void)kill(node->pid, SIGKILL);
+        node->start_at = now + for_ms;
+        harm(n, node->start_at);
+        return;
+    case 1:
+        note("pause node %d for %llu ms", n, (unsigned long long)for_ms);
+        (void)kill(node->pid, SIGSTOP);
+        node->thaw_at = now + for_ms;
+        harm(n, node->thaw_at);
+        return;
+    case 2:
+        note("stop node %d", n);
+        (void)kill(node->pid, SIGTERM);
+        node->stopping = true;
+        harm(n, now + 6000);
+        return;
+    case 3:
+        node->cut_in = below(3) != 0;
+        node->cut_out = !node->cut_in || below(2) != 0;
+        note("cut node %d in=%d out=%d for %llu ms", n, node->cut_in,
+             node->cut_out, (unsigned long long)for_ms);
+        break;
+    case 4:
+        node->loss = 10 + (unsigned)below(40);
+        note("lose %u%% at node %d", node->loss, n);
+        break;
+    case 5:
+        node->delay_ms = 20 + (unsigned)below(300);
+        note("delay %u ms at node %d", node->delay_ms, n);
+        break;
+    case 6:
+        if (may_wipe(n, now)) {
+            note("wipe node %d", n);
+            (void)kill(node->pid, SIGKILL);
+            (void)waitpid(node->pid, NULL, 0);
+            node->pid = 0;
+            wipe(n);
+            node->start_at = now + 300;
+            harm(n, node->start_at + 1000);
+        }
+        return;
+    default:
+        soak_host_fault(below(3));
+        return;
+    }
+    node->heal_at = now + for_ms;
+    harm(n, node->heal_at);
+}
+
+/* Ends faults that are over, and looks after the processes. */
+static void
+look_after(uint64_t now)
+{
+    for (int n = 0; n < soak.nodes; n++) {
+        struct node_process *node = &soak.node[n];
+        int status;
+
+        if (node->thaw_at != 0 && now >= node->thaw_at) {
+            node->thaw_at = 0;
+            (void)kill(node->pid, SIGCONT);
+        }
+        if (node->heal_at != 0 && now >= node->heal_at) {
+            node->heal_at = 0;
+            node->cut_in = node->cut_out = false;
+            node->loss = node->delay_ms = 0;
+        }
+        if (node->pid != 0 && waitpid(node->pid, &status, WNOHANG) > 0) {
+            if (!node->stopping && node->start_at == 0) {
+                soak_broken("node %d ended by itself, status %d", n, status);
+            }
+            node->start_at = node->start_at ? node->start_at : now + 200;
+            node->pid = 0;
+        }
+        if (node->pid == 0 && node->start_at != 0 && now >= node->start_at) {
+            start_node(n, false);
+            harm(n, now);
+        }
+    }
+}
+
+/* Runs packets, the proxy and faults until a time. */
+static void
+run_until(uint64_t until, bool faults)
+{
+    struct pollfd fds[NODES_MAX + SOAK_HOSTS + 1];
+
+    while (loop_now() < until) {
+        uint64_t now = loop_now();
+        nfds_t count = 0;
+
+        for (int n = 0; n < soak.nodes; n++) {
+            fds[count++] =
+                (struct pollfd){.fd = soak.node[n].proxy, .events = POLLIN};
+        }
+        count += soak_host_poll(fds + count);
+        (void)poll(fds, count, 2);
+        for (int n = 0; n < soak.nodes; n++) {
+            read_proxy(n);
+        }
+        deliver_held(loop_now());
+        soak_host_run(loop_now());
+        look_after(now);
+        if (faults && now >= soak.fault_at) {
+            inject(now);
+        }
+    }
+}
+
+/* Starts everything. */
+static void
+set_up(unsigned seed)
+{
+    soak.net = 16 + seed % 200;
+    soak.rand = g_rand_new_with_seed(seed);
+    soak.held = g_array_new(FALSE, FALSE, sizeof(struct held));
+    soak.began_at = loop_now();
+    (void)snprintf(soak.folder, sizeof(soak.folder), "build/soak-%u", seed);
+    (void)g_mkdir_with_parents(soak.folder, 0700);
+    for (int n = 0; n < soak.nodes; n++) {
+        soak.node[n].disk = n < DISKS;
+        soak.node[n].proxy = soak_socket(address_of(2, n), PEER_PORT);
+        if (soak.node[n].disk) {
+            wipe(n);
+        }
+    }
+    for (int n = 0; n < soak.nodes; n++) {
+        start_node(n, true);
+    }
+    soak_host_open(address_of(3, 0), address_of(4, 0), address_of(1, 0),
+                   soak.nodes, PACKET_PORT, CONTROL_PORT, seed);
+    (void)g_thread_new("operator", run_operator, NULL);
+    for (int n = 0; n < soak.nodes; n++) {
+        (void)g_thread_new("fabric", run_fabric, GINT_TO_POINTER(n));
+    }
+}
+
+/* Checks what must hold once faults are over. The operator's thread has gone
+ * on reading, so that a read of late is enough. */
+static void
+check_end(void)
+{
+    if (loop_now() > soak.read_at + CALM_MS) {
+        soak_broken("at the end: no read was answered for %llu ms",
+                    (unsigned long long)(loop_now() - soak.read_at));
+    }
+    if (loop_now() > soak.put_at + CALM_MS) {
+        soak_broken("at the end: no table was acknowledged for %llu ms",
+                    (unsigned long long)(loop_now() - soak.put_at));
+    }
+    for (int n = 0; n < soak.nodes; n++) {
+        if (!soak.node[n].ready) {
+            soak_broken("at the end node %d is not ready", n);
+        }
+    }
+}
+
+/* Ends what was started. */
+static void
+tear_down(void)
+{
+    soak.over = true;
+    for (int n = 0; n < soak.nodes; n++) {
+        if (soak.node[n].pid != 0) {
+            (void)kill(soak.node[n].pid, SIGKILL);
+            (void)waitpid(soak.node[n].pid, NULL, 0);
+        }
+    }
+}
+
+/* Runs the soak. */
+int
+main(int argc, char **argv)
+{
+    uint64_t seconds = argc > 1 ? strtoull(argv[1], NULL, 10) : 0;
+    unsigned seed = argc > 2 ? (unsigned)strtoul(argv[2], NULL, 10) : 1;
+
+    soak.nodes = argc > 3 ? CLAMP(atoi(argv[3]), DISKS, NODES_MAX) : 7;
+    if (seconds == 0) {
+        (void)fprintf(stderr, "usage: soak SECONDS SEED [NODES]\n");
+        return 2;
+    }
+    (void)curl_global_init(CURL_GLOBAL_DEFAULT);
+    (void)setvbuf(stdout, NULL, _IOLBF, 0);
+    set_up(seed);
+    run_until(loop_now() + SETTLE_MS, false);
+    run_until(loop_now() + seconds * 1000, true);
+    run_until(loop_now() + HEAL_MS, false);
+    check_end();
+    tear_down();
+    printf("seed %u: %u faults, %u puts, %u reads, version %llu, ", seed,
+           soak.faults, soak.puts, soak.reads, (unsigned long long)soak.acked);
+    soak_host_report();
+    printf("%s soak %u: %u broken promises\n", soak.broken ? "not ok" : "ok",
+           seed, soak.broken);
+    return soak.broken ? 1 : 0;
+}
