--- a/cmd-reference.c
+++ b/cmd-reference.c
@@ -5,6 +5,7 @@
 #include "bundle.h"
 #include "cmd.h"
 #include "counter.h"
+#include "node-settings.h"
 #include "ring.h"
 
 /* Prints the rules. */
@@ -26,6 +27,9 @@
     if (strcmp(args[0], "settings") == 0) {
         schema_print(&settings_schema, false);
     }
+    else if (strcmp(args[0], "node") == 0) {
+        schema_print(&node_settings_schema, false);
+    }
     else if (strcmp(args[0], "bundle") == 0) {
         schema_print(&bundle_schema, false);
     }
@@ -34,7 +38,8 @@
     }
     else {
         return status_set(st, STATUS_BAD_INPUT,
-                          "\"%s\" is no page; name settings, bundle or rules",
+                          "\"%s\" is no page; name settings, node, bundle or "
+                          "rules",
                           args[0]);
     }
     return STATUS_OK;
@@ -42,7 +47,7 @@
 
 const struct cmd cmd_reference = {
     .name = "reference",
-    .args = "settings|bundle|rules",
+    .args = "settings|node|bundle|rules",
     .min_args = 1,
     .max_args = 1,
     .help = "Print the reference of settings, bundles or rules, in "
