node: hold packets until the table and the inventory are known

Change: such packets are held, 256 at most for half a second, and steered when the table or the inventory arrives.

--- a/counter.h
+++ b/counter.h
@@ -54,6 +54,8 @@
       "opened at a second upstream: the first gave no sign of life")          \
     X(PACKETS_NO_EVIDENCE, "packets_no_evidence_total",                       \
       "dropped: named no upstream, or one not known here")                    \
+    X(PACKETS_HELD, "packets_held_total",                                     \
+      "held until the table and the inventory are known")                     \
     X(REGISTRATIONS, "registrations_total", "taken from upstreams")           \
     X(REGISTRATIONS_REFUSED, "registrations_refused_total",                   \
       "unreadable registrations")                                             \
--- a/evidence.c
+++ b/evidence.c
@@ -295,7 +295,7 @@
     }
     if (upstream == NULL) {
         counter_add(ev->counters, COUNTER_PACKETS_NO_UPSTREAM, 1);
-        end_with(verdict, ev->settled ? EVIDENCE_REFUSE : EVIDENCE_DROP,
+        end_with(verdict, ev->settled ? EVIDENCE_REFUSE : EVIDENCE_HOLD,
                  RULE_NO_UPSTREAM);
         return;
     }
@@ -381,7 +381,8 @@
     }
     upstream = upstream_by_token(ev->upstreams, packet->token);
     if (upstream == NULL) {
-        end_with(verdict, EVIDENCE_DROP, RULE_UNKNOWN_EVIDENCE);
+        end_with(verdict, ev->settled ? EVIDENCE_DROP : EVIDENCE_HOLD,
+                 RULE_UNKNOWN_EVIDENCE);
         return;
     }
     if (upstream->state == UPSTREAM_GONE) {
@@ -409,7 +410,7 @@
         steer_open(ev, now, packet, verdict);
     }
     else if (ev->table->version == 0) {
-        end_with(verdict, EVIDENCE_DROP, RULE_NO_TABLE);
+        end_with(verdict, EVIDENCE_HOLD, RULE_NO_TABLE);
     }
     else {
         route = route_find(ev->table, packet->destination,
--- a/evidence.h
+++ b/evidence.h
@@ -36,6 +36,7 @@
 enum evidence_action {
     EVIDENCE_FORWARD, /**< to `upstream`, with its token */
     EVIDENCE_REFUSE,  /**< reset towards the caller: nothing was run */
+    EVIDENCE_HOLD,    /**< steer it again once this entry knows more */
     EVIDENCE_DROP     /**< silently */
 };
 
--- a/node-packets.c
+++ b/node-packets.c
@@ -17,6 +17,8 @@
 #define BATCHES_A_TURN 4 /* then other events have their turn */
 #define PACKET_MAX (PLATFORM_HEAD_BYTES + PLATFORM_DATA_MAX)
 #define SOCKET_BUFFER (1024 * 1024)
+#define HELD_MAX 256 /* packets of half a second on the smallest VMs */
+#define HOLD_MS 500U /* callers send again after 200 and 600 ms */
 
 /* One batch. Each packet has room before it for the prefix. */
 static struct {
@@ -29,6 +31,16 @@
     unsigned sent_count;
 } batch;
 
+/* A packet that is held, behind room for its prefix. */
+struct held {
+    uint64_t until; /* deadline: dropped then */
+    size_t length;
+    uint8_t bytes[PLATFORM_PREFIX_BYTES + PACKET_MAX];
+};
+
+static struct held *held; /* HELD_MAX of them, made when first needed */
+static unsigned held_count;
+
 /* Addresses a packet that leaves. */
 static void
 put_out(uint32_t address, uint16_t port, uint8_t *bytes, size_t length)
@@ -92,6 +104,7 @@
     }
     log_event(LOG_INFO,
               verdict->action == EVIDENCE_REFUSE ? "flow-refused"
+              : verdict->action == EVIDENCE_HOLD ? "packet-held"
                                                  : "packet-dropped",
               "flow=%016llx caller=%s route=%s rule=%s token=%08x first=%d "
               "version=%llu",
@@ -100,6 +113,27 @@
               (unsigned long long)node->evidence.table->version);
 }
 
+/* Holds a packet; drops it when too many are held. */
+static void
+hold(struct node *node, uint64_t now, const uint8_t *bytes, size_t length)
+{
+    struct held *place;
+
+    if (held == NULL) {
+        held = g_new0(struct held, HELD_MAX);
+    }
+    if (held_count == HELD_MAX) {
+        counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
+        return;
+    }
+    counter_add(&node->counters, COUNTER_PACKETS_HELD, 1);
+    place = &held[held_count++];
+    place->until = now + HOLD_MS;
+    place->length = length;
+    memcpy(place->bytes + PLATFORM_PREFIX_BYTES, bytes + PLATFORM_PREFIX_BYTES,
+           length);
+}
+
 /* Steers one packet, which lies behind its prefix. */
 static void
 take_packet(struct node *node, uint64_t now, uint8_t *bytes, size_t length)
@@ -127,6 +161,9 @@
         put_out(packet.source, node->settings.packets.port, head,
                 PLATFORM_HEAD_BYTES);
         break;
+    case EVIDENCE_HOLD:
+        hold(node, now, bytes, length);
+        break;
     case EVIDENCE_DROP:
         counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
         break;
@@ -162,6 +199,31 @@
     return n;
 }
 
+/* Steers the packets that were held once more. */
+void
+node_release_packets(struct node *node)
+{
+    unsigned count = held_count;
+    uint64_t now = loop_now();
+
+    /* What must wait longer is held again at the front. */
+    held_count = 0;
+    for (unsigned i = 0; i < count; i++) {
+        struct held packet = held[i];
+
+        if (now >= packet.until) {
+            counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
+            continue;
+        }
+        take_packet(node, now, packet.bytes, packet.length);
+        if (held_count > 0) {
+            held[held_count - 1].until =
+                MIN(held[held_count - 1].until, packet.until);
+        }
+        send_out(node);
+    }
+}
+
 /* Takes what the socket holds, in bounds. */
 static void
 on_packets(void *data)
--- a/node.c
+++ b/node.c
@@ -133,12 +133,18 @@
 void
 node_act(struct node *node)
 {
+    uint64_t version = node->evidence.table->version;
+
     log_upstreams(node);
     if (node->upstreams.changed->len > 0) {
         fleet_spread(&node->fleet, loop_now());
     }
     act_fleet(node);
-    node->evidence.settled = node->fleet.settled;
+    if (node->evidence.settled != node->fleet.settled ||
+        node->evidence.table->version != version) {
+        node->evidence.settled = node->fleet.settled;
+        node_release_packets(node);
+    }
     schedule(node);
 }
 
--- a/node.h
+++ b/node.h
@@ -61,6 +61,8 @@
 
 /* node-packets.c */
 enum status_kind node_open_packets(struct node *node, struct status *st);
+/** Steers the packets that were held once more. */
+void node_release_packets(struct node *node);
 
 /* node-peers.c */
 enum status_kind node_open_peers(struct node *node, struct status *st);
