evidence: copies that arrive together stay together; stale first packets are dropped

(1) Copies of one first packet that were held for want of a table were released together, and each went to another upstream, since the first gave no sign of life within microseconds. (2) First packets that waited in the socket of a paused node were forwarded when it woke up, after their copies had opened the flow elsewhere; both upstreams answered, and the flow's packets then named the wrong one. Change: a copy moves off only when 150 ms passed since the first was forwarded; first packets are held for 150 ms at most; after a wake-up later than 150 ms by its deadline, first packets that waited are dropped (counted).

--- /dev/null
+++ b/cmd-node-status.c
@@ -0,0 +1,81 @@
+/* ridgeridge node-status: asks a node for its state, or about one flow. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "address.h"
+#include "cmd.h"
+#include "evidence.h"
+
+/* Path of the page about a flow: named by its hash, or by its two ends. */
+static enum status_kind
+flow_path(const char **args, char *out, size_t size, struct status *st)
+{
+    struct evidence_packet packet = {0};
+    unsigned long long hash;
+    char *end = NULL;
+
+    if (args[2] == NULL) {
+        hash = strtoull(args[1], &end, 16);
+        if (end == args[1] || *end != '\0') {
+            return status_set(st, STATUS_BAD_INPUT,
+                              "\"%s\" is no flow; give the 16 hex digits of "
+                              "\"flow\" in the log, or CALLER:PORT ROUTE:PORT",
+                              args[1]);
+        }
+    }
+    else if (address_parse(args[1], &packet.source, &packet.source_port) &&
+             address_parse(args[2], &packet.destination,
+                           &packet.destination_port)) {
+        hash = evidence_hash(&packet);
+    }
+    else {
+        return status_set(st, STATUS_BAD_INPUT,
+                          "give CALLER:PORT ROUTE:PORT as IPv4 addresses");
+    }
+    (void)snprintf(out, size, "/v1/flows/%016llx", hash);
+    return STATUS_OK;
+}
+
+/* Asks and prints. */
+static enum status_kind
+run(const struct cmd_options *options, const char **args, struct status *st)
+{
+    struct client_credentials nobody = {.name = ""};
+    struct client_reply reply = {0};
+    char path[64] = "/v1/status";
+    char url[160];
+    json_object *doc;
+
+    (void)options;
+    if (args[1] != NULL &&
+        flow_path(args, path, sizeof(path), st) != STATUS_OK) {
+        return st->kind;
+    }
+    (void)snprintf(url, sizeof(url), "http://%s%s", args[0], path);
+    client_call("GET", url, &nobody, NULL, NULL, 0, &reply);
+    doc = client_json(&reply);
+    if (doc == NULL) {
+        (void)status_set(st, STATUS_NO_ANSWER,
+                         "%s did not answer; give the address and "
+                         "metrics_port of a node that runs",
+                         args[0]);
+    }
+    else {
+        (void)printf("%s\n", json_object_to_json_string_ext(
+                                 doc, JSON_C_TO_STRING_PRETTY |
+                                          JSON_C_TO_STRING_SPACED));
+        json_object_put(doc);
+    }
+    client_free(&reply);
+    return st->kind;
+}
+
+const struct cmd cmd_node_status = {
+    .name = "node-status",
+    .args = "ADDRESS:PORT [FLOW | CALLER ROUTE]",
+    .min_args = 1,
+    .max_args = 3,
+    .help = "Show a node's state, or why it decided about a flow.",
+    .run = run,
+};
--- a/cmd.h
+++ b/cmd.h
@@ -53,6 +53,7 @@
 extern const struct cmd cmd_control;
 extern const struct cmd cmd_entry;
 extern const struct cmd cmd_node;
+extern const struct cmd cmd_node_status;
 extern const struct cmd cmd_init_control;
 extern const struct cmd cmd_check_settings;
 extern const struct cmd cmd_check_bundle;
--- a/counter.h
+++ b/counter.h
@@ -56,6 +56,8 @@
       "dropped: named no upstream, or one not known here")                    \
     X(PACKETS_HELD, "packets_held_total",                                     \
       "held until the table and the inventory are known")                     \
+    X(PACKETS_STALE, "packets_stale_total",                                   \
+      "first packets dropped: they waited while the process stood still")     \
     X(REGISTRATIONS, "registrations_total", "taken from upstreams")           \
     X(REGISTRATIONS_REFUSED, "registrations_refused_total",                   \
       "unreadable registrations")                                             \
--- a/evidence.c
+++ b/evidence.c
@@ -13,6 +13,10 @@
 /* First packets are repeated after 200 and 600 ms and given up after 1.4 s:
  * an upstream that let one go without an answer is avoided for that long. */
 #define SUSPECT_MS 1500U
+/* A copy of a first packet tells of a lost upstream only when so long passed
+ * since this entry forwarded the one before: copies are sent 200 ms apart and
+ * more, but arrive together where they were held up. */
+#define ANSWER_MS 150U
 /* An upstream that gave a sign of life this lately is alive: a first packet
  * without an answer was lost on its way. */
 #define ALIVE_MS 1000U
@@ -261,7 +265,8 @@
     if (upstream == NULL || upstream->state != UPSTREAM_READY) {
         return false;
     }
-    if (packet->acknowledged == 0 || flow->answered) {
+    if (packet->acknowledged == 0 || flow->answered ||
+        now < flow->opened_at + ANSWER_MS) {
         return true;
     }
     upstream->suspect_until = now + SUSPECT_MS;
--- a/node-http.c
+++ b/node-http.c
@@ -12,12 +12,13 @@
 #include "address.h"
 #include "log.h"
 #include "loop.h"
-#include "node.h"
+#include "node-status.h"
 #include "page.h"
 #include "platform/platform.h"
 
 #define IDLE_CONNECTION_S 10U /* callers keep none open longer unused */
 #define ANSWER_MAX 256
+#define FLOWS_PATH "/v1/flows/"
 #define COUNTERS_MAX 65536
 #define RETRY_AFTER_S "1" /* an election takes about that long */
 
@@ -203,19 +204,55 @@
     return answer(call, MHD_HTTP_OK, "application/json", "{}", 2);
 }
 
-/* Serves the counters. */
+/* Serves the counters and histograms. */
 static enum MHD_Result
 serve_counters(struct call *call)
 {
+    struct node *node = call->node;
     char *text = g_malloc(COUNTERS_MAX);
-    size_t length = counter_print(&call->node->counters, text, COUNTERS_MAX);
-    enum MHD_Result result =
-        answer(call, MHD_HTTP_OK, "text/plain; version=0.0.4", text, length);
+    enum MHD_Result result;
+    size_t length;
 
+    node->counters.value[COUNTER_LOG_LINES_LOST] = log_lost();
+    length = counter_print(&node->counters, text, COUNTERS_MAX);
+    length += histogram_print(&node->histograms, text + length,
+                              COUNTERS_MAX - length);
+    length += page_print_process(text + length, COUNTERS_MAX - length);
+    result =
+        answer(call, MHD_HTTP_OK, "text/plain; version=0.0.4", text, length);
     g_free(text);
     return result;
 }
 
+/* Serves a document, which is released. */
+static enum MHD_Result
+serve_page(struct call *call, json_object *doc)
+{
+    const char *text = json_object_to_json_string(doc);
+    enum MHD_Result result =
+        answer(call, MHD_HTTP_OK, "application/json", text, strlen(text));
+
+    json_object_put(doc);
+    return result;
+}
+
+/* Serves operators' pages: counters, the node's state, a flow's decisions. */
+static enum MHD_Result
+serve_operators(struct call *call, const char *path)
+{
+    size_t prefix = strlen(FLOWS_PATH);
+
+    if (strcmp(path, "/v1/status") == 0) {
+        return serve_page(call, node_status(call->node));
+    }
+    if (strncmp(path, FLOWS_PATH, prefix) == 0) {
+        return serve_page(
+            call, node_explain(call->node,
+                               g_ascii_strtoull(path + prefix, NULL, 16)));
+    }
+    return serve_counters(call);
+}
+
 /* Answers a call whose body has arrived. */
 static enum MHD_Result
 serve(struct call *call, enum http_port port, const char *method,
@@ -224,7 +261,7 @@
     const char *rest = "";
 
     if (port == HTTP_METRICS) {
-        return serve_counters(call);
+        return serve_operators(call, path);
     }
     if (call->too_large) {
         return refuse(call, MHD_HTTP_CONTENT_TOO_LARGE,
--- a/node-packets.c
+++ b/node-packets.c
@@ -10,7 +10,7 @@
 #include "address.h"
 #include "log.h"
 #include "loop.h"
-#include "node.h"
+#include "node-status.h"
 #include "platform/platform.h"
 
 #define BATCH 64
@@ -19,6 +19,12 @@
 #define SOCKET_BUFFER (1024 * 1024)
 #define HELD_MAX 256 /* packets of half a second on the smallest VMs */
 #define HOLD_MS 500U /* callers send again after 200 and 600 ms */
+/* A first packet is held for less, since its copy, after 200 ms, may open the
+ * flow elsewhere meanwhile. */
+#define HOLD_FIRST_MS 150U
+/* When the loop wakes up so late, first packets that waited meanwhile may have
+ * been answered elsewhere. */
+#define STALE_MS 150U
 
 /* One batch. Each packet has room before it for the prefix. */
 static struct {
@@ -77,9 +83,10 @@
     batch.sent_count = 0;
 }
 
-/* Writes one line about a decision that is not simply the evidence. */
+/* Writes one line about a decision that is not simply the evidence, and
+ * keeps it to be explained. */
 static void
-log_verdict(const struct node *node, const struct evidence_packet *packet,
+log_verdict(struct node *node, const struct evidence_packet *packet,
             const struct evidence_verdict *verdict)
 {
     const struct upstream *u = verdict->upstream;
@@ -89,6 +96,7 @@
     if (verdict->rule == RULE_EVIDENCE) {
         return;
     }
+    node_record(node, packet, verdict);
     (void)address_format(packet->source, packet->source_port, caller);
     (void)address_format(packet->destination, packet->destination_port, place);
     if (verdict->action == EVIDENCE_FORWARD) {
@@ -115,7 +123,7 @@
 
 /* Holds a packet; drops it when too many are held. */
 static void
-hold(struct node *node, uint64_t now, const uint8_t *bytes, size_t length)
+hold(struct node *node, uint64_t until, const uint8_t *bytes, size_t length)
 {
     struct held *place;
 
@@ -128,7 +136,7 @@
     }
     counter_add(&node->counters, COUNTER_PACKETS_HELD, 1);
     place = &held[held_count++];
-    place->until = now + HOLD_MS;
+    place->until = until;
     place->length = length;
     memcpy(place->bytes + PLATFORM_PREFIX_BYTES, bytes + PLATFORM_PREFIX_BYTES,
            length);
@@ -146,6 +154,10 @@
         counter_add(&node->counters, COUNTER_PACKETS_MALFORMED, 1);
         return;
     }
+    if (packet.first && node->stale) {
+        counter_add(&node->counters, COUNTER_PACKETS_STALE, 1);
+        return;
+    }
     evidence_steer(&node->evidence, now, &packet, &verdict);
     log_verdict(node, &packet, &verdict);
     switch (verdict.action) {
@@ -162,7 +174,8 @@
                 PLATFORM_HEAD_BYTES);
         break;
     case EVIDENCE_HOLD:
-        hold(node, now, bytes, length);
+        hold(node, now + (packet.first ? HOLD_FIRST_MS : HOLD_MS), bytes,
+             length);
         break;
     case EVIDENCE_DROP:
         counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
@@ -206,19 +219,19 @@
     unsigned count = held_count;
     uint64_t now = loop_now();
 
-    /* What must wait longer is held again at the front. */
+    /* What must wait longer is held again, at or before its old place. */
     held_count = 0;
     for (unsigned i = 0; i < count; i++) {
-        struct held packet = held[i];
+        uint64_t until = held[i].until;
 
-        if (now >= packet.until) {
+        if (now >= until) {
             counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
             continue;
         }
-        take_packet(node, now, packet.bytes, packet.length);
+        take_packet(node, now, held[i].bytes, held[i].length);
         if (held_count > 0) {
             held[held_count - 1].until =
-                MIN(held[held_count - 1].until, packet.until);
+                MIN(held[held_count - 1].until, until);
         }
         send_out(node);
     }
@@ -230,8 +243,12 @@
 {
     struct node *node = data;
 
+    if (loop_now() > node->wake_at + STALE_MS) {
+        node->stale = true;
+    }
     for (int i = 0; i < BATCHES_A_TURN; i++) {
         if (take_batch(node) < BATCH) {
+            node->stale = false;
             break;
         }
     }
--- /dev/null
+++ b/node-status.c
@@ -0,0 +1,126 @@
+/* A node's state and decisions as JSON. */
+#include "node-status.h"
+
+#include "hash.h"
+#include "loop.h"
+#include "page.h"
+
+#define DECISIONS_MAX 64 /* of one flow, newest first */
+
+static const char *const state_names[] = {"ready", "leaving", "silent",
+                                          "gone"};
+
+/* Remembers a decision. */
+void
+node_record(struct node *node, const struct evidence_packet *packet,
+            const struct evidence_verdict *verdict)
+{
+    const struct upstream *u = verdict->upstream;
+    struct ring_record record = {.at = loop_wall(),
+                                 .subject = verdict->flow,
+                                 .version = node->evidence.table->version,
+                                 .kind = RING_FLOW,
+                                 .rule = (uint8_t)verdict->rule,
+                                 .first = packet->first};
+
+    if (u != NULL) {
+        record.service =
+            hash_name(upstream_service_name(&node->upstreams, u->service));
+        record.peer = u->id;
+        record.address = u->address;
+        record.port = u->port;
+        record.outstanding = u->busy;
+    }
+    ring_add(&node->ring, &record);
+}
+
+/* One upstream. */
+static json_object *
+upstream_page(const struct node *node, const struct upstream *u, uint64_t now)
+{
+    json_object *doc = json_object_new_object();
+
+    page_add_hex(doc, "id", u->id);
+    page_add_text(doc, "service",
+                  upstream_service_name(&node->upstreams, u->service));
+    page_add_text(doc, "hall", u->hall);
+    page_add_endpoint(doc, "at", u->address, u->port);
+    page_add_text(doc, "state", state_names[u->state]);
+    page_add_number(doc, "sequence", u->sequence);
+    page_add_number(doc, "slots", u->slots);
+    page_add_number(doc, "open_flows", u->open);
+    page_add_number(doc, "busy_flows", u->busy);
+    page_add_bool(doc, "suspected", now < u->suspect_until);
+    page_add_bool(doc, "warming_up", now < u->warm_at);
+    page_add_bool(doc, "heard_here", u->expire_at != 0);
+    return doc;
+}
+
+/* The state of the node. */
+json_object *
+node_status(struct node *node)
+{
+    uint64_t now = loop_now();
+    const struct fleet *fleet = &node->fleet;
+    json_object *doc = json_object_new_object();
+    json_object *upstreams = json_object_new_array();
+
+    page_add_text(doc, "name", node->settings.name);
+    page_add_text(doc, "hall", node->settings.hall);
+    page_add_bool(doc, "ready", node_is_ready(node));
+    page_add_bool(doc, "stopping", node->unready_at != 0);
+    page_add_number(doc, "version", node->evidence.table->version);
+    page_add_number(doc, "routes", node->evidence.table->routes->len);
+    page_add_endpoint(doc, "leader", fleet->leader,
+                      node->settings.control.port);
+    page_add_number(doc, "term", fleet->term);
+    page_add_bool(doc, "leads", fleet->leads_since != 0);
+    page_add_number(doc, "members", g_hash_table_size(fleet->members) + 1);
+    page_add_hex(doc, "disk", node->voter.identity);
+    for (guint i = 0; i < node->upstreams.all->len; i++) {
+        json_object_array_add(
+            upstreams,
+            upstream_page(node, g_ptr_array_index(node->upstreams.all, i),
+                          now));
+    }
+    json_object_object_add(doc, "upstreams", upstreams);
+    return doc;
+}
+
+/* One decision. */
+static json_object *
+decision_page(const struct ring_record *record)
+{
+    enum ring_rule rule = (enum ring_rule)record->rule;
+    json_object *doc = json_object_new_object();
+
+    page_add_number(doc, "at", record->at);
+    page_add_text(doc, "rule", ring_rule_name(rule));
+    page_add_text(doc, "because", ring_rule_help(rule));
+    page_add_number(doc, "version", record->version);
+    page_add_bool(doc, "first", record->first);
+    if (record->peer != 0) {
+        page_add_hex(doc, "upstream", record->peer);
+        page_add_endpoint(doc, "at_upstream", record->address, record->port);
+        page_add_number(doc, "busy_flows", record->outstanding);
+    }
+    return doc;
+}
+
+/* The decisions about a flow. */
+json_object *
+node_explain(const struct node *node, uint64_t flow)
+{
+    struct ring_record found[DECISIONS_MAX];
+    size_t count = ring_find(&node->ring, flow, found, DECISIONS_MAX);
+    json_object *doc = json_object_new_object();
+    json_object *list = json_object_new_array();
+
+    page_add_hex(doc, "flow", flow);
+    page_add_number(doc, "kept_since", ring_since(&node->ring));
+    for (size_t i = 0; i < count; i++) {
+        json_object_array_add(list, decision_page(&found[i]));
+    }
+    json_object_object_add(doc, "decisions", list);
+    return doc;
+}
--- a/node.c
+++ b/node.c
@@ -17,6 +17,9 @@
 #define GRACE_MARGIN_MS 1500U
 /* Settings may change without a signal. */
 #define SETTINGS_CHECK_MS 2000U
+/* Decisions kept to be explained: 100 KB, and on the busiest VM of today (40
+ * new flows a second) half a minute. */
+#define RING_SIZE 1024
 /* Least time between two stores of the inventory: two syncs of 5 ms are then
  * at most a hundredth of a disk's time. */
 #define KEEP_MS 1000U
@@ -126,6 +129,7 @@
     if (node->end_at != 0) {
         at = MIN(at, node->end_at);
     }
+    node->wake_at = at;
     loop_wake_at(at);
 }
 
@@ -269,6 +273,7 @@
     randombytes_buf(&options.incarnation, sizeof(options.incarnation));
     randombytes_buf(&options.seed, sizeof(options.seed));
     randombytes_buf(&turn, sizeof(turn));
+    ring_open(&node->ring, RING_SIZE);
     upstream_open(&node->upstreams, options.address, s->interval_ms);
     evidence_open(&node->evidence, &node->upstreams, &node->counters,
                   s->flow_max_ms, turn);
--- a/node.h
+++ b/node.h
@@ -14,6 +14,7 @@
 #include "fleet.h"
 #include "histogram.h"
 #include "node-settings.h"
+#include "ring.h"
 #include "status.h"
 #include "upstream.h"
 
@@ -33,6 +34,7 @@
     uint64_t settings_at;          /**< deadline: look at it again */
     struct counters counters;      /**< of the process */
     struct histograms histograms;  /**< of the process */
+    struct ring ring;              /**< decisions, to be explained */
     struct upstream_set upstreams; /**< the inventory */
     struct evidence evidence;      /**< steering */
     struct fleet fleet;            /**< other nodes */
@@ -44,6 +46,8 @@
     uint64_t last_token;           /**< of calls */
     uint64_t kept;                 /**< changes of the inventory stored */
     uint64_t keep_at;              /**< deadline: it may be stored again */
+    uint64_t wake_at;              /**< when the loop meant to wake up */
+    bool stale;                    /**< packets waited while it stood still */
     uint64_t ticked_at;            /**< last tick, to notice a standstill */
     uint64_t unready_at;           /**< stop: when it began, 0: not */
     uint64_t end_at;               /**< stop: deadline of the end */
--- a/ridgeridge.c
+++ b/ridgeridge.c
@@ -11,10 +11,10 @@
 
 /* The table of commands, in the order that help shows. */
 static const struct cmd *const commands[] = {
-    &cmd_node,           &cmd_control,      &cmd_entry,     &cmd_init_control,
-    &cmd_check_settings, &cmd_check_bundle, &cmd_keygen,    &cmd_submit,
-    &cmd_sign_off,       &cmd_status,       &cmd_bundle,    &cmd_explain,
-    &cmd_report,         &cmd_voters,       &cmd_reference,
+    &cmd_node,         &cmd_node_status,    &cmd_control,      &cmd_entry,
+    &cmd_init_control, &cmd_check_settings, &cmd_check_bundle, &cmd_keygen,
+    &cmd_submit,       &cmd_sign_off,       &cmd_status,       &cmd_bundle,
+    &cmd_explain,      &cmd_report,         &cmd_voters,       &cmd_reference,
 };
 
 /* One option and the bit of the commands that take it. */
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -208,19 +208,22 @@
 struct copy_case {
     const char *name;
     uint32_t copies;
-    bool answered; /* the upstream answered the first one */
-    bool leaves;   /* it says that it leaves before the copy comes */
-    bool alive;    /* another flow got an answer of it lately */
-    bool same;     /* the copy goes where the first went */
+    uint64_t after_ms; /* since the first one */
+    bool answered;     /* the upstream answered the first one */
+    bool leaves;       /* it says that it leaves before the copy comes */
+    bool alive;        /* another flow got an answer of it lately */
+    bool same;         /* the copy goes where the first went */
 };
 
 static const struct copy_case copies[] = {
-    {"first-copy", 1, false, false, false, false},
-    {"first-copy-to-one-alive", 1, false, false, true, true},
-    {"second-copy", 2, false, false, false, false},
-    {"second-copy-to-one-alive", 2, false, false, true, false},
-    {"second-copy-after-an-answer", 2, true, false, false, true},
-    {"first-copy-when-it-leaves", 1, false, true, true, false},
+    {"first-copy", 1, 200, false, false, false, false},
+    {"first-copy-to-one-alive", 1, 200, false, false, true, true},
+    {"second-copy", 2, 600, false, false, false, false},
+    {"second-copy-to-one-alive", 2, 600, false, false, true, false},
+    {"second-copy-after-an-answer", 2, 600, true, false, false, true},
+    {"first-copy-when-it-leaves", 1, 200, false, true, true, false},
+    {"first-copy-that-was-held-up", 1, 0, false, false, false, true},
+    {"second-copy-that-was-held-up", 2, 10, false, false, false, true},
 };
 
 /* Sends a first packet and a copy of it. */
@@ -240,7 +243,7 @@
         struct evidence_packet next =
             packet_of(7, false, verdict.upstream->token, 5);
 
-        evidence_steer(&f.ev, NOW + 10, &next, &verdict);
+        evidence_steer(&f.ev, NOW, &next, &verdict);
     }
     if (c->leaves) {
         reg(&f, NOW, first, 2, true);
@@ -249,10 +252,10 @@
         struct evidence_packet other =
             packet_of(8, false, upstream_token(first), 5);
 
-        evidence_steer(&f.ev, NOW + 100, &other, &verdict);
+        evidence_steer(&f.ev, NOW, &other, &verdict);
     }
     packet.acknowledged = c->copies;
-    evidence_steer(&f.ev, NOW + 600, &packet, &verdict);
+    evidence_steer(&f.ev, NOW + c->after_ms, &packet, &verdict);
     g_assert_cmpint(verdict.action, ==, EVIDENCE_FORWARD);
     g_assert_cmpint(verdict.upstream->id == first, ==, c->same);
     tear_down(&f);
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -19,6 +19,7 @@
     char *path;
     struct store store;
     struct cons cons;
+    enum store_tail tail;
 };
 
 /* Opens a folder as a replica would. */
@@ -31,8 +32,7 @@
     struct cons_stored stored;
 
     st->kind = STATUS_OK;
-    if (store_open(&f->store, f->path, STORE_TAIL_STRICT, &stored, st) !=
-        STATUS_OK) {
+    if (store_open(&f->store, f->path, f->tail, &stored, st) != STATUS_OK) {
         for (guint i = 0; stored.log != NULL && i < stored.log->len; i++) {
             g_bytes_unref(
                 g_array_index(stored.log, struct cons_entry, i).command);
@@ -114,19 +114,32 @@
     long junk;    /* bytes of junk added at the end */
     enum status_kind expect;
     unsigned kept; /* entries left of ten */
+    enum store_tail tail;
 };
 
 static const struct harm harms[] = {
-    {"untouched", 0, 0, 0, 0, STATUS_OK, 10},
-    {"torn-in-a-command", 0, 3, 0, 0, STATUS_OK, 9},
-    {"torn-in-a-header", 0, 75, 0, 0, STATUS_OK, 8},
-    {"zeros-at-the-end", 0, 0, 500, 0, STATUS_OK, 10},
-    {"few-bytes-at-the-end", 0, 0, 0, 7, STATUS_OK, 10},
-    {"junk-at-the-end", 0, 0, 0, 200, STATUS_DAMAGED, 0},
-    {"flip-in-the-first-record", 30, 0, 0, 0, STATUS_DAMAGED, 0},
-    {"flip-in-the-last-record", -2, 0, 0, 0, STATUS_DAMAGED, 0},
-    {"flip-in-the-magic", 2, 0, 0, 0, STATUS_DAMAGED, 0},
-    {"empty", 0, 1000000, 0, 0, STATUS_OK, 0},
+    {"untouched", 0, 0, 0, 0, STATUS_OK, 10, STORE_TAIL_STRICT},
+    {"torn-in-a-command", 0, 3, 0, 0, STATUS_OK, 9, STORE_TAIL_STRICT},
+    {"torn-in-a-header", 0, 75, 0, 0, STATUS_OK, 8, STORE_TAIL_STRICT},
+    {"zeros-at-the-end", 0, 0, 500, 0, STATUS_OK, 10, STORE_TAIL_STRICT},
+    {"few-bytes-at-the-end", 0, 0, 0, 7, STATUS_OK, 10, STORE_TAIL_STRICT},
+    {"junk-at-the-end", 0, 0, 0, 200, STATUS_DAMAGED, 0, STORE_TAIL_STRICT},
+    {"flip-in-the-first-record", 30, 0, 0, 0, STATUS_DAMAGED, 0,
+     STORE_TAIL_STRICT},
+    {"flip-in-the-last-record", -2, 0, 0, 0, STATUS_DAMAGED, 0,
+     STORE_TAIL_STRICT},
+    {"flip-in-the-magic", 2, 0, 0, 0, STATUS_DAMAGED, 0, STORE_TAIL_STRICT},
+    {"empty", 0, 1000000, 0, 0, STATUS_OK, 0, STORE_TAIL_STRICT},
+    /* Where a loss of power may tear what was not synced. */
+    {"torn/untouched", 0, 0, 0, 0, STATUS_OK, 10, STORE_TAIL_TORN},
+    {"torn/cut-in-a-command", 0, 3, 0, 0, STATUS_OK, 9, STORE_TAIL_TORN},
+    {"torn/flip-in-the-last-record", -2, 0, 0, 0, STATUS_OK, 9,
+     STORE_TAIL_TORN},
+    {"torn/junk-at-the-end", 0, 0, 0, 200, STATUS_OK, 10, STORE_TAIL_TORN},
+    {"torn/zeros-at-the-end", 0, 0, 500, 0, STATUS_OK, 10, STORE_TAIL_TORN},
+    {"torn/flip-before-a-later-sync", 30, 0, 0, 0, STATUS_DAMAGED, 0,
+     STORE_TAIL_TORN},
+    {"torn/flip-in-the-magic", 2, 0, 0, 0, STATUS_DAMAGED, 0, STORE_TAIL_TORN},
 };
 
 /* Harms the log file. */
@@ -165,7 +178,7 @@
 test_harm(gconstpointer data)
 {
     const struct harm *h = data;
-    struct fixture f = {0};
+    struct fixture f = {.tail = h->tail};
     struct status st;
     bool opened;
 
--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -61,6 +61,7 @@
     uint32_t token;
     int host;         /* that answered */
     uint64_t host_id; /* its incarnation */
+    uint32_t number;  /* of the upstream that opened it */
     unsigned copies;
     uint64_t began_at;
     uint64_t data_at; /* deadline: send data */
@@ -243,13 +244,13 @@
 
 /* Answers a caller from a host. */
 static void
-answer(const struct host *host, const struct evidence_packet *p, uint8_t flags,
-       uint16_t length)
+answer(const struct host *host, const struct evidence_packet *p,
+       uint32_t number, uint8_t flags, uint16_t length)
 {
     uint8_t out[PLATFORM_HEAD_BYTES + PLATFORM_DATA_MAX] = {0};
 
     put_head(out, p->destination, p->destination_port, p->source,
-             p->source_port, p->token, 1, length, flags);
+             p->source_port, p->token, number, length, flags);
     send_to(host->fd, p->source, world.packet_port, out,
             PLATFORM_HEAD_BYTES + length);
 }
@@ -296,6 +297,7 @@
 {
     struct evidence_packet p;
     uint64_t meant = 0;
+    uint32_t number;
     gpointer key;
 
     for (int i = 0; i < PLATFORM_PREFIX_BYTES; i++) {
@@ -310,17 +312,19 @@
         return;
     }
     key = GUINT_TO_POINTER(p.source_port);
+    number = GPOINTER_TO_UINT(g_hash_table_lookup(host->flows, key));
     if (p.first) {
         check_first(host, &p, node);
-        (void)g_hash_table_add(host->flows, key);
-        answer(host, &p, FLAG_SYN | FLAG_ACK, 0);
+        number = number != 0 ? number : below(UINT32_MAX - 1) + 1;
+        (void)g_hash_table_insert(host->flows, key, GUINT_TO_POINTER(number));
+        answer(host, &p, number, FLAG_SYN | FLAG_ACK, 0);
     }
-    else if (!g_hash_table_contains(host->flows, key)) {
+    else if (number == 0 || number != p.acknowledged) {
         check_stray(host, &p);
-        answer(host, &p, FLAG_RST | FLAG_ACK, 0);
+        answer(host, &p, 0, FLAG_RST | FLAG_ACK, 0);
     }
     else if (p.length > 0) {
-        answer(host, &p, FLAG_ACK, 100);
+        answer(host, &p, number, FLAG_ACK, 100);
     }
 }
 
@@ -382,6 +386,7 @@
         flow->host = host_of_token(p.token);
         if (flow->host >= 0) {
             flow->host_id = world.host[flow->host].id;
+            flow->number = p.acknowledged;
             flow->state = FLOW_OPEN;
             flow->data_at = loop_now();
             world.opened++;
@@ -398,7 +403,7 @@
 drain_socket(int fd, struct host *host)
 {
     uint8_t bytes[2048];
-    struct sockaddr_in from;
+    struct sockaddr_in from = {0};
     socklen_t size = sizeof(from);
     ssize_t n;
 
@@ -468,7 +473,7 @@
             flow->data_at = now + DATA_MS;
             flow->data_sent++;
             world.data++;
-            send_flow(flow, FLAG_ACK, (uint32_t)flow->answered + 1, 100);
+            send_flow(flow, FLAG_ACK, flow->number, 100);
         }
         if (now > flow->began_at + LIFE_MS ||
             flow->data_sent > flow->answered + 20) {
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -259,7 +259,7 @@
 read_proxy(int to)
 {
     static uint8_t bytes[65536];
-    struct sockaddr_in from;
+    struct sockaddr_in from = {0};
     socklen_t size = sizeof(from);
     ssize_t n;
 
