fleet: tell members what changed, not the whole list; settled under change

After all were killed, 99 nodes with 1,001 upstreams served nothing for 30 s: the inventory changed all the time, two nodes never agreed, nobody was ready. Change: the leader sends the nodes that are new; a settled node is sent what it lacks only when it still lacks it at its next hello; a node that has exchanged for a second is settled.

--- a/fleet.c
+++ b/fleet.c
@@ -80,6 +80,7 @@
 
     hello->self = fleet->self;
     hello->reply = reply;
+    hello->settled = fleet->settled;
     hello->term = fleet->term;
     hello->leader = fleet->leader;
     hello->routes = fleet->routes.bundle_version;
@@ -109,7 +110,7 @@
     gpointer value;
 
     out->term = fleet->term;
-    out->whole = fleet->leads_since != 0;
+    out->extent = fleet->leads_since != 0 ? WIRE_WHOLE : WIRE_SOME;
     out->nodes.nodes_val = nodes;
     nodes[out->nodes.nodes_len++] = fleet->self;
     g_hash_table_iter_init(&iter, fleet->members);
@@ -175,6 +176,7 @@
     fleet->members =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     fleet->actions = g_array_new(FALSE, TRUE, sizeof(struct fleet_action));
+    fleet->joined = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 }
 
 /* Frees it. */
@@ -184,6 +186,7 @@
     fleet_clear(fleet);
     g_hash_table_destroy(fleet->members);
     g_array_free(fleet->actions, TRUE);
+    g_array_free(fleet->joined, TRUE);
     g_free(fleet->routes.packed.packed_val);
 }
 
@@ -217,6 +220,15 @@
                    now + ADOPT_INTERVALS * fleet->upstreams->interval_ms);
 }
 
+/* LEADER: a node is new, or began anew; all are told. */
+static void
+note_joined(struct fleet *fleet, uint32_t address)
+{
+    if (fleet->leads_since != 0) {
+        g_array_append_val(fleet->joined, address);
+    }
+}
+
 /* Notes a member. */
 static void
 note_member(struct fleet *fleet, uint64_t now, const wire_node *node,
@@ -232,12 +244,14 @@
         member = g_new0(struct fleet_member, 1);
         member->heard_at = now;
         g_hash_table_insert(fleet->members, key, member);
+        note_joined(fleet, node->address);
     }
     else if (member->node.incarnation != node->incarnation) {
         if (!heard) {
             return;
         }
         lose_keeper(fleet, now, node->address);
+        note_joined(fleet, node->address);
     }
     member->node = *node;
     if (heard) {
@@ -439,6 +453,36 @@
     }
 }
 
+/* LEADER: tells all members who is new. */
+static void
+push_joined(struct fleet *fleet)
+{
+    wire_node *nodes = g_new0(wire_node, fleet->joined->len);
+    wire_msg msg = {.kind = WIRE_MEMBERS};
+    wire_members *out = &msg.wire_msg_u.members;
+    GHashTableIter iter;
+    gpointer value;
+
+    out->term = fleet->term;
+    out->extent = WIRE_CHANGED;
+    out->nodes.nodes_val = nodes;
+    for (guint i = 0; i < fleet->joined->len; i++) {
+        const struct fleet_member *member = g_hash_table_lookup(
+            fleet->members,
+            GUINT_TO_POINTER(g_array_index(fleet->joined, uint32_t, i)));
+
+        if (member != NULL) {
+            nodes[out->nodes.nodes_len++] = member->node;
+        }
+    }
+    g_array_set_size(fleet->joined, 0);
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        send_to(fleet, ((struct fleet_member *)value)->node.address, &msg);
+    }
+    g_free(nodes);
+}
+
 /* LEADER: pushes the table to all members. */
 static void
 push_routes(struct fleet *fleet, uint64_t now)
@@ -487,6 +531,9 @@
 {
     if (fleet->leads_since != 0) {
         drop_lost(fleet, now);
+        if (fleet->joined->len > 0) {
+            push_joined(fleet);
+        }
         if (fleet->push_at != 0 && now >= fleet->push_at) {
             push_routes(fleet, now);
         }
@@ -514,14 +561,63 @@
     return fleet->routes.bundle_version != 0 && fleet->upstreams->all->len > 0;
 }
 
+/* Says whether this node holds enough to serve. */
+static bool
+is_settled(const struct fleet *fleet, uint64_t now, const wire_hello *hello,
+           bool same)
+{
+    if (hello->routes > fleet->routes.bundle_version ||
+        (fleet->leader == 0 && !knows_something(fleet))) {
+        return false;
+    }
+    return same ||
+           (now > fleet->met_at + FLEET_SETTLE_MS && knows_something(fleet));
+}
+
+/* Sends upstreams that the other lacks. What changed a moment ago is on its
+ * way to all already, so a settled node is sent them only when it still lacks
+ * them at its next hello. */
+static void
+send_lacking_upstreams(struct fleet *fleet, uint64_t now,
+                       const wire_hello *hello, struct fleet_member *member,
+                       bool same)
+{
+    if (!same && (!hello->settled || member->lacks_upstreams)) {
+        send_differing(fleet, now, hello->self.address, hello->upstreams);
+    }
+    member->lacks_upstreams = !same;
+}
+
+/* Sends the list of members, by the same rule. */
+static void
+send_lacking_members(struct fleet *fleet, const wire_hello *hello,
+                     struct fleet_member *member)
+{
+    bool differs = hello->members != members_digest(fleet) &&
+                   (fleet->leads_since != 0 || fleet->leader == 0);
+
+    if (differs && (!hello->settled || member->lacks_members)) {
+        send_members(fleet, hello->self.address);
+    }
+    member->lacks_members = differs;
+}
+
 /* Takes a hello: sends what the other lacks. */
 static void
 take_hello(struct fleet *fleet, uint64_t now, const wire_hello *hello)
 {
     bool same = same_upstreams(fleet, hello);
     uint32_t from = hello->self.address;
+    struct fleet_member *member;
 
     note_member(fleet, now, &hello->self, true);
+    member = g_hash_table_lookup(fleet->members, GUINT_TO_POINTER(from));
+    if (member == NULL) {
+        return;
+    }
+    if (fleet->met_at == 0) {
+        fleet->met_at = now;
+    }
     if (hello->self.identity != 0) {
         act(fleet, FLEET_DISK)->node = hello->self;
     }
@@ -529,17 +625,11 @@
     if (hello->routes < fleet->routes.bundle_version) {
         send_routes(fleet, from);
     }
-    if (!same) {
-        send_differing(fleet, now, from, hello->upstreams);
-    }
-    if (same && hello->routes <= fleet->routes.bundle_version &&
-        (fleet->leader != 0 || knows_something(fleet))) {
+    send_lacking_upstreams(fleet, now, hello, member, same);
+    if (is_settled(fleet, now, hello, same)) {
         fleet->settled = true;
     }
-    if (hello->members != members_digest(fleet) &&
-        (fleet->leads_since != 0 || fleet->leader == 0)) {
-        send_members(fleet, from);
-    }
+    send_lacking_members(fleet, hello, member);
     if (!hello->reply) {
         send_hello(fleet, from, true);
     }
@@ -568,9 +658,10 @@
         return;
     }
     for (u_int i = 0; i < members->nodes.nodes_len; i++) {
-        note_member(fleet, now, &members->nodes.nodes_val[i], members->whole);
+        note_member(fleet, now, &members->nodes.nodes_val[i],
+                    members->extent != WIRE_SOME);
     }
-    if (!members->whole) {
+    if (members->extent != WIRE_WHOLE) {
         return;
     }
     g_hash_table_iter_init(&iter, fleet->members);
--- a/fleet.h
+++ b/fleet.h
@@ -25,8 +25,11 @@
 #define FLEET_LOST_MS 4000U   /**< the leader drops a member unheard so long */
 #define FLEET_LEADER_MS 2500U /**< a leader unheard so long is looked for */
 #define FLEET_FOUND_MS                                                        \
-    1500U                  /**< after the first start, nodes have so long     \
-                                to report before a founder is named */
+    1500U /**< after the first start, nodes have so long                      \
+               to report before a founder is named */
+#define FLEET_SETTLE_MS                                                       \
+    1000U                  /**< a node that has exchanged for so long holds   \
+                                enough, though others change meanwhile */
 #define FLEET_PUSH_MS 250U /**< least time between two pushes of tables */
 
 /** What the shell must do. */
@@ -48,8 +51,10 @@
 
 /** Another node. */
 struct fleet_member {
-    wire_node node;    /**< as it reported */
-    uint64_t heard_at; /**< last message, here */
+    wire_node node;       /**< as it reported */
+    uint64_t heard_at;    /**< last message, here */
+    bool lacks_members;   /**< its last hello showed another list */
+    bool lacks_upstreams; /**< its last hello showed another inventory */
 };
 
 /** What one node knows of the fleet. */
@@ -67,6 +72,9 @@
     uint64_t hello_at;               /**< deadline */
     uint32_t founder;                /**< named here, 0: none yet */
     bool settled;                    /**< holds what a peer held */
+    uint64_t met_at;                 /**< first hello of a peer, 0: none */
+    GArray *joined;                  /**< uint32_t: LEADER: nodes that are
+                                          new, to be told to all */
     wire_routes routes;              /**< newest table; packed is owned */
     uint64_t push_at;                /**< deadline: push the table, 0: no */
     uint64_t pushed_at;              /**< last push */
