--- a/evidence.c
+++ b/evidence.c
@@ -316,6 +316,7 @@
     attach(flow, upstream, now);
     flow->seen_at = now;
     flow->forget_at = 0;
+    counter_add(ev->counters, COUNTER_FLOWS_MOVED_OFF, before != NULL);
     forward_to(verdict, upstream,
                before != NULL ? RULE_MOVED_OFF : RULE_LEAST_WORK);
 }
--- a/node-http.c
+++ b/node-http.c
@@ -126,6 +126,7 @@
     struct route_table *table =
         platform_read_table(text, call->body->len, &st);
     uint64_t version;
+    uint64_t token;
 
     if (table == NULL) {
         counter_add(&node->counters, COUNTER_TABLES_INVALID, 1);
@@ -138,10 +139,13 @@
     if (node->fleet.leads_since == 0) {
         return redirect(call, path);
     }
-    log_event(LOG_INFO, "table-received", "version=%llu bytes=%u held=%llu",
-              (unsigned long long)version, call->body->len,
+    token = suspend(call);
+    log_event(LOG_INFO, "table-received",
+              "call=%llu version=%llu bytes=%u held=%llu",
+              (unsigned long long)token, (unsigned long long)version,
+              call->body->len,
               (unsigned long long)node->fleet.routes.bundle_version);
-    node_voter_submit(node, suspend(call), text, call->body->len, version);
+    node_voter_submit(node, token, text, call->body->len, version);
     return MHD_YES;
 }
 
