loop: notice a late wake-up before anything else runs

Change: the loop checks after each wait, before its other work, and lets the node take what waited without its first packets.

--- a/loop.c
+++ b/loop.c
@@ -25,6 +25,11 @@
     struct ev_loop *loop;
     ev_async wake;
     ev_timer timer;
+    ev_check check;
+    uint64_t wake_at; /* time of the timer, 0: none */
+    uint64_t late_ms;
+    loop_work late;
+    void *late_data;
     loop_work tick;
     void *tick_data;
     GMutex lock;
@@ -123,6 +128,31 @@
     ev_init(&loop_state.timer, on_timer);
 }
 
+/* The loop woke up; nothing was called yet. */
+static void
+on_check(struct ev_loop *loop, ev_check *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    if (loop_now() > loop_state.wake_at + loop_state.late_ms) {
+        loop_state.late(loop_state.late_data);
+    }
+}
+
+/* Calls work when the loop wakes up late. */
+void
+loop_on_late(loop_work work, void *data, uint64_t late_ms)
+{
+    loop_state.late = work;
+    loop_state.late_data = data;
+    loop_state.late_ms = late_ms;
+    loop_state.wake_at = loop_now();
+    ev_check_init(&loop_state.check, on_check);
+    ev_set_priority(&loop_state.check, EV_MAXPRI);
+    ev_check_start(loop_state.loop, &loop_state.check);
+}
+
 /* Sets the timer to one time. */
 void
 loop_wake_at(uint64_t at)
@@ -130,6 +160,7 @@
     uint64_t now = loop_now();
     double wait = at > now ? (double)(at - now) / 1000.0 : 0.0;
 
+    loop_state.wake_at = at;
     ev_timer_stop(loop_state.loop, &loop_state.timer);
     ev_now_update(loop_state.loop);
     ev_timer_set(&loop_state.timer, wait, 0.0);
--- a/loop.h
+++ b/loop.h
@@ -30,6 +30,12 @@
 /** Calls the tick at a time of loop_now(), once; replaces an earlier one. */
 void loop_wake_at(uint64_t at);
 
+/**
+ * Calls `work` before anything else when the loop wakes up more than
+ * `late_ms` after the time of loop_wake_at(): the process stood still.
+ */
+void loop_on_late(loop_work work, void *data, uint64_t late_ms);
+
 /** Calls `work` on the loop's thread, soon. From any thread. */
 void loop_post(loop_work work, void *data);
 
--- a/node-packets.c
+++ b/node-packets.c
@@ -243,17 +243,26 @@
 {
     struct node *node = data;
 
-    if (loop_now() > node->wake_at + STALE_MS) {
-        node->stale = true;
-    }
     for (int i = 0; i < BATCHES_A_TURN; i++) {
         if (take_batch(node) < BATCH) {
-            node->stale = false;
             break;
         }
     }
 }
 
+/* The process stood still: takes what waited meanwhile, without its first
+ * packets. */
+static void
+on_late(void *data)
+{
+    struct node *node = data;
+
+    node->stale = true;
+    while (take_batch(node) == BATCH) {
+    }
+    node->stale = false;
+}
+
 /* Opens the socket for packets. */
 enum status_kind
 node_open_packets(struct node *node, struct status *st)
@@ -275,5 +284,6 @@
     (void)setsockopt(node->packets_fd, SOL_SOCKET, SO_RCVBUF, &size,
                      sizeof(size));
     loop_watch(node->packets_fd, on_packets, node);
+    loop_on_late(on_late, node, STALE_MS);
     return STATUS_OK;
 }
--- a/node.c
+++ b/node.c
@@ -129,7 +129,6 @@
     if (node->end_at != 0) {
         at = MIN(at, node->end_at);
     }
-    node->wake_at = at;
     loop_wake_at(at);
 }
 
--- a/node.h
+++ b/node.h
@@ -46,8 +46,8 @@
     uint64_t last_token;           /**< of calls */
     uint64_t kept;                 /**< changes of the inventory stored */
     uint64_t keep_at;              /**< deadline: it may be stored again */
-    uint64_t wake_at;              /**< when the loop meant to wake up */
-    bool stale;                    /**< packets waited while it stood still */
+    bool stale;                    /**< packets are those that waited while the
+                                        process stood still */
     uint64_t ticked_at;            /**< last tick, to notice a standstill */
     uint64_t unready_at;           /**< stop: when it began, 0: not */
     uint64_t end_at;               /**< stop: deadline of the end */
