--- a/cons.c
+++ b/cons.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "random.h"
 
 #define QUIET_LEADER_MS (2 * CONS_ELECTION_MS)
 
@@ -25,23 +26,12 @@
     (void)cons_act(cons, CONS_SAVE_TERM);
 }
 
-/* Next number of the generator (splitmix64). */
-static uint64_t
-next_random(struct cons *cons)
-{
-    uint64_t z = (cons->random += 0x9e3779b97f4a7c15ULL);
-
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-    return z ^ (z >> 31);
-}
-
 /* Sets the next election deadline. */
 static void
 set_election(struct cons *cons, uint64_t now)
 {
-    cons->election_at =
-        now + CONS_ELECTION_MS + next_random(cons) % CONS_ELECTION_SPAN_MS;
+    cons->election_at = now + CONS_ELECTION_MS +
+                        random_next(&cons->random) % CONS_ELECTION_SPAN_MS;
 }
 
 /* Starts a replica. */
--- a/fleet.c
+++ b/fleet.c
@@ -8,6 +8,7 @@
 
 #include "codec.h"
 #include "hash.h"
+#include "random.h"
 
 /* Records of upstreams in one message: about 100 bytes each, so that it
  * stays well inside one datagram. */
@@ -16,17 +17,6 @@
  * another node. */
 #define ADOPT_INTERVALS 4
 
-/* Next number of the generator (splitmix64). */
-static uint64_t
-next_random(struct fleet *fleet)
-{
-    uint64_t z = (fleet->random += 0x9e3779b97f4a7c15ULL);
-
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-    return z ^ (z >> 31);
-}
-
 /* Adds an action. */
 static struct fleet_action *
 act(struct fleet *fleet, enum fleet_action_kind kind)
@@ -334,7 +324,7 @@
 random_member(struct fleet *fleet)
 {
     guint size = g_hash_table_size(fleet->members);
-    guint pick = size > 0 ? (guint)(next_random(fleet) % size) : 0;
+    guint pick = size > 0 ? (guint)(random_next(&fleet->random) % size) : 0;
     GHashTableIter iter;
     gpointer value;
 
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "random.h"
 
 #define STEP_MS 5
 #define DELAY_MS 1
@@ -24,11 +25,8 @@
 uint64_t
 fleet_sim_random(struct fleet_sim *sim, uint64_t below)
 {
-    uint64_t z = (sim->random += 0x9e3779b97f4a7c15ULL);
+    uint64_t z = random_next(&sim->random);
 
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-    z ^= z >> 31;
     return below ? z % below : z;
 }
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "random.h"
 
 #define CONTROL_TICK_MS 20
 #define ENTRY_TICK_MS 10
@@ -28,15 +29,12 @@
     void *data;
 };
 
-/* Draws a random number (splitmix64). */
+/* Draws a random number below a bound; any when it is 0. */
 uint64_t
 sim_random(struct sim *sim, uint64_t below)
 {
-    uint64_t z = (sim->random += 0x9e3779b97f4a7c15ULL);
+    uint64_t z = random_next(&sim->random);
 
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-    z ^= z >> 31;
     return below ? z % below : z;
 }
 
