--- a/evidence.c
+++ b/evidence.c
@@ -64,13 +64,6 @@
     g_hash_table_destroy(ev->flows);
 }
 
-/* Key of a route's place. */
-static gpointer
-place_key(uint32_t address, uint16_t port)
-{
-    return (gpointer)((uintptr_t)address << 16 | port);
-}
-
 /* Remembers which routes a newer table drops, so that their flows end. */
 static void
 note_dropped(struct evidence *ev, const struct route_table *next)
@@ -81,7 +74,7 @@
 
         if (route_find(next, route->address, route->port) == NULL) {
             (void)g_hash_table_add(ev->dropped,
-                                   place_key(route->address, route->port));
+                                   route_key(route->address, route->port));
         }
     }
     for (guint i = 0; i < next->routes->len; i++) {
@@ -89,7 +82,7 @@
             &g_array_index(next->routes, struct route, i);
 
         (void)g_hash_table_remove(ev->dropped,
-                                  place_key(route->address, route->port));
+                                  route_key(route->address, route->port));
     }
 }
 
@@ -376,7 +369,7 @@
 
     if (g_hash_table_contains(
             ev->dropped,
-            place_key(packet->destination, packet->destination_port))) {
+            route_key(packet->destination, packet->destination_port))) {
         end_with(verdict, packet->reset ? EVIDENCE_DROP : EVIDENCE_REFUSE,
                  RULE_ROUTE_DROPPED);
         return;
--- a/evidence.h
+++ b/evidence.h
@@ -53,14 +53,14 @@
 struct evidence {
     struct upstream_set *upstreams; /**< borrowed */
     struct route_table *table;      /**< owned; version 0 at first */
-    GHashTable *dropped;            /**< places of routes that were dropped */
-    GHashTable *flows;              /**< hash to struct evidence_flow */
-    struct counters *counters;      /**< borrowed */
-    uint64_t sweep_at;              /**< deadline: forget flows that ended */
-    uint64_t flow_max_ms;           /**< older flows may be forgotten */
-    uint32_t turn;                  /**< breaks ties in turn */
-    bool settled;                   /**< the inventory was compared with
-                                         another node's: "none" is true */
+    GHashTable *dropped;       /**< route_key() of routes that were dropped */
+    GHashTable *flows;         /**< hash to struct evidence_flow */
+    struct counters *counters; /**< borrowed */
+    uint64_t sweep_at;         /**< deadline: forget flows that ended */
+    uint64_t flow_max_ms;      /**< older flows may be forgotten */
+    uint32_t turn;             /**< breaks ties in turn */
+    bool settled;              /**< the inventory was compared with
+                                    another node's: "none" is true */
 };
 
 /** Starts without a table. */
--- a/route.c
+++ b/route.c
@@ -2,8 +2,8 @@
 #include "route.h"
 
 /* Key of an address and port. */
-static gpointer
-place_key(uint32_t address, uint16_t port)
+gpointer
+route_key(uint32_t address, uint16_t port)
 {
     return (gpointer)((uintptr_t)address << 16 | port);
 }
@@ -44,7 +44,7 @@
 bool
 route_add(struct route_table *table, struct route *route)
 {
-    gpointer key = place_key(route->address, route->port);
+    gpointer key = route_key(route->address, route->port);
 
     if (g_hash_table_contains(table->by_place, key)) {
         return false;
@@ -64,7 +64,7 @@
 route_find(const struct route_table *table, uint32_t address, uint16_t port)
 {
     guint place = GPOINTER_TO_UINT(
-        g_hash_table_lookup(table->by_place, place_key(address, port)));
+        g_hash_table_lookup(table->by_place, route_key(address, port)));
 
     return place > 0 ? &g_array_index(table->routes, struct route, place - 1)
                      : NULL;
--- a/route.h
+++ b/route.h
@@ -42,7 +42,7 @@
 struct route_table {
     uint64_t version;     /**< rises; 0: none yet */
     GArray *routes;       /**< struct route */
-    GHashTable *by_place; /**< address << 16 | port to index + 1 */
+    GHashTable *by_place; /**< route_key() to index + 1 */
     uint64_t idle_ms;     /**< a flow that rested so long may go */
 };
 
@@ -62,6 +62,9 @@
 const struct route *route_find(const struct route_table *table,
                                uint32_t address, uint16_t port);
 
+/** Key of an address and port, for tables by g_direct_hash(). */
+gpointer route_key(uint32_t address, uint16_t port);
+
 /** Picks a target by weight; `hash` decides. */
 const struct route_target *route_pick(const struct route *route,
                                       uint64_t hash);
