--- a/hash.c
+++ b/hash.c
@@ -20,6 +20,13 @@
     return hash_bytes(use, pair, sizeof(pair));
 }
 
+/* Checksum of a message or a stored inventory. */
+uint64_t
+hash_checksum(const void *bytes, size_t length)
+{
+    return hash_bytes(HASH_KEY, bytes, length);
+}
+
 /* Hashes a name. */
 uint64_t
 hash_name(const char *name)
--- a/hash.h
+++ b/hash.h
@@ -25,6 +25,10 @@
 /** Hash of two numbers. */
 uint64_t hash_pair(enum hash_use use, uint64_t a, uint64_t b);
 
+/** Checksum of a message between nodes, or of a node's stored inventory. Its
+ * seed is that of HASH_KEY; the two are never compared. */
+uint64_t hash_checksum(const void *bytes, size_t length);
+
 /** Hash of a string. */
 uint64_t hash_name(const char *name);
 
--- a/node-peers.c
+++ b/node-peers.c
@@ -17,13 +17,6 @@
 #define DATAGRAMS_A_TURN 64 /* then other events have their turn */
 #define CHECKSUM_BYTES 8
 
-/* Checksum of a message. */
-static uint64_t
-checksum(const void *bytes, size_t length)
-{
-    return hash_bytes(HASH_KEY, bytes, length);
-}
-
 /* Sends an encoded message. Safe from the voter's thread. */
 void
 node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
@@ -33,7 +26,7 @@
                              .sin_port =
                                  htons((uint16_t)node->settings.peer_port),
                              .sin_addr.s_addr = htonl(to)};
-    uint64_t sum = checksum(bytes, length);
+    uint64_t sum = hash_checksum(bytes, length);
     struct iovec parts[2] = {{.iov_base = &sum, .iov_len = sizeof(sum)},
                              {.iov_base = (void *)bytes, .iov_len = length}};
     struct msghdr msg = {.msg_name = &at,
@@ -106,8 +99,8 @@
             continue;
         }
         memcpy(&sum, bytes, sizeof(sum));
-        if (sum !=
-            checksum(bytes + CHECKSUM_BYTES, (size_t)n - CHECKSUM_BYTES)) {
+        if (sum != hash_checksum(bytes + CHECKSUM_BYTES,
+                                 (size_t)n - CHECKSUM_BYTES)) {
             counter_add(&node->counters, COUNTER_MSGS_FORGED, 1);
             continue;
         }
--- a/node-voter.c
+++ b/node-voter.c
@@ -329,7 +329,7 @@
     if (bytes->len > sizeof(sum)) {
         memcpy(&sum, bytes->data, sizeof(sum));
         g_byte_array_remove_range(bytes, 0, sizeof(sum));
-        if (sum == hash_bytes(HASH_KEY, bytes->data, bytes->len)) {
+        if (sum == hash_checksum(bytes->data, bytes->len)) {
             return bytes;
         }
     }
@@ -343,7 +343,7 @@
 static void
 keep(const GByteArray *bytes)
 {
-    uint64_t sum = hash_bytes(HASH_KEY, bytes->data, bytes->len);
+    uint64_t sum = hash_checksum(bytes->data, bytes->len);
     GByteArray *file = g_byte_array_new();
     struct status st = {STATUS_OK, ""};
 
