--- a/evidence.c
+++ b/evidence.c
@@ -25,6 +25,11 @@
 /* Work at an upstream that has just started takes this much longer, in
  * tenths; typical of caches that fill. */
 #define COLD_TENTHS 16U
+/* Work for each slot is compared in this many parts of one. */
+#define WORK_SCALE 1000U
+
+/* What is wrong with an upstream; the least is best. */
+enum rank { RANK_GOOD, RANK_SUSPECT, RANK_SILENT };
 
 /* What this entry remembers of a flow, to estimate the work at upstreams and
  * to send copies of a first packet the same way. */
@@ -162,6 +167,24 @@
     upstream->open++;
 }
 
+/* Puts a flow on an upstream, off the one that it had; makes its record when
+ * there is none. */
+static struct evidence_flow *
+bind_flow(struct evidence *ev, uint64_t now, uint64_t key,
+          struct evidence_flow *flow, struct upstream *upstream)
+{
+    if (flow == NULL) {
+        flow = g_new0(struct evidence_flow, 1);
+        flow->key = key;
+        g_hash_table_insert(ev->flows, &flow->key, flow);
+    }
+    else {
+        detach(ev, flow);
+    }
+    attach(flow, upstream, now);
+    return flow;
+}
+
 /* Says whether an upstream takes new flows: one that is ready, or silent. */
 static bool
 takes_new(const struct upstream_set *set, const struct upstream *upstream)
@@ -172,15 +195,15 @@
 }
 
 /* How much is wrong with an upstream: those of the least rank are chosen. A
- * silent one is used only when all others are worse, since it may be that
- * its registrations alone do not arrive. */
-static unsigned
+ * silent one is the last resort, since it may be that its registrations alone
+ * do not arrive. */
+static enum rank
 rank_of(const struct upstream *upstream, uint64_t now)
 {
     if (upstream->state == UPSTREAM_SILENT) {
-        return 2;
+        return RANK_SILENT;
     }
-    return now < upstream->suspect_until ? 1 : 0;
+    return now < upstream->suspect_until ? RANK_SUSPECT : RANK_GOOD;
 }
 
 /* Work at an upstream for each of its slots, in a scale that only compares:
@@ -191,7 +214,7 @@
     uint64_t work =
         (uint64_t)(upstream->busy + 1) * REST_SHARE + upstream->open;
 
-    work = work * 1000 / upstream->slots;
+    work = work * WORK_SCALE / upstream->slots;
     return now < upstream->warm_at ? work * COLD_TENTHS / 10 : work;
 }
 
@@ -204,13 +227,13 @@
     GPtrArray *all = ev->upstreams->all;
     struct upstream *best = NULL;
     uint64_t best_work = 0;
-    unsigned best_rank = 0;
+    enum rank best_rank = RANK_GOOD;
     uint32_t turn = ev->turn++;
 
     *candidates = 0;
     for (guint i = 0; i < all->len; i++) {
         struct upstream *u = g_ptr_array_index(all, (i + turn) % all->len);
-        unsigned rank = rank_of(u, now);
+        enum rank rank = rank_of(u, now);
         uint64_t work;
 
         if (u->service != service || u == not_this ||
@@ -250,7 +273,8 @@
 
 /* Says whether a copy of a first packet goes where the first one went. A
  * second upstream is asked only when the first gave no sign of life: when two
- * answer, the token and the flow may part. */
+ * answer, the token and the flow may part. Suspects an upstream that let the
+ * one before go without an answer. */
 static bool
 stays(uint64_t now, const struct evidence_flow *flow,
       const struct evidence_packet *packet, struct upstream *upstream)
@@ -266,6 +290,26 @@
     return packet->acknowledged == 1 && now <= upstream->alive_at + ALIVE_MS;
 }
 
+/* Opens a flow at the upstream that was chosen; `flow` is what is remembered
+ * of it, NULL when it is new. */
+static void
+open_flow(struct evidence *ev, uint64_t now, struct evidence_flow *flow,
+          struct upstream *upstream, struct evidence_verdict *verdict)
+{
+    bool moves = flow != NULL && upstream_of(ev, flow) != NULL;
+
+    if (flow == NULL) {
+        counter_add(ev->counters, COUNTER_FLOWS_NEW, 1);
+    }
+    if (moves) {
+        counter_add(ev->counters, COUNTER_FLOWS_MOVED_OFF, 1);
+    }
+    flow = bind_flow(ev, now, verdict->flow, flow, upstream);
+    flow->seen_at = now;
+    flow->forget_at = 0;
+    forward_to(verdict, upstream, moves ? RULE_MOVED_OFF : RULE_LEAST_WORK);
+}
+
 /* Steers a packet that opens a flow. */
 static void
 steer_first(struct evidence *ev, uint64_t now,
@@ -297,21 +341,7 @@
                  RULE_NO_UPSTREAM);
         return;
     }
-    if (flow == NULL) {
-        flow = g_new0(struct evidence_flow, 1);
-        flow->key = verdict->flow;
-        g_hash_table_insert(ev->flows, &flow->key, flow);
-        counter_add(ev->counters, COUNTER_FLOWS_NEW, 1);
-    }
-    else {
-        detach(ev, flow);
-    }
-    attach(flow, upstream, now);
-    flow->seen_at = now;
-    flow->forget_at = 0;
-    counter_add(ev->counters, COUNTER_FLOWS_MOVED_OFF, before != NULL);
-    forward_to(verdict, upstream,
-               before != NULL ? RULE_MOVED_OFF : RULE_LEAST_WORK);
+    open_flow(ev, now, flow, upstream, verdict);
 }
 
 /* Notes what a packet tells of the work and the life of its upstream. */
@@ -339,24 +369,16 @@
     }
 }
 
-/* Finds or makes the record of a flow whose packet names an upstream. */
+/* The record of a flow whose packet names an upstream. */
 static struct evidence_flow *
 flow_of(struct evidence *ev, uint64_t now, uint64_t key,
         struct upstream *upstream)
 {
     struct evidence_flow *flow = g_hash_table_lookup(ev->flows, &key);
 
-    if (flow == NULL) {
-        flow = g_new0(struct evidence_flow, 1);
-        flow->key = key;
-        g_hash_table_insert(ev->flows, &flow->key, flow);
-        attach(flow, upstream, now);
-    }
-    else if (flow->upstream != upstream->id) {
-        detach(ev, flow);
-        attach(flow, upstream, now);
-    }
-    return flow;
+    return flow != NULL && flow->upstream == upstream->id
+               ? flow
+               : bind_flow(ev, now, key, flow, upstream);
 }
 
 /* Steers a packet of a flow that is open, or thought to be. */
--- a/evidence.h
+++ b/evidence.h
@@ -3,7 +3,9 @@
  * Steering by evidence: each packet of a flow carries a token that an entry
  * wrote into its first packet and that both ends repeat; it names the
  * upstream's incarnation. So any entry can steer any packet without records,
- * keepers or steps. Only first packets are decided here. Does no I/O.
+ * keepers or steps. Only first packets are decided here. Owns the table in
+ * force and what it remembers of flows; of an upstream it writes only what
+ * packets tell (work, suspicion, signs of life). Does no I/O.
  */
 #ifndef RIDGERIDGE_EVIDENCE_H
 #define RIDGERIDGE_EVIDENCE_H
