fleet: split by subject into fleet.c, fleet-members.c and fleet-spread.c

What the three share stands in fleet-internal.h; messages to all members go through one function. Behaviour is unchanged: the same messages in the same order.

--- /dev/null
+++ b/fleet-internal.h
@@ -0,0 +1,51 @@
+/**
+ * @file fleet-internal.h
+ * What the fleet*.c files share. Nothing else includes it.
+ */
+#ifndef RIDGERIDGE_FLEET_INTERNAL_H
+#define RIDGERIDGE_FLEET_INTERNAL_H
+
+#include "fleet.h"
+
+/* fleet.c */
+/** Adds an action, to be filled in. */
+struct fleet_action *fleet_act(struct fleet *fleet,
+                               enum fleet_action_kind kind);
+
+/* fleet-members.c */
+/** Digest of the members: who, and which start of it. */
+uint64_t fleet_members_digest(const struct fleet *fleet);
+/** Notes a member; `heard` says that the word is its own or the leader's. */
+void fleet_note_member(struct fleet *fleet, uint64_t now,
+                       const wire_node *node, bool heard);
+/** A member drawn by lot, 0 when there is none. */
+uint32_t fleet_random_member(struct fleet *fleet);
+/** LEADER: drops members that are silent. */
+void fleet_drop_lost(struct fleet *fleet, uint64_t now);
+/** Takes a list of members. */
+void fleet_take_members(struct fleet *fleet, uint64_t now,
+                        const wire_members *members);
+
+/* fleet-spread.c */
+/** Sends a message; to address 0 or to this node itself, nothing. */
+void fleet_send(struct fleet *fleet, uint32_t to, wire_msg *msg);
+/** Tells another node what this one knows. */
+void fleet_send_hello(struct fleet *fleet, uint32_t to, bool reply);
+/** Sends the table in force. */
+void fleet_send_routes(struct fleet *fleet, uint32_t to);
+/** LEADER: tells all members who is new. */
+void fleet_push_joined(struct fleet *fleet);
+/** LEADER: pushes the table to all members. */
+void fleet_push_routes(struct fleet *fleet, uint64_t now);
+/** Says whether a hello shows the same inventory. */
+bool fleet_has_same_upstreams(const struct fleet *fleet,
+                              const wire_hello *hello);
+/** Sends upstreams that the node of a hello lacks, if `same` is false. */
+void fleet_send_lacking_upstreams(struct fleet *fleet, uint64_t now,
+                                  const wire_hello *hello,
+                                  struct fleet_member *member, bool same);
+/** Sends the members that the node of a hello lacks. */
+void fleet_send_lacking_members(struct fleet *fleet, const wire_hello *hello,
+                                struct fleet_member *member);
+
+#endif
--- /dev/null
+++ b/fleet-members.c
@@ -0,0 +1,178 @@
+/*
+ * The members: who they are, who is new, and who is lost. The leader's list
+ * is whole; other nodes add to theirs what they hear.
+ */
+#include "fleet-internal.h"
+
+#include "hash.h"
+#include "random.h"
+
+/* An upstream whose keeper is lost has this many intervals to be heard by
+ * another node. */
+#define ADOPT_INTERVALS 4
+
+/* Digest of the members: who, and which start of it. */
+uint64_t
+fleet_members_digest(const struct fleet *fleet)
+{
+    uint64_t digest =
+        hash_pair(HASH_RANK, fleet->self.address, fleet->self.incarnation);
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct fleet_member *member = value;
+
+        digest += hash_pair(HASH_RANK, member->node.address,
+                            member->node.incarnation);
+    }
+    return digest;
+}
+
+/* A node that heard upstreams is lost, or began anew without what it knew. */
+static void
+lose_keeper(struct fleet *fleet, uint64_t now, uint32_t address)
+{
+    upstream_adopt(fleet->upstreams, address,
+                   now + ADOPT_INTERVALS * fleet->upstreams->interval_ms);
+}
+
+/* LEADER: a node is new, or began anew; all are told. */
+static void
+note_joined(struct fleet *fleet, uint32_t address)
+{
+    if (fleet->leads_since != 0) {
+        g_array_append_val(fleet->joined, address);
+    }
+}
+
+/* Notes a member. */
+void
+fleet_note_member(struct fleet *fleet, uint64_t now, const wire_node *node,
+                  bool heard)
+{
+    gpointer key = GUINT_TO_POINTER(node->address);
+    struct fleet_member *member = g_hash_table_lookup(fleet->members, key);
+
+    if (node->address == fleet->self.address || node->address == 0) {
+        return;
+    }
+    if (member == NULL) {
+        member = g_new0(struct fleet_member, 1);
+        member->heard_at = now;
+        g_hash_table_insert(fleet->members, key, member);
+        note_joined(fleet, node->address);
+    }
+    else if (member->node.incarnation != node->incarnation) {
+        if (!heard) {
+            return;
+        }
+        lose_keeper(fleet, now, node->address);
+        note_joined(fleet, node->address);
+    }
+    member->node = *node;
+    if (heard) {
+        member->heard_at = now;
+    }
+}
+
+/* A member drawn by lot, 0 when there is none. */
+uint32_t
+fleet_random_member(struct fleet *fleet)
+{
+    guint size = g_hash_table_size(fleet->members);
+    guint pick = size > 0 ? (guint)(random_next(&fleet->random) % size) : 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (pick-- == 0) {
+            return ((struct fleet_member *)value)->node.address;
+        }
+    }
+    return 0;
+}
+
+/* LEADER: watches upstreams whose keeper is no member; after a loss of power
+ * on all nodes their records come from disks. */
+static void
+watch_unkept(struct fleet *fleet, uint64_t now)
+{
+    const struct upstream_set *set = fleet->upstreams;
+
+    for (guint i = 0; i < set->all->len; i++) {
+        const struct upstream *u = g_ptr_array_index(set->all, i);
+
+        if (u->expire_at == 0 && u->state < UPSTREAM_SILENT &&
+            u->keeper != fleet->self.address &&
+            !g_hash_table_contains(fleet->members,
+                                   GUINT_TO_POINTER(u->keeper))) {
+            lose_keeper(fleet, now, u->keeper);
+        }
+    }
+}
+
+/* LEADER: drops members that are silent. */
+void
+fleet_drop_lost(struct fleet *fleet, uint64_t now)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct fleet_member *member = value;
+        uint64_t since = MAX(member->heard_at, fleet->leads_since);
+
+        if (now > since + FLEET_LOST_MS) {
+            lose_keeper(fleet, now, member->node.address);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+    if (now > fleet->leads_since + FLEET_LOST_MS) {
+        watch_unkept(fleet, now);
+    }
+}
+
+/* Says whether a list of nodes holds an address. */
+static bool
+lists(const wire_members *members, uint32_t address)
+{
+    for (u_int i = 0; i < members->nodes.nodes_len; i++) {
+        if (members->nodes.nodes_val[i].address == address) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Takes a list of members; the leader's is whole. */
+void
+fleet_take_members(struct fleet *fleet, uint64_t now,
+                   const wire_members *members)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (members->term < fleet->term || fleet->leads_since != 0) {
+        return;
+    }
+    for (u_int i = 0; i < members->nodes.nodes_len; i++) {
+        fleet_note_member(fleet, now, &members->nodes.nodes_val[i],
+                          members->extent != WIRE_SOME);
+    }
+    if (members->extent != WIRE_WHOLE) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct fleet_member *member = value;
+
+        if (!lists(members, member->node.address)) {
+            lose_keeper(fleet, now, member->node.address);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
--- /dev/null
+++ b/fleet-spread.c
@@ -0,0 +1,231 @@
+/*
+ * What a node tells others: hellos, and members, tables and upstreams that
+ * changed or that another node lacks.
+ */
+#include "fleet-internal.h"
+
+#include <string.h>
+
+#include "codec.h"
+
+/* Records of upstreams in one message: about 100 bytes each, so that it
+ * stays well inside one datagram. */
+#define RECORDS_A_MESSAGE 200
+
+/* Sends a message. */
+void
+fleet_send(struct fleet *fleet, uint32_t to, wire_msg *msg)
+{
+    struct fleet_action *action;
+
+    if (to == fleet->self.address || to == 0) {
+        return;
+    }
+    action = fleet_act(fleet, FLEET_SEND);
+    action->to = to;
+    action->bytes = codec_encode(msg);
+}
+
+/* Sends a message to all members. */
+static void
+send_to_all(struct fleet *fleet, wire_msg *msg)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        fleet_send(fleet, ((struct fleet_member *)value)->node.address, msg);
+    }
+}
+
+/* Tells another node what this one knows. */
+void
+fleet_send_hello(struct fleet *fleet, uint32_t to, bool reply)
+{
+    wire_msg msg = {.kind = WIRE_HELLO};
+    wire_hello *hello = &msg.wire_msg_u.hello;
+
+    hello->self = fleet->self;
+    hello->reply = reply;
+    hello->settled = fleet->settled;
+    hello->term = fleet->term;
+    hello->leader = fleet->leader;
+    hello->routes = fleet->routes.bundle_version;
+    hello->members = fleet_members_digest(fleet);
+    upstream_digests(fleet->upstreams, hello->upstreams);
+    fleet_send(fleet, to, &msg);
+}
+
+/* Sends the table in force. */
+void
+fleet_send_routes(struct fleet *fleet, uint32_t to)
+{
+    wire_msg msg = {.kind = WIRE_ROUTES, .wire_msg_u.routes = fleet->routes};
+
+    fleet_send(fleet, to, &msg);
+}
+
+/* Sends all members. */
+static void
+send_members(struct fleet *fleet, uint32_t to)
+{
+    guint count = g_hash_table_size(fleet->members) + 1;
+    wire_node *nodes = g_new0(wire_node, count);
+    wire_msg msg = {.kind = WIRE_MEMBERS};
+    wire_members *out = &msg.wire_msg_u.members;
+    GHashTableIter iter;
+    gpointer value;
+
+    out->term = fleet->term;
+    out->extent = fleet->leads_since != 0 ? WIRE_WHOLE : WIRE_SOME;
+    out->nodes.nodes_val = nodes;
+    nodes[out->nodes.nodes_len++] = fleet->self;
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        nodes[out->nodes.nodes_len++] = ((struct fleet_member *)value)->node;
+    }
+    fleet_send(fleet, to, &msg);
+    g_free(nodes);
+}
+
+/* LEADER: tells all members who is new. */
+void
+fleet_push_joined(struct fleet *fleet)
+{
+    wire_node *nodes = g_new0(wire_node, fleet->joined->len);
+    wire_msg msg = {.kind = WIRE_MEMBERS};
+    wire_members *out = &msg.wire_msg_u.members;
+
+    out->term = fleet->term;
+    out->extent = WIRE_CHANGED;
+    out->nodes.nodes_val = nodes;
+    for (guint i = 0; i < fleet->joined->len; i++) {
+        const struct fleet_member *member = g_hash_table_lookup(
+            fleet->members,
+            GUINT_TO_POINTER(g_array_index(fleet->joined, uint32_t, i)));
+
+        if (member != NULL) {
+            nodes[out->nodes.nodes_len++] = member->node;
+        }
+    }
+    g_array_set_size(fleet->joined, 0);
+    send_to_all(fleet, &msg);
+    g_free(nodes);
+}
+
+/* LEADER: pushes the table to all members. */
+void
+fleet_push_routes(struct fleet *fleet, uint64_t now)
+{
+    wire_msg msg = {.kind = WIRE_ROUTES, .wire_msg_u.routes = fleet->routes};
+
+    fleet->push_at = 0;
+    fleet->pushed_at = now;
+    if (fleet->routes.bundle_version != 0) {
+        send_to_all(fleet, &msg);
+    }
+}
+
+/* Sends records of upstreams, in as many messages as they need. */
+static void
+send_upstreams(struct fleet *fleet, uint32_t to, wire_upstream *records,
+               guint count)
+{
+    for (guint at = 0; at < count; at += RECORDS_A_MESSAGE) {
+        wire_msg msg = {.kind = WIRE_UPSTREAMS};
+
+        msg.wire_msg_u.upstreams.list.list_val = records + at;
+        msg.wire_msg_u.upstreams.list.list_len =
+            MIN(count - at, RECORDS_A_MESSAGE);
+        fleet_send(fleet, to, &msg);
+    }
+}
+
+/* Sends the records of those buckets in which the other node differs. */
+static void
+send_differing(struct fleet *fleet, uint64_t now, uint32_t to,
+               const uint32_t theirs[WIRE_BUCKETS])
+{
+    struct upstream_set *set = fleet->upstreams;
+    wire_upstream *records = g_new0(wire_upstream, set->all->len);
+    uint32_t own[WIRE_BUCKETS];
+    guint count = 0;
+
+    upstream_digests(set, own);
+    for (guint i = 0; i < set->all->len; i++) {
+        const struct upstream *u = g_ptr_array_index(set->all, i);
+        uint32_t bucket = u->token % WIRE_BUCKETS;
+
+        if (own[bucket] != theirs[bucket]) {
+            upstream_pack(set, now, u, &records[count++]);
+        }
+    }
+    send_upstreams(fleet, to, records, count);
+    g_free(records);
+}
+
+/* Says whether a hello shows the same inventory. */
+bool
+fleet_has_same_upstreams(const struct fleet *fleet, const wire_hello *hello)
+{
+    uint32_t own[WIRE_BUCKETS];
+
+    upstream_digests(fleet->upstreams, own);
+    return memcmp(own, hello->upstreams, sizeof(own)) == 0;
+}
+
+/* Sends upstreams that the other lacks. What changed a moment ago is on its
+ * way to all already, so a settled node is sent them only when it still lacks
+ * them at its next hello. */
+void
+fleet_send_lacking_upstreams(struct fleet *fleet, uint64_t now,
+                             const wire_hello *hello,
+                             struct fleet_member *member, bool same)
+{
+    if (!same && (!hello->settled || member->lacks_upstreams)) {
+        send_differing(fleet, now, hello->self.address, hello->upstreams);
+    }
+    member->lacks_upstreams = !same;
+}
+
+/* Sends the list of members, by the same rule. */
+void
+fleet_send_lacking_members(struct fleet *fleet, const wire_hello *hello,
+                           struct fleet_member *member)
+{
+    bool differs = hello->members != fleet_members_digest(fleet) &&
+                   (fleet->leads_since != 0 || fleet->leader == 0);
+
+    if (differs && (!hello->settled || member->lacks_members)) {
+        send_members(fleet, hello->self.address);
+    }
+    member->lacks_members = differs;
+}
+
+/* Pushes what changed in the inventory. */
+void
+fleet_spread(struct fleet *fleet, uint64_t now)
+{
+    struct upstream_set *set = fleet->upstreams;
+    wire_upstream *records = g_new0(wire_upstream, set->changed->len);
+    GHashTableIter iter;
+    gpointer value;
+    guint count = 0;
+
+    for (guint i = 0; i < set->changed->len; i++) {
+        const struct upstream *u =
+            upstream_by_id(set, g_array_index(set->changed, uint64_t, i));
+
+        if (u != NULL) {
+            upstream_pack(set, now, u, &records[count++]);
+        }
+    }
+    g_array_set_size(set->changed, 0);
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (count > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+        send_upstreams(fleet, ((struct fleet_member *)value)->node.address,
+                       records, count);
+    }
+    g_free(records);
+}
--- a/fleet.c
+++ b/fleet.c
@@ -1,25 +1,15 @@
 /*
- * Members, the leader, and the spreading of tables and upstreams. Knows
- * nothing of sockets, consensus or packets.
+ * The life of a node in its fleet: whom it greets, who leads, who founds the
+ * quorum, and what a hello tells. Knows nothing of sockets, consensus or
+ * packets.
  */
-#include "fleet.h"
+#include "fleet-internal.h"
 
 #include <string.h>
 
-#include "codec.h"
-#include "hash.h"
-#include "random.h"
-
-/* Records of upstreams in one message: about 100 bytes each, so that it
- * stays well inside one datagram. */
-#define RECORDS_A_MESSAGE 200
-/* An upstream whose keeper is lost has this many intervals to be heard by
- * another node. */
-#define ADOPT_INTERVALS 4
-
 /* Adds an action. */
-static struct fleet_action *
-act(struct fleet *fleet, enum fleet_action_kind kind)
+struct fleet_action *
+fleet_act(struct fleet *fleet, enum fleet_action_kind kind)
 {
     struct fleet_action action = {.kind = kind};
 
@@ -28,127 +18,6 @@
                           fleet->actions->len - 1);
 }
 
-/* Sends a message. */
-static void
-send_to(struct fleet *fleet, uint32_t to, wire_msg *msg)
-{
-    struct fleet_action *action;
-
-    if (to == fleet->self.address || to == 0) {
-        return;
-    }
-    action = act(fleet, FLEET_SEND);
-    action->to = to;
-    action->bytes = codec_encode(msg);
-}
-
-/* Digest of the members: who, and which start of it. */
-static uint64_t
-members_digest(const struct fleet *fleet)
-{
-    uint64_t digest =
-        hash_pair(HASH_RANK, fleet->self.address, fleet->self.incarnation);
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, fleet->members);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct fleet_member *member = value;
-
-        digest += hash_pair(HASH_RANK, member->node.address,
-                            member->node.incarnation);
-    }
-    return digest;
-}
-
-/* Tells another node what this one knows. */
-static void
-send_hello(struct fleet *fleet, uint32_t to, bool reply)
-{
-    wire_msg msg = {.kind = WIRE_HELLO};
-    wire_hello *hello = &msg.wire_msg_u.hello;
-
-    hello->self = fleet->self;
-    hello->reply = reply;
-    hello->settled = fleet->settled;
-    hello->term = fleet->term;
-    hello->leader = fleet->leader;
-    hello->routes = fleet->routes.bundle_version;
-    hello->members = members_digest(fleet);
-    upstream_digests(fleet->upstreams, hello->upstreams);
-    send_to(fleet, to, &msg);
-}
-
-/* Sends the table in force. */
-static void
-send_routes(struct fleet *fleet, uint32_t to)
-{
-    wire_msg msg = {.kind = WIRE_ROUTES, .wire_msg_u.routes = fleet->routes};
-
-    send_to(fleet, to, &msg);
-}
-
-/* Sends all members. */
-static void
-send_members(struct fleet *fleet, uint32_t to)
-{
-    guint count = g_hash_table_size(fleet->members) + 1;
-    wire_node *nodes = g_new0(wire_node, count);
-    wire_msg msg = {.kind = WIRE_MEMBERS};
-    wire_members *out = &msg.wire_msg_u.members;
-    GHashTableIter iter;
-    gpointer value;
-
-    out->term = fleet->term;
-    out->extent = fleet->leads_since != 0 ? WIRE_WHOLE : WIRE_SOME;
-    out->nodes.nodes_val = nodes;
-    nodes[out->nodes.nodes_len++] = fleet->self;
-    g_hash_table_iter_init(&iter, fleet->members);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        nodes[out->nodes.nodes_len++] = ((struct fleet_member *)value)->node;
-    }
-    send_to(fleet, to, &msg);
-    g_free(nodes);
-}
-
-/* Sends records of upstreams, in as many messages as they need. */
-static void
-send_upstreams(struct fleet *fleet, uint32_t to, wire_upstream *records,
-               guint count)
-{
-    for (guint at = 0; at < count; at += RECORDS_A_MESSAGE) {
-        wire_msg msg = {.kind = WIRE_UPSTREAMS};
-
-        msg.wire_msg_u.upstreams.list.list_val = records + at;
-        msg.wire_msg_u.upstreams.list.list_len =
-            MIN(count - at, RECORDS_A_MESSAGE);
-        send_to(fleet, to, &msg);
-    }
-}
-
-/* Sends the records of those buckets in which the other node differs. */
-static void
-send_differing(struct fleet *fleet, uint64_t now, uint32_t to,
-               const uint32_t theirs[WIRE_BUCKETS])
-{
-    struct upstream_set *set = fleet->upstreams;
-    wire_upstream *records = g_new0(wire_upstream, set->all->len);
-    uint32_t own[WIRE_BUCKETS];
-    guint count = 0;
-
-    upstream_digests(set, own);
-    for (guint i = 0; i < set->all->len; i++) {
-        const struct upstream *u = g_ptr_array_index(set->all, i);
-        uint32_t bucket = u->token % WIRE_BUCKETS;
-
-        if (own[bucket] != theirs[bucket]) {
-            upstream_pack(set, now, u, &records[count++]);
-        }
-    }
-    send_upstreams(fleet, to, records, count);
-    g_free(records);
-}
-
 /* Starts alone. */
 void
 fleet_open(struct fleet *fleet, uint64_t now,
@@ -202,53 +71,6 @@
     }
 }
 
-/* A node that heard upstreams is lost, or began anew without what it knew. */
-static void
-lose_keeper(struct fleet *fleet, uint64_t now, uint32_t address)
-{
-    upstream_adopt(fleet->upstreams, address,
-                   now + ADOPT_INTERVALS * fleet->upstreams->interval_ms);
-}
-
-/* LEADER: a node is new, or began anew; all are told. */
-static void
-note_joined(struct fleet *fleet, uint32_t address)
-{
-    if (fleet->leads_since != 0) {
-        g_array_append_val(fleet->joined, address);
-    }
-}
-
-/* Notes a member. */
-static void
-note_member(struct fleet *fleet, uint64_t now, const wire_node *node,
-            bool heard)
-{
-    gpointer key = GUINT_TO_POINTER(node->address);
-    struct fleet_member *member = g_hash_table_lookup(fleet->members, key);
-
-    if (node->address == fleet->self.address || node->address == 0) {
-        return;
-    }
-    if (member == NULL) {
-        member = g_new0(struct fleet_member, 1);
-        member->heard_at = now;
-        g_hash_table_insert(fleet->members, key, member);
-        note_joined(fleet, node->address);
-    }
-    else if (member->node.incarnation != node->incarnation) {
-        if (!heard) {
-            return;
-        }
-        lose_keeper(fleet, now, node->address);
-        note_joined(fleet, node->address);
-    }
-    member->node = *node;
-    if (heard) {
-        member->heard_at = now;
-    }
-}
-
 /* Takes another node's word about the leader. */
 static void
 note_leader(struct fleet *fleet, uint64_t now, uint64_t term, uint32_t leader,
@@ -262,7 +84,7 @@
         fleet->term = term;
         fleet->leader = leader;
         fleet->leader_heard_at = now;
-        send_hello(fleet, leader, false);
+        fleet_send_hello(fleet, leader, false);
     }
     if (first_hand && leader == fleet->leader) {
         fleet->leader_heard_at = now;
@@ -307,7 +129,7 @@
     if (fleet->leads_since != 0) {
         fleet->push_at = MAX(now, fleet->pushed_at + FLEET_PUSH_MS);
     }
-    act(fleet, FLEET_TABLE)->version = own->bundle_version;
+    fleet_act(fleet, FLEET_TABLE)->version = own->bundle_version;
     return true;
 }
 
@@ -319,24 +141,6 @@
     fleet->hello_at = now;
 }
 
-/* A member drawn by lot, 0 when there is none. */
-static uint32_t
-random_member(struct fleet *fleet)
-{
-    guint size = g_hash_table_size(fleet->members);
-    guint pick = size > 0 ? (guint)(random_next(&fleet->random) % size) : 0;
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, fleet->members);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        if (pick-- == 0) {
-            return ((struct fleet_member *)value)->node.address;
-        }
-    }
-    return 0;
-}
-
 /* Greets the seeds, and the disks that are known, to find a leader. */
 static void
 seek(struct fleet *fleet)
@@ -345,14 +149,14 @@
     gpointer value;
 
     for (size_t i = 0; i < fleet->seed_count; i++) {
-        send_hello(fleet, fleet->seeds[i], false);
+        fleet_send_hello(fleet, fleet->seeds[i], false);
     }
     g_hash_table_iter_init(&iter, fleet->members);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct fleet_member *member = value;
 
         if (member->node.identity != 0) {
-            send_hello(fleet, member->node.address, false);
+            fleet_send_hello(fleet, member->node.address, false);
         }
     }
 }
@@ -382,7 +186,7 @@
 
     if (fleet->self.identity != 0 && fleet->founder == 0) {
         fleet->founder = fleet->self.address;
-        (void)act(fleet, FLEET_FOUND);
+        (void)fleet_act(fleet, FLEET_FOUND);
         return;
     }
     g_hash_table_iter_init(&iter, fleet->members);
@@ -398,96 +202,7 @@
     if (lowest != NULL) {
         fleet->founder = lowest->node.address;
         msg.wire_msg_u.found.identity = lowest->node.identity;
-        send_to(fleet, fleet->founder, &msg);
-    }
-}
-
-/* LEADER: watches upstreams whose keeper is no member; after a loss of power
- * on all nodes their records come from disks. */
-static void
-watch_unkept(struct fleet *fleet, uint64_t now)
-{
-    const struct upstream_set *set = fleet->upstreams;
-
-    for (guint i = 0; i < set->all->len; i++) {
-        const struct upstream *u = g_ptr_array_index(set->all, i);
-
-        if (u->expire_at == 0 && u->state < UPSTREAM_SILENT &&
-            u->keeper != fleet->self.address &&
-            !g_hash_table_contains(fleet->members,
-                                   GUINT_TO_POINTER(u->keeper))) {
-            lose_keeper(fleet, now, u->keeper);
-        }
-    }
-}
-
-/* LEADER: drops members that are silent. */
-static void
-drop_lost(struct fleet *fleet, uint64_t now)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, fleet->members);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct fleet_member *member = value;
-        uint64_t since = MAX(member->heard_at, fleet->leads_since);
-
-        if (now > since + FLEET_LOST_MS) {
-            lose_keeper(fleet, now, member->node.address);
-            g_hash_table_iter_remove(&iter);
-        }
-    }
-    if (now > fleet->leads_since + FLEET_LOST_MS) {
-        watch_unkept(fleet, now);
-    }
-}
-
-/* LEADER: tells all members who is new. */
-static void
-push_joined(struct fleet *fleet)
-{
-    wire_node *nodes = g_new0(wire_node, fleet->joined->len);
-    wire_msg msg = {.kind = WIRE_MEMBERS};
-    wire_members *out = &msg.wire_msg_u.members;
-    GHashTableIter iter;
-    gpointer value;
-
-    out->term = fleet->term;
-    out->extent = WIRE_CHANGED;
-    out->nodes.nodes_val = nodes;
-    for (guint i = 0; i < fleet->joined->len; i++) {
-        const struct fleet_member *member = g_hash_table_lookup(
-            fleet->members,
-            GUINT_TO_POINTER(g_array_index(fleet->joined, uint32_t, i)));
-
-        if (member != NULL) {
-            nodes[out->nodes.nodes_len++] = member->node;
-        }
-    }
-    g_array_set_size(fleet->joined, 0);
-    g_hash_table_iter_init(&iter, fleet->members);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        send_to(fleet, ((struct fleet_member *)value)->node.address, &msg);
-    }
-    g_free(nodes);
-}
-
-/* LEADER: pushes the table to all members. */
-static void
-push_routes(struct fleet *fleet, uint64_t now)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    fleet->push_at = 0;
-    fleet->pushed_at = now;
-    if (fleet->routes.bundle_version == 0) {
-        return;
-    }
-    g_hash_table_iter_init(&iter, fleet->members);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        send_routes(fleet, ((struct fleet_member *)value)->node.address);
+        fleet_send(fleet, fleet->founder, &msg);
     }
 }
 
@@ -508,9 +223,9 @@
         }
     }
     else {
-        send_hello(fleet, fleet->leader, false);
+        fleet_send_hello(fleet, fleet->leader, false);
     }
-    send_hello(fleet, random_member(fleet), false);
+    fleet_send_hello(fleet, fleet_random_member(fleet), false);
     fleet->hello_at =
         now + (lost || !fleet->settled ? FLEET_SEEK_MS : FLEET_HELLO_MS);
 }
@@ -520,12 +235,12 @@
 fleet_tick(struct fleet *fleet, uint64_t now)
 {
     if (fleet->leads_since != 0) {
-        drop_lost(fleet, now);
+        fleet_drop_lost(fleet, now);
         if (fleet->joined->len > 0) {
-            push_joined(fleet);
+            fleet_push_joined(fleet);
         }
         if (fleet->push_at != 0 && now >= fleet->push_at) {
-            push_routes(fleet, now);
+            fleet_push_routes(fleet, now);
         }
     }
     if (now >= fleet->hello_at) {
@@ -533,16 +248,6 @@
     }
 }
 
-/* Says whether a hello shows the same inventory. */
-static bool
-same_upstreams(const struct fleet *fleet, const wire_hello *hello)
-{
-    uint32_t own[WIRE_BUCKETS];
-
-    upstream_digests(fleet->upstreams, own);
-    return memcmp(own, hello->upstreams, sizeof(own)) == 0;
-}
-
 /* Says whether this node could serve: two nodes that both began empty agree
  * too, and know nothing. */
 static bool
@@ -564,43 +269,15 @@
            (now > fleet->met_at + FLEET_SETTLE_MS && knows_something(fleet));
 }
 
-/* Sends upstreams that the other lacks. What changed a moment ago is on its
- * way to all already, so a settled node is sent them only when it still lacks
- * them at its next hello. */
-static void
-send_lacking_upstreams(struct fleet *fleet, uint64_t now,
-                       const wire_hello *hello, struct fleet_member *member,
-                       bool same)
-{
-    if (!same && (!hello->settled || member->lacks_upstreams)) {
-        send_differing(fleet, now, hello->self.address, hello->upstreams);
-    }
-    member->lacks_upstreams = !same;
-}
-
-/* Sends the list of members, by the same rule. */
-static void
-send_lacking_members(struct fleet *fleet, const wire_hello *hello,
-                     struct fleet_member *member)
-{
-    bool differs = hello->members != members_digest(fleet) &&
-                   (fleet->leads_since != 0 || fleet->leader == 0);
-
-    if (differs && (!hello->settled || member->lacks_members)) {
-        send_members(fleet, hello->self.address);
-    }
-    member->lacks_members = differs;
-}
-
 /* Takes a hello: sends what the other lacks. */
 static void
 take_hello(struct fleet *fleet, uint64_t now, const wire_hello *hello)
 {
-    bool same = same_upstreams(fleet, hello);
+    bool same = fleet_has_same_upstreams(fleet, hello);
     uint32_t from = hello->self.address;
     struct fleet_member *member;
 
-    note_member(fleet, now, &hello->self, true);
+    fleet_note_member(fleet, now, &hello->self, true);
     member = g_hash_table_lookup(fleet->members, GUINT_TO_POINTER(from));
     if (member == NULL) {
         return;
@@ -609,59 +286,19 @@
         fleet->met_at = now;
     }
     if (hello->self.identity != 0) {
-        act(fleet, FLEET_DISK)->node = hello->self;
+        fleet_act(fleet, FLEET_DISK)->node = hello->self;
     }
     note_leader(fleet, now, hello->term, hello->leader, hello->leader == from);
     if (hello->routes < fleet->routes.bundle_version) {
-        send_routes(fleet, from);
+        fleet_send_routes(fleet, from);
     }
-    send_lacking_upstreams(fleet, now, hello, member, same);
+    fleet_send_lacking_upstreams(fleet, now, hello, member, same);
     if (is_settled(fleet, now, hello, same)) {
         fleet->settled = true;
     }
-    send_lacking_members(fleet, hello, member);
+    fleet_send_lacking_members(fleet, hello, member);
     if (!hello->reply) {
-        send_hello(fleet, from, true);
-    }
-}
-
-/* Says whether a list of nodes holds an address. */
-static bool
-lists(const wire_members *members, uint32_t address)
-{
-    for (u_int i = 0; i < members->nodes.nodes_len; i++) {
-        if (members->nodes.nodes_val[i].address == address) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Takes a list of members; the leader's is whole. */
-static void
-take_members(struct fleet *fleet, uint64_t now, const wire_members *members)
-{
-    GHashTableIter iter;
-    gpointer value;
-
-    if (members->term < fleet->term || fleet->leads_since != 0) {
-        return;
-    }
-    for (u_int i = 0; i < members->nodes.nodes_len; i++) {
-        note_member(fleet, now, &members->nodes.nodes_val[i],
-                    members->extent != WIRE_SOME);
-    }
-    if (members->extent != WIRE_WHOLE) {
-        return;
-    }
-    g_hash_table_iter_init(&iter, fleet->members);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct fleet_member *member = value;
-
-        if (!lists(members, member->node.address)) {
-            lose_keeper(fleet, now, member->node.address);
-            g_hash_table_iter_remove(&iter);
-        }
+        fleet_send_hello(fleet, from, true);
     }
 }
 
@@ -685,7 +322,7 @@
         take_hello(fleet, now, &msg->wire_msg_u.hello);
         return;
     case WIRE_MEMBERS:
-        take_members(fleet, now, &msg->wire_msg_u.members);
+        fleet_take_members(fleet, now, &msg->wire_msg_u.members);
         return;
     case WIRE_UPSTREAMS:
         take_upstreams(fleet, now, &msg->wire_msg_u.upstreams);
@@ -695,39 +332,12 @@
         return;
     case WIRE_FOUND:
         if (msg->wire_msg_u.found.identity == fleet->self.identity) {
-            (void)act(fleet, FLEET_FOUND);
+            (void)fleet_act(fleet, FLEET_FOUND);
         }
         return;
     }
 }
 
-/* Pushes what changed in the inventory. */
-void
-fleet_spread(struct fleet *fleet, uint64_t now)
-{
-    struct upstream_set *set = fleet->upstreams;
-    wire_upstream *records = g_new0(wire_upstream, set->changed->len);
-    GHashTableIter iter;
-    gpointer value;
-    guint count = 0;
-
-    for (guint i = 0; i < set->changed->len; i++) {
-        const struct upstream *u =
-            upstream_by_id(set, g_array_index(set->changed, uint64_t, i));
-
-        if (u != NULL) {
-            upstream_pack(set, now, u, &records[count++]);
-        }
-    }
-    g_array_set_size(set->changed, 0);
-    g_hash_table_iter_init(&iter, fleet->members);
-    while (count > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
-        send_upstreams(fleet, ((struct fleet_member *)value)->node.address,
-                       records, count);
-    }
-    g_free(records);
-}
-
 /* Earliest deadline. */
 uint64_t
 fleet_deadline(const struct fleet *fleet)
