--- a/fleet-members.c
+++ b/fleet-members.c
@@ -138,7 +138,7 @@
 
 /* Says whether a list of nodes holds an address. */
 static bool
-lists(const wire_members *members, uint32_t address)
+lists_address(const wire_members *members, uint32_t address)
 {
     for (u_int i = 0; i < members->nodes.nodes_len; i++) {
         if (members->nodes.nodes_val[i].address == address) {
@@ -170,7 +170,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct fleet_member *member = value;
 
-        if (!lists(members, member->node.address)) {
+        if (!lists_address(members, member->node.address)) {
             lose_keeper(fleet, now, member->node.address);
             g_hash_table_iter_remove(&iter);
         }
--- a/fleet.c
+++ b/fleet.c
@@ -113,7 +113,7 @@
     fleet->leader_heard_at = now;
 }
 
-/* Takes a table. */
+/* Takes a committed table. */
 bool
 fleet_set_routes(struct fleet *fleet, uint64_t now, const wire_routes *routes)
 {
@@ -313,7 +313,8 @@
     }
 }
 
-/* Takes a message. */
+/* Takes a message of another node. The kinds of other roles are not for
+ * nodes. */
 void
 fleet_receive(struct fleet *fleet, uint64_t now, const wire_msg *msg)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -4,7 +4,8 @@
  * they know: members, the leader, the routing table in force and the
  * inventory of upstreams. Every node compares itself with the leader and
  * with a peer drawn by lot twice a second, and sends what the other lacks;
- * changes are pushed at once. Does no I/O.
+ * changes are pushed at once. Owns the members and the packed table; the
+ * inventory is borrowed and changed only through upstream.h. Does no I/O.
  */
 #ifndef RIDGERIDGE_FLEET_H
 #define RIDGERIDGE_FLEET_H
@@ -34,10 +35,10 @@
 
 /** What the shell must do. */
 enum fleet_action_kind {
-    FLEET_SEND,  /**< send `msg` to the node `to` */
+    FLEET_SEND,  /**< send `bytes` to the node `to` */
     FLEET_DISK,  /**< a disk is alive: `node` */
     FLEET_FOUND, /**< found the control quorum on the own disk */
-    FLEET_TABLE  /**< read and apply `routes` of `version` */
+    FLEET_TABLE  /**< read and apply `fleet.routes`, of `version` */
 };
 
 /** One action. */
@@ -51,8 +52,8 @@
 
 /** Another node. */
 struct fleet_member {
-    wire_node node;       /**< as it reported */
-    uint64_t heard_at;    /**< last message, here */
+    wire_node node;       /**< as it or the leader reported it */
+    uint64_t heard_at;    /**< last hello, or word of the leader */
     bool lacks_members;   /**< its last hello showed another list */
     bool lacks_upstreams; /**< its last hello showed another inventory */
 };
@@ -71,7 +72,7 @@
     uint64_t leads_since;            /**< this node leads since, 0: not */
     uint64_t hello_at;               /**< deadline */
     uint32_t founder;                /**< named here, 0: none yet */
-    bool settled;                    /**< holds what a peer held */
+    bool settled;                    /**< holds enough to serve */
     uint64_t met_at;                 /**< first hello of a peer, 0: none */
     GArray *joined;                  /**< uint32_t: LEADER: nodes that are
                                           new, to be told to all */
@@ -106,7 +107,7 @@
 /** Notes a node that is known from elsewhere, such as a stored voter. */
 void fleet_add_contact(struct fleet *fleet, uint32_t address);
 
-/** Says who leads, as the own voter knows it. */
+/** Says who leads, as the own voter knows it; 0: it knows of none. */
 void fleet_set_leader(struct fleet *fleet, uint64_t now, uint64_t term,
                       uint32_t leader);
 
@@ -123,10 +124,11 @@
 /** Takes a message of another node. */
 void fleet_receive(struct fleet *fleet, uint64_t now, const wire_msg *msg);
 
-/** Pushes what changed in the inventory to all members. */
+/** Pushes what changed in the inventory to all members, and clears the
+ * inventory's list of changes. */
 void fleet_spread(struct fleet *fleet, uint64_t now);
 
-/** Earliest deadline. */
+/** Earliest time at which fleet_tick() has something to do. */
 uint64_t fleet_deadline(const struct fleet *fleet);
 
 /** Takes the actions. */
