--- a/order.h
+++ b/order.h
@@ -3,7 +3,8 @@
  * One voter of a deployment where the highest version wins: consensus on the
  * routing tables that operators send, reads confirmed by a quorum, and who
  * votes. Founds itself alone, takes other disks in once they hold the log,
- * and replaces voters that lost their disk or are gone. Does no I/O: actions
+ * and replaces voters that lost their disk or are gone. Owns the log and the
+ * table held, reads of a table only its version, and does no I/O: actions
  * come back in the order in which they must be carried out.
  *
  * A replica's number is its node's IPv4 address.
@@ -44,7 +45,7 @@
 enum order_action_kind {
     ORDER_CONS,  /**< an action of consensus */
     ORDER_REPLY, /**< answer the operator who holds `token` */
-    ORDER_APPLY  /**< a table is committed: `routes` */
+    ORDER_APPLY  /**< a table is committed: `order.routes` */
 };
 
 /** One action. */
