upstream: one list of the names of states; change_count, not changes

node.c and node-status.c each had the names; `changes` beside `changed` read alike. The header named a function that there is not. Behaviour is unchanged.

--- a/node-status.c
+++ b/node-status.c
@@ -7,9 +7,6 @@
 
 #define DECISIONS_MAX 64 /* of one flow, newest first */
 
-static const char *const state_names[] = {"ready", "leaving", "silent",
-                                          "gone"};
-
 /* Remembers a decision. */
 void
 node_record(struct node *node, const struct evidence_packet *packet,
@@ -45,7 +42,7 @@
                   upstream_service_name(&node->upstreams, u->service));
     page_add_text(doc, "hall", u->hall);
     page_add_endpoint(doc, "at", u->address, u->port);
-    page_add_text(doc, "state", state_names[u->state]);
+    page_add_text(doc, "state", upstream_state_name(u->state));
     page_add_number(doc, "sequence", u->sequence);
     page_add_number(doc, "slots", u->slots);
     page_add_number(doc, "open_flows", u->open);
--- a/node.c
+++ b/node.c
@@ -86,7 +86,6 @@
 static void
 log_upstreams(const struct node *node)
 {
-    static const char *const states[] = {"ready", "leaving", "silent", "gone"};
     const GArray *changed = node->upstreams.changed;
 
     for (guint i = 0; i < changed->len; i++) {
@@ -96,7 +95,7 @@
         if (u != NULL) {
             log_event(LOG_INFO, "upstream",
                       "upstream=%llx state=%s service=%s sequence=%llu",
-                      (unsigned long long)u->id, states[u->state],
+                      (unsigned long long)u->id, upstream_state_name(u->state),
                       upstream_service_name(&node->upstreams, u->service),
                       (unsigned long long)u->sequence);
         }
@@ -108,11 +107,12 @@
 static void
 keep_upstreams(struct node *node, uint64_t now)
 {
-    if (!node->voter.running || node->kept == node->upstreams.changes ||
+    if (!node->voter.running ||
+        node->kept_changes == node->upstreams.change_count ||
         now < node->keep_at || !node->fleet.settled) {
         return;
     }
-    node->kept = node->upstreams.changes;
+    node->kept_changes = node->upstreams.change_count;
     node->keep_at = now + KEEP_MS;
     node_voter_keep(node, upstream_save(&node->upstreams, now));
 }
--- a/node.h
+++ b/node.h
@@ -44,7 +44,7 @@
     struct MHD_Daemon *http[3];    /**< ready, control, metrics */
     GHashTable *calls;             /**< token to a suspended call */
     uint64_t last_token;           /**< of calls */
-    uint64_t kept;                 /**< changes of the inventory stored */
+    uint64_t kept_changes;         /**< of the inventory, that are stored */
     uint64_t keep_at;              /**< deadline: it may be stored again */
     uint64_t wake_at;              /**< when the loop meant to wake up */
     bool stale;                    /**< packets waited while it stood still */
--- a/upstream.c
+++ b/upstream.c
@@ -63,6 +63,23 @@
                : "";
 }
 
+/* Name of a state. */
+const char *
+upstream_state_name(enum upstream_state state)
+{
+    switch (state) {
+    case UPSTREAM_READY:
+        return "ready";
+    case UPSTREAM_LEAVING:
+        return "leaving";
+    case UPSTREAM_SILENT:
+        return "silent";
+    case UPSTREAM_GONE:
+        return "gone";
+    }
+    return "";
+}
+
 /* Token of an incarnation. */
 uint32_t
 upstream_token(uint64_t id)
@@ -90,7 +107,7 @@
 static void
 note_change(struct upstream_set *set, const struct upstream *upstream)
 {
-    set->changes++;
+    set->change_count++;
     g_array_append_val(set->changed, upstream->id);
 }
 
@@ -239,7 +256,7 @@
     if (upstream->state == UPSTREAM_GONE) {
         set_gone(upstream, now);
     }
-    set->changes += differs;
+    set->change_count += differs;
     return differs;
 }
 
--- a/upstream.h
+++ b/upstream.h
@@ -2,8 +2,10 @@
  * @file upstream.h
  * The inventory of upstreams that register themselves, beside the bundle:
  * one record for each incarnation, merged by a rule that does not depend on
- * the order of arrival, so that every node ends with the same. Does no I/O;
- * the caller spreads what upstream_changes() lists.
+ * the order of arrival, so that every node ends with the same. Owns the
+ * records and the names of services; the counts of flows and the suspicions
+ * in a record belong to evidence.c. Does no I/O: others spread what `changed`
+ * lists.
  */
 #ifndef RIDGERIDGE_UPSTREAM_H
 #define RIDGERIDGE_UPSTREAM_H
@@ -66,14 +68,14 @@
 
 /** The inventory of one node. */
 struct upstream_set {
-    uint32_t self;        /**< this node's address */
-    uint64_t interval_ms; /**< between the registrations of an upstream */
-    GPtrArray *all;       /**< struct upstream, by handle */
-    GHashTable *by_id;    /**< uint64_t to struct upstream */
-    GHashTable *by_token; /**< uint32_t to struct upstream */
-    GPtrArray *services;  /**< names, by handle */
-    GArray *changed;      /**< uint64_t: ids to be spread */
-    uint64_t changes;     /**< of the inventory so far, own and merged */
+    uint32_t self;         /**< this node's address */
+    uint64_t interval_ms;  /**< between the registrations of an upstream */
+    GPtrArray *all;        /**< struct upstream, owned, in no order */
+    GHashTable *by_id;     /**< uint64_t to struct upstream */
+    GHashTable *by_token;  /**< uint32_t to struct upstream */
+    GPtrArray *services;   /**< names, by handle */
+    GArray *changed;       /**< uint64_t: ids to be spread */
+    uint64_t change_count; /**< changes so far, own and merged */
 };
 
 /** Makes an empty inventory. */
@@ -86,7 +88,7 @@
 /** Handle of a service's name, made when it is new. */
 uint16_t upstream_service(struct upstream_set *set, const char *name);
 
-/** Name of a service's handle. */
+/** Name of a service's handle; "" when there is none. */
 const char *upstream_service_name(const struct upstream_set *set,
                                   uint16_t service);
 
@@ -130,6 +132,9 @@
 /** Finds an incarnation by id; NULL when unknown. */
 struct upstream *upstream_by_id(const struct upstream_set *set, uint64_t id);
 
+/** Name of a state in logs and pages. */
+const char *upstream_state_name(enum upstream_state state);
+
 /** Digests of the records, by bucket, so that two nodes can compare. */
 void upstream_digests(const struct upstream_set *set,
                       uint32_t out[WIRE_BUCKETS]);
