--- a/upstream.c
+++ b/upstream.c
@@ -161,6 +161,22 @@
     return state > upstream->state;
 }
 
+/* Copies what a record says of an incarnation. */
+static void
+take_record(struct upstream_set *set, uint64_t now, struct upstream *upstream,
+            const wire_upstream *record)
+{
+    upstream->service = upstream_service(set, record->service);
+    g_strlcpy(upstream->hall, record->hall, sizeof(upstream->hall));
+    upstream->address = record->address;
+    upstream->port = (uint16_t)record->port;
+    upstream->slots = MAX(record->slots, 1);
+    upstream->state = (enum upstream_state)record->state;
+    upstream->sequence = record->sequence;
+    upstream->keeper = record->keeper;
+    upstream->warm_at = now + record->warm_ms;
+}
+
 /* Takes a registration. */
 void
 upstream_register(struct upstream_set *set, uint64_t now,
@@ -168,6 +184,15 @@
 {
     struct upstream *upstream = upstream_by_id(set, r->id);
     enum upstream_state state = r->leaving ? UPSTREAM_LEAVING : UPSTREAM_READY;
+    wire_upstream record = {.address = r->address,
+                            .port = r->port,
+                            .slots = r->slots,
+                            .state = state,
+                            .sequence = r->sequence,
+                            .keeper = set->self,
+                            .warm_ms = r->warm_ms,
+                            .service = (char *)r->service,
+                            .hall = (char *)r->hall};
     bool is_new = upstream == NULL;
     bool differs;
 
@@ -180,15 +205,7 @@
     differs = is_new || upstream->state != state ||
               upstream->keeper != set->self ||
               upstream->address != r->address || upstream->port != r->port;
-    upstream->service = upstream_service(set, r->service);
-    g_strlcpy(upstream->hall, r->hall, sizeof(upstream->hall));
-    upstream->address = r->address;
-    upstream->port = r->port;
-    upstream->slots = MAX(r->slots, 1);
-    upstream->state = state;
-    upstream->sequence = r->sequence;
-    upstream->keeper = set->self;
-    upstream->warm_at = now + r->warm_ms;
+    take_record(set, now, upstream, &record);
     upstream->expire_at = next_expiry(set, now);
     if (differs) {
         note_change(set, upstream);
@@ -197,7 +214,7 @@
 
 /* Marks a record gone. */
 static void
-set_gone(struct upstream *upstream, uint64_t now)
+mark_gone(struct upstream *upstream, uint64_t now)
 {
     upstream->state = UPSTREAM_GONE;
     upstream->expire_at = 0;
@@ -215,7 +232,7 @@
         upstream->service = UPSTREAM_NO_SERVICE;
     }
     if (upstream->state != UPSTREAM_GONE) {
-        set_gone(upstream, now);
+        mark_gone(upstream, now);
         note_change(set, upstream);
     }
 }
@@ -239,24 +256,18 @@
     }
     differs = is_new || upstream->state != record->state ||
               upstream->keeper != record->keeper;
-    upstream->service = upstream_service(set, record->service);
-    g_strlcpy(upstream->hall, record->hall, sizeof(upstream->hall));
-    upstream->address = record->address;
-    upstream->port = (uint16_t)record->port;
-    upstream->slots = MAX(record->slots, 1);
-    upstream->state = (enum upstream_state)record->state;
-    upstream->sequence = record->sequence;
-    upstream->keeper = record->keeper;
-    upstream->warm_at = now + record->warm_ms;
+    take_record(set, now, upstream, record);
     /* What this node heard before it was restarted, it watches again. */
     upstream->expire_at =
         upstream->keeper == set->self && upstream->state < UPSTREAM_SILENT
             ? next_expiry(set, now)
             : 0;
     if (upstream->state == UPSTREAM_GONE) {
-        set_gone(upstream, now);
+        mark_gone(upstream, now);
+    }
+    if (differs) {
+        set->change_count++;
     }
-    set->change_count += differs;
     return differs;
 }
 
