--- a/node-voter.c
+++ b/node-voter.c
@@ -1,7 +1,11 @@
 /*
  * The voter of a node with a disk: a thread that owns consensus and storage.
- * The loop's thread queues jobs for it; it posts what it learns back. When
- * the disk refuses, it lets go of everything and opens the folder again.
+ * Three parts: what the loop's thread does with news (on_news()), what the
+ * voter's thread does (run_voter() and all that it calls), and node_voter_*(),
+ * by which the loop's thread queues jobs. The two threads share the queue of
+ * jobs, loop_post(), and of a node its settings, counters, histograms and the
+ * socket to peers, nothing else. When the disk refuses, the voter lets go
+ * of everything and opens the folder again.
  */
 #include <inttypes.h>
 #include <sodium.h>
@@ -15,9 +19,9 @@
 #include "order.h"
 #include "store.h"
 
-#define REOPEN_MS 300U /* a refusing disk is tried again so often */
-#define KEPT_FILE "upstreams"
-#define IDLE_MS 1000U /* longest sleep of the thread */
+#define REOPEN_MS 300U        /* a refusing disk is tried again so often */
+#define KEPT_FILE "upstreams" /* in the data folder: the inventory */
+#define IDLE_MS 1000U         /* longest sleep of the thread */
 
 /* What the loop asks of the voter. */
 enum job_kind {
@@ -33,31 +37,31 @@
 
 /* One job. */
 struct job {
-    enum job_kind kind;
-    GByteArray *bytes;  /* MESSAGE, KEEP */
+    enum job_kind kind; /* which of the following is set */
+    uint64_t queued_at; /* time */
+    GByteArray *bytes;  /* MESSAGE, KEEP; owned */
     wire_node disk;     /* DISK */
     uint64_t token;     /* SUBMIT, READ */
     wire_routes routes; /* SUBMIT; packed is owned */
-    uint64_t asked_at;  /* SUBMIT, READ: when */
 };
 
 /* What the voter tells the loop. */
 struct news {
     struct node *node;
-    bool opened; /* the folder was opened: `identity` */
-    uint64_t identity;
-    uint64_t term; /* with `leader` */
-    uint32_t leader;
-    bool has_leader; /* `term` and `leader` are told */
-    bool has_answer; /* `token` and `status` are told */
-    uint64_t token;
-    struct status status;
-    bool with_table;                    /* the answer carries the table */
-    bool apply;                         /* the table was committed */
+    bool opened;       /* the folder was opened: `identity` to `kept` */
+    uint64_t identity; /* of the disk */
+    uint32_t voters[CONS_REPLICAS_MAX]; /* their addresses */
+    u_int voter_count;                  /* of voters */
+    GByteArray *kept;                   /* the inventory stored, or NULL */
+    bool has_leader;                    /* `term` and `leader` are told */
+    uint64_t term;                      /* of the leader */
+    uint32_t leader;                    /* 0: none is known */
+    bool has_answer;                    /* `token` to `with_table` are told */
+    uint64_t token;                     /* of the call */
+    struct status status;               /* of the answer */
+    bool with_table;                    /* the answer carries `routes` */
+    bool apply;                         /* `routes` was committed */
     wire_routes routes;                 /* packed is owned */
-    uint32_t voters[CONS_REPLICAS_MAX]; /* addresses, when opened */
-    u_int voter_count;
-    GByteArray *kept; /* the inventory stored, when opened */
 };
 
 /* The thread's state. */
@@ -65,14 +69,14 @@
     struct node *node;
     GThread *thread;
     GAsyncQueue *jobs;
-    bool open; /* order and store are */
+    bool open; /* order and store are in use */
     struct order order;
     struct store store;
-    uint64_t reopen_at;
-    uint64_t told_term; /* last leader told */
-    uint32_t told_leader;
-    uint64_t told_change; /* index of the last list of voters logged */
-    bool stop;
+    uint64_t reopen_at;    /* deadline: open the folder again */
+    uint64_t told_term;    /* of the last leader told */
+    uint32_t told_leader;  /* last leader told */
+    uint64_t logged_index; /* of the last list of voters logged */
+    bool stop;             /* JOB_STOP was done */
 } voter;
 
 /* Merges the inventory that was stored, as if a peer had sent it. */
@@ -222,6 +226,21 @@
     voter.reopen_at = loop_now() + REOPEN_MS;
 }
 
+/* Names a role in the log. */
+static const char *
+role_name(enum cons_role role)
+{
+    switch (role) {
+    case CONS_FOLLOWER:
+        return "follower";
+    case CONS_CANDIDATE:
+        return "candidate";
+    case CONS_LEADER:
+        return "leader";
+    }
+    return "";
+}
+
 /* Tells the loop who leads, when that changed. */
 static void
 tell_leader(void)
@@ -239,10 +258,7 @@
     voter.told_term = cons->term;
     voter.told_leader = leader;
     log_event(LOG_INFO, "leader", "leader=%08x term=%" PRIu64 " role=%s",
-              leader, cons->term,
-              cons->role == CONS_LEADER      ? "leader"
-              : cons->role == CONS_CANDIDATE ? "candidate"
-                                             : "follower");
+              leader, cons->term, role_name(cons->role));
     news = new_news();
     news->has_leader = true;
     news->term = cons->term;
@@ -257,10 +273,10 @@
     const wire_config *config = cons_config(&voter.order.cons);
     GString *text;
 
-    if (voter.order.cons.change_index == voter.told_change) {
+    if (voter.order.cons.change_index == voter.logged_index) {
         return;
     }
-    voter.told_change = voter.order.cons.change_index;
+    voter.logged_index = voter.order.cons.change_index;
     text = g_string_new(NULL);
     for (u_int i = 0; i < config->voters.voters_len; i++) {
         const wire_voter *v = &config->voters.voters_val[i];
@@ -269,7 +285,7 @@
                                v->replica, (uint64_t)v->identity);
     }
     log_event(LOG_INFO, "voters", "index=%" PRIu64 " voters=%s",
-              voter.told_change, text->str);
+              voter.logged_index, text->str);
     g_string_free(text, TRUE);
 }
 
@@ -341,7 +357,7 @@
 /* Stores the inventory. It is only a help, so a refusing disk is logged and
  * nothing more. */
 static void
-keep(const GByteArray *bytes)
+store_kept(const GByteArray *bytes)
 {
     uint64_t sum = hash_checksum(bytes->data, bytes->len);
     GByteArray *file = g_byte_array_new();
@@ -444,7 +460,7 @@
     }
 }
 
-/* Refuses an operator while the disk does not answer. */
+/* Refuses an operator: the disk does not answer, or did not in time. */
 static void
 refuse(uint64_t token)
 {
@@ -457,6 +473,21 @@
     loop_post(on_news, news);
 }
 
+/* Passes an operator's call to consensus, or refuses it. */
+static void
+take_call(struct job *job, uint64_t now)
+{
+    if (!voter.open || now > job->queued_at + ORDER_ANSWER_MS) {
+        refuse(job->token);
+    }
+    else if (job->kind == JOB_READ) {
+        order_read(&voter.order, now, job->token);
+    }
+    else {
+        order_submit(&voter.order, now, job->token, &job->routes);
+    }
+}
+
 /* Does one job. */
 static void
 do_job(struct job *job)
@@ -480,19 +511,11 @@
         break;
     case JOB_SUBMIT:
     case JOB_READ:
-        if (!voter.open || now > job->asked_at + ORDER_ANSWER_MS) {
-            refuse(job->token);
-        }
-        else if (job->kind == JOB_READ) {
-            order_read(&voter.order, now, job->token);
-        }
-        else {
-            order_submit(&voter.order, now, job->token, &job->routes);
-        }
+        take_call(job, now);
         break;
     case JOB_KEEP:
         if (voter.open) {
-            keep(job->bytes);
+            store_kept(job->bytes);
         }
         break;
     case JOB_RESIGN:
@@ -575,7 +598,7 @@
     struct job *job = g_new0(struct job, 1);
 
     job->kind = kind;
-    job->asked_at = loop_now();
+    job->queued_at = loop_now();
     return job;
 }
 
