--- a/node-http.c
+++ b/node-http.c
@@ -17,20 +17,18 @@
 #include "platform/platform.h"
 
 #define IDLE_CONNECTION_S 10U /* callers keep none open longer unused */
-#define ANSWER_MAX 256
+#define ANSWER_MAX 256        /* bytes of the answer to a registration */
+#define REDIRECT_PATH_MAX 300 /* bytes of a path that a redirect repeats */
 #define FLOWS_PATH "/v1/flows/"
-#define COUNTERS_MAX 65536
-#define RETRY_AFTER_S "1" /* an election takes about that long */
-
-/* Which daemon a call came to. */
-enum http_port { HTTP_READY, HTTP_CONTROL, HTTP_METRICS };
+#define COUNTERS_MAX 65536 /* bytes of the page of counters */
+#define RETRY_AFTER_S "1"  /* an election takes about that long */
 
 /* One call. */
 struct call {
     struct node *node;
     struct MHD_Connection *connection;
     GByteArray *body;
-    bool too_large;
+    bool too_large;           /* the body is past PLATFORM_BODY_MAX */
     bool registers;           /* is a registration */
     uint64_t token;           /* 0: not suspended */
     uint64_t began_us;        /* for its duration */
@@ -79,7 +77,7 @@
 {
     struct node *node = call->node;
     char place[ADDRESS_TEXT];
-    char location[ADDRESS_TEXT + 300];
+    char location[ADDRESS_TEXT + REDIRECT_PATH_MAX];
     struct MHD_Response *out;
     enum MHD_Result result;
 
@@ -259,12 +257,12 @@
 
 /* Answers a call whose body has arrived. */
 static enum MHD_Result
-serve(struct call *call, enum http_port port, const char *method,
+serve(struct call *call, enum node_port port, const char *method,
       const char *path)
 {
     const char *rest = "";
 
-    if (port == HTTP_METRICS) {
+    if (port == NODE_METRICS) {
         return serve_operators(call, path);
     }
     if (call->too_large) {
@@ -293,15 +291,15 @@
 }
 
 /* Which daemon this is. */
-static enum http_port
+static enum node_port
 port_of(const struct node *node, const struct MHD_Daemon *daemon)
 {
-    for (int i = HTTP_READY; i <= HTTP_METRICS; i++) {
+    for (int i = 0; i < NODE_PORTS; i++) {
         if (node->http[i] == daemon) {
-            return (enum http_port)i;
+            return (enum node_port)i;
         }
     }
-    return HTTP_READY;
+    return NODE_READY;
 }
 
 /* Takes a call: its head, then its body in parts, then once more. */
@@ -344,7 +342,7 @@
     return serve(call, port_of(node, info->daemon), method, path);
 }
 
-/* Frees a call. */
+/* A call is over: notes how long a registration took, and frees it. */
 static void
 on_done(void *data, struct MHD_Connection *connection, void **state,
         enum MHD_RequestTerminationCode code)
@@ -447,7 +445,7 @@
 void
 node_poll_http(struct node *node)
 {
-    for (int i = HTTP_READY; i <= HTTP_METRICS; i++) {
+    for (int i = 0; i < NODE_PORTS; i++) {
         if (node->http[i] != NULL) {
             (void)MHD_run(node->http[i]);
         }
@@ -461,7 +459,7 @@
     uint64_t at = UINT64_MAX;
     uint64_t now = loop_now();
 
-    for (int i = HTTP_READY; i <= HTTP_METRICS; i++) {
+    for (int i = 0; i < NODE_PORTS; i++) {
         MHD_UNSIGNED_LONG_LONG wait;
 
         if (node->http[i] != NULL &&
@@ -474,7 +472,7 @@
 
 /* Opens one daemon. */
 static bool
-open_daemon(struct node *node, enum http_port which, uint32_t address,
+open_daemon(struct node *node, enum node_port which, uint32_t address,
             uint16_t port)
 {
     struct sockaddr_in at = {.sin_family = AF_INET,
@@ -501,11 +499,11 @@
 {
     const struct node_settings *s = &node->settings;
 
-    if (!open_daemon(node, HTTP_READY, s->ready.address, s->ready.port) ||
-        !open_daemon(node, HTTP_CONTROL, s->control.address,
+    if (!open_daemon(node, NODE_READY, s->ready.address, s->ready.port) ||
+        !open_daemon(node, NODE_CONTROL, s->control.address,
                      s->control.port) ||
         (s->metrics_port != 0 &&
-         !open_daemon(node, HTTP_METRICS, s->control.address,
+         !open_daemon(node, NODE_METRICS, s->control.address,
                       (uint16_t)s->metrics_port))) {
         return status_set(st, STATUS_IO,
                           "cannot listen on \"ready\", \"control\" or "
@@ -525,7 +523,7 @@
         node_answer(node, *(uint64_t *)at->data, &st, NULL);
     }
     g_list_free(tokens);
-    for (int i = HTTP_READY; i <= HTTP_METRICS; i++) {
+    for (int i = 0; i < NODE_PORTS; i++) {
         if (node->http[i] != NULL) {
             MHD_stop_daemon(node->http[i]);
             node->http[i] = NULL;
--- a/node.h
+++ b/node.h
@@ -3,6 +3,9 @@
  * The process of a node: sockets and the loop around the cores. A node is an
  * entry of a fleet that finds itself; with a disk it is also a voter, whose
  * thread owns consensus and storage so that a slow disk holds up no packet.
+ * Only the loop's thread touches a struct node, but for what node-voter.c
+ * names. Decides nothing itself: steering is evidence.h's, members and tables
+ * are fleet.h's, and the platform's bytes and names are platform/'s.
  */
 #ifndef RIDGERIDGE_NODE_H
 #define RIDGERIDGE_NODE_H
@@ -20,37 +23,40 @@
 
 /** What the voter's thread has told. */
 struct node_voter {
-    bool running;      /**< there is a disk */
+    bool running;      /**< there is a disk, so the thread was started */
     uint64_t identity; /**< of the disk, 0 until it was opened */
     uint32_t leader;   /**< that the voter knows, 0: none */
     uint64_t term;     /**< of it */
 };
 
+/** The daemons of HTTP, each with a port of its own. */
+enum node_port { NODE_READY, NODE_CONTROL, NODE_METRICS, NODE_PORTS };
+
 /** A node. */
 struct node {
-    struct node_settings settings; /**< as loaded */
-    const char *settings_path;     /**< to be read again */
-    int64_t settings_changed;      /**< time of the file's last change */
-    uint64_t settings_at;          /**< deadline: look at it again */
-    struct counters counters;      /**< of the process */
-    struct histograms histograms;  /**< of the process */
-    struct ring ring;              /**< decisions, to be explained */
-    struct upstream_set upstreams; /**< the inventory */
-    struct evidence evidence;      /**< steering */
-    struct fleet fleet;            /**< other nodes */
-    struct node_voter voter;       /**< what its thread told */
-    int packets_fd;                /**< UDP: callers and upstreams */
-    int peers_fd;                  /**< UDP: other nodes */
-    struct MHD_Daemon *http[3];    /**< ready, control, metrics */
-    GHashTable *calls;             /**< token to a suspended call */
-    uint64_t last_token;           /**< of calls */
-    uint64_t kept_changes;         /**< of the inventory, that are stored */
-    uint64_t keep_at;              /**< deadline: it may be stored again */
-    uint64_t wake_at;              /**< when the loop meant to wake up */
-    bool stale;                    /**< packets waited while it stood still */
-    uint64_t ticked_at;            /**< last tick, to notice a standstill */
-    uint64_t unready_at;           /**< stop: when it began, 0: not */
-    uint64_t end_at;               /**< stop: deadline of the end */
+    struct node_settings settings;       /**< as loaded */
+    const char *settings_path;           /**< to be read again */
+    int64_t settings_changed;            /**< time of the file's last change */
+    uint64_t settings_at;                /**< deadline: look at it again */
+    struct counters counters;            /**< of the process */
+    struct histograms histograms;        /**< of the process */
+    struct ring ring;                    /**< decisions, to be explained */
+    struct upstream_set upstreams;       /**< the inventory */
+    struct evidence evidence;            /**< steering */
+    struct fleet fleet;                  /**< other nodes */
+    struct node_voter voter;             /**< what its thread told */
+    int packets_fd;                      /**< UDP: callers and upstreams */
+    int peers_fd;                        /**< UDP: other nodes */
+    struct MHD_Daemon *http[NODE_PORTS]; /**< by enum node_port */
+    GHashTable *calls;     /**< token to a suspended struct call */
+    uint64_t last_token;   /**< of the call suspended last */
+    uint64_t kept_changes; /**< of the inventory, that are stored */
+    uint64_t keep_at;      /**< deadline: the inventory may be stored */
+    uint64_t wake_at;      /**< deadline: the loop wakes up then */
+    bool stale;            /**< it woke up late: packets waited */
+    uint64_t ticked_at;    /**< last tick, to notice a standstill */
+    uint64_t unready_at;   /**< stop: when it began, 0: not */
+    uint64_t end_at;       /**< stop: deadline of the end */
 };
 
 /** Runs a node until a planned stop is done. */
@@ -64,33 +70,48 @@
 bool node_is_ready(const struct node *node);
 
 /* node-packets.c */
+/** Opens the socket of callers' packets. */
 enum status_kind node_open_packets(struct node *node, struct status *st);
-/** Steers the packets that were held once more. */
+/** Steers once more the packets that were held. */
 void node_release_packets(struct node *node);
 
 /* node-peers.c */
+/** Opens the socket between nodes. */
 enum status_kind node_open_peers(struct node *node, struct status *st);
+/** Sends an encoded message to a node. Safe from the voter's thread. */
 void node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
                        size_t length);
 
 /* node-http.c */
+/** Opens HTTP for the fabric, operators and upstreams, and counters. */
 enum status_kind node_open_http(struct node *node, struct status *st);
+/** Closes HTTP; calls that wait are answered first. */
 void node_close_http(struct node *node);
+/** Lets HTTP do what is due. */
 void node_poll_http(struct node *node);
+/** When HTTP has something to do next; UINT64_MAX: nothing. */
 uint64_t node_http_deadline(struct node *node);
 /** Answers a call that waited for the voter. `table` may be NULL. */
 void node_answer(struct node *node, uint64_t token,
                  const struct status *status, const wire_routes *table);
 
-/* node-voter.c */
+/* node-voter.c; without a disk all of them do nothing */
+/** Starts the voter's thread. */
 void node_start_voter(struct node *node);
+/** Ends the voter's thread, after the jobs that are queued. */
 void node_stop_voter(struct node *node);
+/** Passes on an encoded message of another voter; takes the bytes over. */
 void node_voter_receive(struct node *node, GByteArray *bytes);
+/** Says that a disk is alive. */
 void node_voter_hear(struct node *node, const wire_node *disk);
+/** Founds the quorum on the own disk. */
 void node_voter_found(struct node *node);
+/** Gives up leading. */
 void node_voter_resign(struct node *node);
+/** Passes on an operator's table; node_answer() follows. */
 void node_voter_submit(struct node *node, uint64_t token, const char *text,
                        size_t length, uint64_t version);
+/** Passes on an operator's question for the table; node_answer() follows. */
 void node_voter_read(struct node *node, uint64_t token);
 /** Stores the inventory, so that a start after a loss of power knows it;
  * takes the bytes over. */
