--- a/node-packets.c
+++ b/node-packets.c
@@ -13,10 +13,10 @@
 #include "node-status.h"
 #include "platform/platform.h"
 
-#define BATCH 64
+#define BATCH 64         /* packets taken by one call of the kernel */
 #define BATCHES_A_TURN 4 /* then other events have their turn */
 #define PACKET_MAX (PLATFORM_HEAD_BYTES + PLATFORM_DATA_MAX)
-#define SOCKET_BUFFER (1024 * 1024)
+#define SOCKET_BUFFER (1024 * 1024) /* for a burst while it stands still */
 #define HELD_MAX 256 /* packets of half a second on the smallest VMs */
 #define HOLD_MS 500U /* callers send again after 200 and 600 ms */
 /* A first packet is held for less, since its copy, after 200 ms, may open the
@@ -37,11 +37,11 @@
     unsigned sent_count;
 } batch;
 
-/* A packet that is held, behind room for its prefix. */
+/* A packet that waits until this node knows more. */
 struct held {
     uint64_t until; /* deadline: dropped then */
-    size_t length;
-    uint8_t bytes[PLATFORM_PREFIX_BYTES + PACKET_MAX];
+    size_t length;  /* of the packet */
+    uint8_t bytes[PLATFORM_PREFIX_BYTES + PACKET_MAX]; /* room, packet */
 };
 
 static struct held *held; /* HELD_MAX of them, made when first needed */
@@ -83,6 +83,23 @@
     batch.sent_count = 0;
 }
 
+/* Names a decision in the log. */
+static const char *
+event_name(enum evidence_action action)
+{
+    switch (action) {
+    case EVIDENCE_FORWARD:
+        return "flow-placed";
+    case EVIDENCE_REFUSE:
+        return "flow-refused";
+    case EVIDENCE_HOLD:
+        return "packet-held";
+    case EVIDENCE_DROP:
+        return "packet-dropped";
+    }
+    return "";
+}
+
 /* Writes one line about a decision that is not simply the evidence, and
  * keeps it to be explained. */
 static void
@@ -100,7 +117,7 @@
     (void)address_format(packet->source, packet->source_port, caller);
     (void)address_format(packet->destination, packet->destination_port, place);
     if (verdict->action == EVIDENCE_FORWARD) {
-        log_event(LOG_INFO, "flow-placed",
+        log_event(LOG_INFO, event_name(verdict->action),
                   "flow=%016llx caller=%s route=%s rule=%s upstream=%llx "
                   "busy=%u open=%u candidates=%u copies=%u version=%llu",
                   (unsigned long long)verdict->flow, caller, place,
@@ -110,10 +127,7 @@
                   (unsigned long long)node->evidence.table->version);
         return;
     }
-    log_event(LOG_INFO,
-              verdict->action == EVIDENCE_REFUSE ? "flow-refused"
-              : verdict->action == EVIDENCE_HOLD ? "packet-held"
-                                                 : "packet-dropped",
+    log_event(LOG_INFO, event_name(verdict->action),
               "flow=%016llx caller=%s route=%s rule=%s token=%08x first=%d "
               "version=%llu",
               (unsigned long long)verdict->flow, caller, place,
@@ -212,7 +226,7 @@
     return n;
 }
 
-/* Steers the packets that were held once more. */
+/* Steers once more the packets that were held. */
 void
 node_release_packets(struct node *node)
 {
