--- a/log.c
+++ b/log.c
@@ -9,8 +9,8 @@
 #include <time.h>
 #include <unistd.h>
 
-#define LOG_NAMES 128
-#define LOG_LINE_MAX 1024
+#define LOG_NAMES 128     /* event names that are told apart */
+#define LOG_LINE_MAX 1024 /* bytes of the pairs of one line */
 
 /* The rate limit of one event name. */
 struct log_rate {
@@ -22,16 +22,15 @@
 
 static struct {
     GMutex lock;
-    int file; /* descriptor; 0: not open */
-    unsigned long lost;
+    int file;           /* descriptor; 0: not open */
+    unsigned long lost; /* lines that a full pipe did not take */
     char path[256];
     char process[64];
     enum log_level level;
     struct log_rate rates[LOG_NAMES];
 } log_state;
 
-static const char *const log_level_names[] = {"debug", "info", "warn",
-                                              "error"};
+const char *const log_level_words[] = {"debug", "info", "warn", "error", NULL};
 
 /* Finds the rate of an event, or a free place for it. */
 static struct log_rate *
@@ -135,7 +134,7 @@
     }
     n = snprintf(
         out, size - 1, "time=%s.%03ldZ level=%s process=%s event=%s%s%s%s",
-        stamp, now->tv_nsec / 1000000, log_level_names[level],
+        stamp, now->tv_nsec / 1000000, log_level_words[level],
         log_state.process, event, pairs[0] ? " " : "", pairs, held_text);
     n = CLAMP(n, 0, (int)size - 2);
     out[n++] = '\n';
@@ -177,15 +176,3 @@
 {
     return log_state.lost;
 }
-
-/* Reads a level's name. */
-int
-log_level_from(const char *name)
-{
-    for (int i = LOG_DEBUG; i <= LOG_ERROR; i++) {
-        if (strcmp(name, log_level_names[i]) == 0) {
-            return i;
-        }
-    }
-    return -1;
-}
--- a/log.h
+++ b/log.h
@@ -1,7 +1,8 @@
 /**
  * @file log.h
  * Event log: one line of key=value pairs an event, on standard error or in a
- * file that log_reopen() opens anew (log rotation by SIGHUP).
+ * file that log_reopen() opens anew (log rotation by SIGHUP). Owns that file
+ * and the rate limits; a line may be written from any thread.
  */
 #ifndef RIDGERIDGE_LOG_H
 #define RIDGERIDGE_LOG_H
@@ -11,6 +12,9 @@
 /** Severity; a line below the level set is not written. */
 enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARN, LOG_ERROR };
 
+/** Their names in settings and lines, NULL at the end. */
+extern const char *const log_level_words[];
+
 /** Most lines of one event name written in one second. */
 #define LOG_EVENT_BURST 20
 
@@ -38,7 +42,4 @@
 /** Lines that a full pipe did not take. */
 unsigned long log_lost(void);
 
-/** Reads "debug", "info", "warn" or "error"; -1 for anything else. */
-int log_level_from(const char *name);
-
 #endif
--- a/node-settings.c
+++ b/node-settings.c
@@ -3,10 +3,9 @@
 
 #include <glib.h>
 
-#define PORT_MAX 65535
+#include "log.h"
 
-static const char *const level_words[] = {"debug", "info", "warn", "error",
-                                          NULL};
+#define PORT_MAX 65535
 
 #define AT(field) offsetof(struct node_seed, field)
 static const struct schema_field seed_fields[] = {
@@ -109,7 +108,7 @@
     {.key = "log_level",
      .type = SCHEMA_WORD,
      .value = 1,
-     .words = level_words,
+     .words = log_level_words,
      .offset = AT(log_level),
      .help = "name the least severity that is logged"},
     {.key = "seeds",
--- a/settings.c
+++ b/settings.c
@@ -5,12 +5,11 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "log.h"
+
 #define PORT_MAX 65535
 
 static const char *const role_words[] = {"entry", "control", NULL};
-static const char *const level_words[] = {"debug", "info", "warn", "error",
-                                          NULL};
-
 #define AT(field) offsetof(struct settings_control, field)
 static const struct schema_field control_fields[] = {
     {.key = "id",
@@ -150,7 +149,7 @@
      .help = "name the log file, or leave it out for standard error"},
     {.key = "log_level",
      .type = SCHEMA_WORD,
-     .words = level_words,
+     .words = log_level_words,
      .value = 1,
      .offset = AT(log_level),
      .help = "write \"debug\", \"info\", \"warn\" or \"error\""},
