--- a/route.h
+++ b/route.h
@@ -3,7 +3,8 @@
  * The routing table of a deployment whose upstreams register themselves: one
  * version of which address and port leads to which services. Versions alone
  * order tables: the highest wins. The text is read by whoever knows its form
- * (see platform/); this module holds and looks up the result.
+ * (see platform/); this module owns the result, only looks it up, and knows no
+ * upstream: a service's handle is set by who holds the inventory.
  */
 #ifndef RIDGERIDGE_ROUTE_H
 #define RIDGERIDGE_ROUTE_H
@@ -14,8 +15,12 @@
 
 #define ROUTE_NAME_MAX 63
 
-/** Whether a request of a route may run twice. */
-enum route_kind { ROUTE_REPEATABLE, ROUTE_ONCE, ROUTE_BULK };
+/** What the requests of a route are. */
+enum route_kind {
+    ROUTE_REPEATABLE, /**< may run twice */
+    ROUTE_ONCE,       /**< may not */
+    ROUTE_BULK        /**< long answers */
+};
 
 /** One service that a route leads to. */
 struct route_target {
@@ -30,9 +35,7 @@
     uint32_t address;              /**< IPv4 that callers use, host order */
     uint16_t port;                 /**< port that callers use */
     enum route_kind kind;          /**< what its requests are */
-    uint32_t priority;             /**< 0 is highest */
     uint64_t deadline_ms;          /**< callers give up after it */
-    uint64_t objective_ms;         /**< answers are wanted within it */
     struct route_target *targets;  /**< where new flows go */
     size_t target_count;           /**< of targets */
     uint64_t weight_sum;           /**< of the targets */
@@ -65,7 +68,7 @@
 /** Key of an address and port, for tables by g_direct_hash(). */
 gpointer route_key(uint32_t address, uint16_t port);
 
-/** Picks a target by weight; `hash` decides. */
+/** Picks a target by weight; `hash` decides. NULL when all weights are 0. */
 const struct route_target *route_pick(const struct route *route,
                                       uint64_t hash);
 
