--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -7,11 +7,19 @@
 #include "codec.h"
 #include "random.h"
 
-#define STEP_MS 5
-#define DELAY_MS 1
-#define JITTER_MS 3
-#define FIRST_ADDRESS 0x0a010010U
-#define BEAT_TRY_MS 1000
+#define BEGIN_MS 1000000 /* the time at which a fleet starts */
+#define STEP_MS 5        /* time passes in steps */
+#define DELAY_MS 1       /* least time that a message is under way */
+#define JITTER_MS 3      /* most that is added to it */
+#define TRY_MS 100 /* between an operator's calls until one is answered */
+#define BEAT_TRY_MS 1000 /* until an upstream asks another node */
+#define SEEDS 3          /* nodes that the settings of each name */
+#define FLOW_MAX_MS 60000
+#define FIRST_ADDRESS 0x0a010010U   /* 10.1.0.16 */
+#define UPSTREAM_ADDRESS 0x0a800000 /* 10.128.0.0 */
+#define UPSTREAM_PORT 8080
+/* Keeps the identity of a disk apart from a founder's, its node's address. */
+#define IDENTITY_BIT (1ULL << 63)
 
 /* A message under way. */
 struct flight {
@@ -70,7 +78,6 @@
 {
     struct flight flight = {.from = from, .to = node_at(sim, to_address)};
 
-    sim->bytes += bytes->len;
     if (flight.to < 0 || sim->cut[from][flight.to] ||
         fleet_sim_random(sim, 1000) < sim->options.loss) {
         return;
@@ -120,10 +127,8 @@
     uint64_t version = wait != NULL ? *wait : 0;
 
     if (action->status.kind != STATUS_OK) {
-        sim->refusals++;
         return;
     }
-    sim->answers++;
     if (action->with_table) {
         sim->read = sim->nodes[n].order.version;
         if (sim->read < version) {
@@ -210,22 +215,15 @@
     tell_leader(sim, n);
 }
 
-/* Carries out a node's actions. */
-static void
-act(struct fleet_sim *sim, int n)
+/* Carries out the actions of a fleet; true when the node is to found. */
+static bool
+act_fleet(struct fleet_sim *sim, int n)
 {
     struct fleet_sim_node *node = &sim->nodes[n];
     bool founds = false;
     size_t count;
-    struct fleet_action *all;
+    struct fleet_action *all = fleet_actions(&node->fleet, &count);
 
-    if (node->has_disk) {
-        act_order(sim, n);
-    }
-    if (node->upstreams.changed->len > 0) {
-        fleet_spread(&node->fleet, sim->now);
-    }
-    all = fleet_actions(&node->fleet, &count);
     for (size_t i = 0; i < count; i++) {
         switch (all[i].kind) {
         case FLEET_SEND:
@@ -250,7 +248,22 @@
         }
     }
     fleet_clear(&node->fleet);
-    if (founds) {
+    return founds;
+}
+
+/* Carries out a node's actions. */
+static void
+act(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+
+    if (node->has_disk) {
+        act_order(sim, n);
+    }
+    if (node->upstreams.changed->len > 0) {
+        fleet_spread(&node->fleet, sim->now);
+    }
+    if (act_fleet(sim, n)) {
         found(sim, n);
     }
     node->evidence.settled = node->fleet.settled;
@@ -280,10 +293,10 @@
         .identity = node->has_disk ? node->disk.identity : 0,
         .first_start = first_start,
         .seed = fleet_sim_random(sim, 0)};
-    uint32_t seeds[3];
+    uint32_t seeds[SEEDS];
     size_t count = 0;
 
-    for (int i = 0; i < sim->count && count < 3; i++) {
+    for (int i = 0; i < sim->count && count < SEEDS; i++) {
         if (!sim->nodes[i].gone) {
             seeds[count++] = sim->nodes[i].address;
         }
@@ -291,8 +304,8 @@
     node->up = true;
     node->version_seen = 0;
     upstream_open(&node->upstreams, node->address, FLEET_SIM_INTERVAL_MS);
-    evidence_open(&node->evidence, &node->upstreams, &node->counters, 60000,
-                  0);
+    evidence_open(&node->evidence, &node->upstreams, &node->counters,
+                  FLOW_MAX_MS, 0);
     fleet_open(&node->fleet, sim->now, &options, &node->upstreams);
     fleet_set_seeds(&node->fleet, seeds, count);
     if (node->has_disk) {
@@ -341,7 +354,7 @@
 {
     fleet_sim_kill(sim, n);
     sim_disk_wipe(&sim->nodes[n].disk);
-    sim->nodes[n].disk.identity = fleet_sim_random(sim, 0) | 1ULL << 63;
+    sim->nodes[n].disk.identity = fleet_sim_random(sim, 0) | IDENTITY_BIT;
 }
 
 /* Freezes a node. */
@@ -372,7 +385,7 @@
     node->address = FIRST_ADDRESS + (uint32_t)n;
     node->has_disk = has_disk;
     node->disk.log = g_array_new(FALSE, FALSE, sizeof(struct cons_entry));
-    node->disk.identity = fleet_sim_random(sim, 0) | 1ULL << 63;
+    node->disk.identity = fleet_sim_random(sim, 0) | IDENTITY_BIT;
     return n;
 }
 
@@ -479,7 +492,7 @@
     while (sim->acked < version && sim->now < until) {
         fleet_sim_submit(sim, (int)fleet_sim_random(sim, (uint64_t)sim->count),
                          version);
-        fleet_sim_run(sim, sim->now + 100);
+        fleet_sim_run(sim, sim->now + TRY_MS);
     }
     return sim->acked >= version;
 }
@@ -493,7 +506,7 @@
     sim->read = 0;
     while (sim->read == 0 && sim->now < until) {
         fleet_sim_read(sim, (int)fleet_sim_random(sim, (uint64_t)sim->count));
-        fleet_sim_run(sim, sim->now + 100);
+        fleet_sim_run(sim, sim->now + TRY_MS);
     }
     return sim->read != 0;
 }
@@ -505,8 +518,8 @@
     struct upstream_registration registration = {.id = u->id,
                                                  .service = "feed",
                                                  .hall = "hall",
-                                                 .address = 0x0a800000,
-                                                 .port = 8080,
+                                                 .address = UPSTREAM_ADDRESS,
+                                                 .port = UPSTREAM_PORT,
                                                  .slots = 2,
                                                  .leaving = u->leaving};
     int n = u->keeper >= 0 ? u->keeper
@@ -523,9 +536,6 @@
     u->beat_at = sim->now + FLEET_SIM_INTERVAL_MS;
     upstream_register(&sim->nodes[n].upstreams, sim->now, &registration);
     act(sim, n);
-    if (u->leaving && u->left_at == 0) {
-        u->left_at = sim->now;
-    }
 }
 
 /* Lets upstreams register. */
@@ -617,7 +627,7 @@
     struct fleet_sim *sim = g_new0(struct fleet_sim, 1);
 
     sim->options = *options;
-    sim->now = 1000000;
+    sim->now = BEGIN_MS;
     sim->random = options->seed;
     sim->queue = g_array_new(FALSE, FALSE, sizeof(struct flight));
     sim->waiting =
@@ -634,7 +644,8 @@
             .id = fleet_sim_random(sim, 0) >> 24 | 1,
             .up = true,
             .keeper = -1,
-            .beat_at = sim->now + fleet_sim_random(sim, 770)};
+            .beat_at =
+                sim->now + fleet_sim_random(sim, FLEET_SIM_INTERVAL_MS)};
     }
     return sim;
 }
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -12,9 +12,9 @@
 #include "order.h"
 #include "sim-disk.h"
 
-#define FLEET_SIM_NODES 32
-#define FLEET_SIM_UPSTREAMS 64
-#define FLEET_SIM_INTERVAL_MS 770
+#define FLEET_SIM_NODES 32        /* most, with those that replace others */
+#define FLEET_SIM_UPSTREAMS 64    /* most */
+#define FLEET_SIM_INTERVAL_MS 770 /* between registrations of an upstream */
 
 /* One node. */
 struct fleet_sim_node {
@@ -38,19 +38,20 @@
     uint64_t sequence;
     bool up;
     bool leaving;
-    uint64_t left_at; /* a node acknowledged that it leaves, 0: none */
-    int keeper;       /* node that it registers with, -1: any */
+    int keeper; /* node that it registers with, -1: any */
     uint64_t beat_at;
 };
 
+/* What a fleet is made of. */
 struct fleet_sim_options {
     int nodes;
-    int disks;
+    int disks; /* the first of the nodes have one */
     int upstreams;
     uint64_t seed;
     unsigned loss; /* of 1,000 messages */
 };
 
+/* A fleet in simulated time. */
 struct fleet_sim {
     struct fleet_sim_options options;
     uint64_t now;
@@ -63,27 +64,34 @@
     GArray *queue;       /* messages under way */
     GHashTable *waiting; /* token to version; 0: a read */
     uint64_t last_token;
-    uint64_t acked; /* highest version acknowledged */
-    uint64_t read;  /* version of the last read that was answered */
-    unsigned answers;
-    unsigned refusals;
-    uint64_t bytes;   /* sent between nodes */
+    uint64_t acked;   /* highest version acknowledged */
+    uint64_t read;    /* version of the last read that was answered */
     char broken[256]; /* first promise that did not hold */
 };
 
+/* Makes a fleet and starts it. */
 struct fleet_sim *fleet_sim_new(const struct fleet_sim_options *options);
+/* Frees it. */
 void fleet_sim_free(struct fleet_sim *sim);
+/* Random number below a bound; any when it is 0. */
 uint64_t fleet_sim_random(struct fleet_sim *sim, uint64_t below);
+/* Runs until a time. */
 void fleet_sim_run(struct fleet_sim *sim, uint64_t until);
+/* Kills a node; its disk stays. */
 void fleet_sim_kill(struct fleet_sim *sim, int node);
+/* Starts a node that is down and not gone. */
 void fleet_sim_start(struct fleet_sim *sim, int node);
+/* Kills a node and loses its disk. */
 void fleet_sim_wipe(struct fleet_sim *sim, int node);
+/* Freezes a node until a time; messages to it wait. */
 void fleet_sim_freeze(struct fleet_sim *sim, int node, uint64_t until);
+/* Cuts a node from all others, or joins it again. */
 void fleet_sim_isolate(struct fleet_sim *sim, int node, bool cut);
 /* Removes a node for good; an empty one starts at another address. */
 int fleet_sim_replace(struct fleet_sim *sim, int node);
 /* Sends a table to a node, which passes it to the leader it knows. */
 void fleet_sim_submit(struct fleet_sim *sim, int node, uint64_t version);
+/* Asks a node, which passes it to the leader it knows, for the table. */
 void fleet_sim_read(struct fleet_sim *sim, int node);
 /* Sends one version until it is acknowledged; false after `limit_ms`. */
 bool fleet_sim_put(struct fleet_sim *sim, uint64_t version, uint64_t limit_ms);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -10,7 +10,12 @@
 #include "fleet-sim.h"
 
 #define SEEDS 8
-#define SETTLE_MS 6000 /* from the first start to the first table */
+#define SETTLE_MS 6000  /* from the first start to the first table */
+#define OPERATE_MS 8000 /* an operator's call is answered within it */
+#define EVENT_MS 1000   /* between two events */
+#define HEAL_MS 8000    /* after the last event */
+#define FREEZE_MS 3000  /* of a frozen leader */
+#define KNOWN_UPSTREAMS 18
 
 /* One scene; what happens is a string of letters, a second apart. */
 struct scene {
@@ -105,41 +110,12 @@
     start_all(sim);
 }
 
-/* Lets one event happen. */
+/* Lets an event happen to the leader; nothing happens to none. */
 static void
-happen(struct fleet_sim *sim, char event, uint64_t *version)
+happen_to_leader(struct fleet_sim *sim, char event)
 {
     int leader = fleet_sim_leader(sim);
 
-    switch (event) {
-    case 'p':
-        if (!fleet_sim_put(sim, ++*version, 8000)) {
-            fleet_sim_note(sim, "version %llu was not acknowledged",
-                           (unsigned long long)*version);
-        }
-        return;
-    case 'g':
-        if (!fleet_sim_get(sim, 8000) || sim->read < sim->acked) {
-            fleet_sim_note(sim, "read %llu, acknowledged was %llu",
-                           (unsigned long long)sim->read,
-                           (unsigned long long)sim->acked);
-        }
-        return;
-    case 's':
-        start_all(sim);
-        return;
-    case 'h':
-        memset(sim->cut, 0, sizeof(sim->cut));
-        return;
-    case 'a':
-        for (int i = 0; i < sim->count; i++) {
-            fleet_sim_kill(sim, i);
-        }
-        start_all(sim);
-        return;
-    default:
-        break;
-    }
     if (leader < 0) {
         return;
     }
@@ -148,7 +124,7 @@
         fleet_sim_kill(sim, leader);
         return;
     case 'f':
-        fleet_sim_freeze(sim, leader, sim->now + 3000);
+        fleet_sim_freeze(sim, leader, sim->now + FREEZE_MS);
         return;
     case 'w':
         fleet_sim_wipe(sim, leader);
@@ -171,6 +147,42 @@
     }
 }
 
+/* Lets one event happen. */
+static void
+happen(struct fleet_sim *sim, char event, uint64_t *version)
+{
+    switch (event) {
+    case 'p':
+        if (!fleet_sim_put(sim, ++*version, OPERATE_MS)) {
+            fleet_sim_note(sim, "version %llu was not acknowledged",
+                           (unsigned long long)*version);
+        }
+        return;
+    case 'g':
+        if (!fleet_sim_get(sim, OPERATE_MS) || sim->read < sim->acked) {
+            fleet_sim_note(sim, "read %llu, acknowledged was %llu",
+                           (unsigned long long)sim->read,
+                           (unsigned long long)sim->acked);
+        }
+        return;
+    case 's':
+        start_all(sim);
+        return;
+    case 'h':
+        memset(sim->cut, 0, sizeof(sim->cut));
+        return;
+    case 'a':
+        for (int i = 0; i < sim->count; i++) {
+            fleet_sim_kill(sim, i);
+        }
+        start_all(sim);
+        return;
+    default:
+        happen_to_leader(sim, event);
+        return;
+    }
+}
+
 /* Plays a scene with one seed. */
 static void
 play(const struct scene *scene, uint64_t seed)
@@ -187,9 +199,9 @@
     fleet_sim_run(sim, sim->now + SETTLE_MS);
     for (const char *event = scene->events; *event != '\0'; event++) {
         happen(sim, *event, &version);
-        fleet_sim_run(sim, sim->now + 1000);
+        fleet_sim_run(sim, sim->now + EVENT_MS);
     }
-    fleet_sim_run(sim, sim->now + 8000);
+    fleet_sim_run(sim, sim->now + HEAL_MS);
     leader = fleet_sim_leader(sim);
     g_test_message("%s seed %llu: %s", scene->name, (unsigned long long)seed,
                    sim->broken);
@@ -243,7 +255,7 @@
     const struct known *known = data;
     struct fleet_sim_options options = {.nodes = 11,
                                         .disks = 3,
-                                        .upstreams = 18,
+                                        .upstreams = KNOWN_UPSTREAMS,
                                         .seed = 3,
                                         .loss = known->loss};
     struct fleet_sim *sim = fleet_sim_new(&options);
@@ -265,7 +277,8 @@
         found = upstream_by_id(&sim->nodes[i].upstreams, u->id);
         g_assert_nonnull(found);
         g_assert_cmpint(found->state, ==, known->state);
-        g_assert_cmpuint(sim->nodes[i].upstreams.all->len, ==, 18);
+        g_assert_cmpuint(sim->nodes[i].upstreams.all->len, ==,
+                         KNOWN_UPSTREAMS);
     }
     fleet_sim_free(sim);
 }
