--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -16,9 +16,9 @@
 #include "platform/platform.h"
 
 #define HOST_PORT 17110
-#define FLOWS 120
-#define ROUTE_A 0xc6120001U
-#define ROUTE_B 0xc6120002U
+#define FLOWS 120           /* of all callers, open at once */
+#define ROUTE_A 0xc6120001U /* 198.18.0.1 */
+#define ROUTE_B 0xc6120002U /* 198.18.0.2 */
 #define ROUTE_PORT 443
 #define FIRST_CALLER_PORT 20000
 #define DATA_MS 250     /* between data on an open flow */
@@ -29,6 +29,10 @@
 #define DRAIN_MS 3000   /* a confirmed leaving is known everywhere */
 #define LEAVE_MS 6000   /* a leaving host ends after it */
 #define REUSE_MS 2000   /* then its address is used again */
+#define DATA_BYTES 100  /* of a request and of its answer */
+#define LAG_MAX 20      /* data without an answer: the flow is given up */
+#define SECOND_HOSTS 2  /* the last hosts serve "b", the others "a" */
+#define AT_FLAGS 30     /* place of the flags in a head */
 #define FLAG_SYN 64
 #define FLAG_ACK 128
 #define FLAG_RST 32
@@ -40,14 +44,13 @@
     bool up;
     bool service_b;
     bool leaving;
-    uint64_t left_at;  /* its leaving was confirmed, 0: not */
-    uint64_t end_at;   /* deadline: it ends */
-    uint64_t start_at; /* deadline: a new one starts */
-    uint64_t paused_until;
-    uint64_t harmed_at;
-    uint64_t sequence;
-    int keeper;        /* node that it registers with */
-    GHashTable *flows; /* ports of callers whose flows it holds */
+    uint64_t left_at;      /* its leaving was confirmed, 0: not */
+    uint64_t end_at;       /* deadline: it ends */
+    uint64_t start_at;     /* deadline: a new one starts */
+    uint64_t paused_until; /* deadline */
+    uint64_t sequence;     /* of the registration sent last */
+    int keeper;            /* node that it registers with */
+    GHashTable *flows;     /* ports of callers whose flows it holds */
 };
 
 /* What a flow of a caller is. */
@@ -79,7 +82,6 @@
     uint16_t next_port;
     uint64_t random;
     unsigned opened, given_up, refused, resets, data, answers;
-    unsigned long long wrong;
 } world;
 
 /* Random number below a bound. */
@@ -105,7 +107,7 @@
     memcpy(out + 16, &token, 4);
     memcpy(out + 24, &ack, 4);
     memcpy(out + 28, &length, 2);
-    out[30] = flags;
+    out[AT_FLAGS] = flags;
 }
 
 /* Sends bytes. */
@@ -121,7 +123,7 @@
                  sizeof(at));
 }
 
-/* Registers, or says that it ends. */
+/* Registers a host, or says that it ends. */
 static void
 beat(struct host *host, int index, bool ends)
 {
@@ -211,7 +213,7 @@
         struct host *host = &world.host[i];
 
         host->fd = soak_socket(hosts + (uint32_t)i, HOST_PORT);
-        host->service_b = i >= SOAK_HOSTS - 2;
+        host->service_b = i >= SOAK_HOSTS - SECOND_HOSTS;
         host->keeper = i % node_count;
         host->flows = g_hash_table_new(g_direct_hash, g_direct_equal);
         start_host(host);
@@ -324,7 +326,7 @@
         answer(host, &p, 0, FLAG_RST | FLAG_ACK, 0);
     }
     else if (p.length > 0) {
-        answer(host, &p, number, FLAG_ACK, 100);
+        answer(host, &p, number, FLAG_ACK, DATA_BYTES);
     }
 }
 
@@ -367,7 +369,7 @@
     if (!platform_read_packet(bytes, length, &p)) {
         return;
     }
-    flags = bytes[30];
+    flags = bytes[AT_FLAGS];
     flow = flow_of(p.destination_port);
     if (flow == NULL) {
         return;
@@ -463,7 +465,7 @@
             world.given_up++;
             flow->state = FLOW_CLOSED;
         }
-        else if (flow->copies < 2 &&
+        else if (flow->copies < G_N_ELEMENTS(copies) &&
                  now >= flow->began_at + copies[flow->copies]) {
             send_flow(flow, FLAG_SYN, ++flow->copies, 0);
         }
@@ -473,10 +475,10 @@
             flow->data_at = now + DATA_MS;
             flow->data_sent++;
             world.data++;
-            send_flow(flow, FLAG_ACK, flow->number, 100);
+            send_flow(flow, FLAG_ACK, flow->number, DATA_BYTES);
         }
         if (now > flow->began_at + LIFE_MS ||
-            flow->data_sent > flow->answered + 20) {
+            flow->data_sent > flow->answered + LAG_MAX) {
             flow->state = FLOW_CLOSED;
         }
         return;
@@ -503,7 +505,7 @@
 
 /* Harms a host. */
 void
-soak_host_fault(int kind)
+soak_host_fault(enum soak_host_fault fault)
 {
     struct host *host = &world.host[below(SOAK_HOSTS)];
     uint64_t now = loop_now();
@@ -511,16 +513,17 @@
     if (!host->up || host->leaving || now < host->paused_until) {
         return;
     }
-    switch (kind) {
-    case 0:
+    switch (fault) {
+    case SOAK_HOST_LEAVES:
         host->end_at = now + LEAVE_MS;
         host->leaving = true;
         return;
-    case 1:
+    case SOAK_HOST_CRASHES:
         host->up = false;
         host->start_at = now + REUSE_MS;
         return;
-    default:
+    case SOAK_HOST_PAUSES:
+    case SOAK_HOST_FAULTS:
         host->paused_until = now + 500 + below(2500);
         return;
     }
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -38,7 +38,29 @@
 #define CALM_MS 5000   /* without a fault, all that is timed must hold */
 #define SETTLE_MS 6000 /* from the start to the first fault */
 #define HEAL_MS 12000  /* after the last fault */
-#define DRAIN_MS 3000  /* a leaving upstream gets no new flow after it */
+#define STOP_MS 6000   /* a planned stop is done within it */
+#define RESTART_MS 200 /* from an end to the next start */
+#define WIPED_MS 300   /* the same, when the disk was lost */
+#define CALL_MS 1000   /* longest wait for an answer */
+#define OPERATE_MS 200 /* between an operator's calls */
+#define ASK_MS 500     /* between questions of the fabric */
+#define ASK_MISSES 2   /* without an answer: a node is left out */
+#define HOPS 3         /* redirects that an operator follows */
+#define POLL_MS 2      /* longest wait for a packet */
+#define EXIT_NOT_RUN 3 /* of a child that could not become a node */
+
+/* What can happen; drawn by lot. */
+enum fault {
+    FAULT_KILL,
+    FAULT_PAUSE,
+    FAULT_STOP, /* planned */
+    FAULT_CUT,
+    FAULT_LOSS,
+    FAULT_DELAY,
+    FAULT_WIPE, /* the disk is lost */
+    FAULT_HOST, /* of an upstream */
+    FAULT_COUNT
+};
 
 /* One node and its link to the others. */
 struct node_process {
@@ -60,8 +82,8 @@
 
 /* A datagram that the proxy holds. */
 struct held {
-    uint64_t at;
-    int to;
+    uint64_t at; /* deadline: deliver it */
+    int to;      /* node */
     GByteArray *bytes;
 };
 
@@ -73,16 +95,15 @@
     GRand *rand;
     GArray *held;
     uint64_t began_at;
-    uint64_t faults_until;
-    uint64_t fault_at;
+    uint64_t fault_at;  /* deadline: the next fault */
     uint64_t harmed_at; /* last moment of any fault */
     uint64_t version;   /* sent last */
     uint64_t acked;     /* highest acknowledged */
     uint64_t put_at;    /* last acknowledgement */
     uint64_t read_at;   /* last read that was answered */
     unsigned puts, reads, faults, broken;
-    bool over;
-    GMutex lock;
+    bool over;   /* threads end */
+    GMutex lock; /* of `acked`, `puts` and `put_at` */
 } soak;
 
 /* Notes a broken promise. */
@@ -112,12 +133,20 @@
     va_end(args);
 }
 
-/* Address of a node itself (1), to other nodes (2), of hosts (3), callers (4).
- */
+/* What an address is of; its third octet. */
+enum address_kind {
+    ADDRESS_NODE = 1,  /* a node, for itself */
+    ADDRESS_PROXY = 2, /* a node, for the others */
+    ADDRESS_HOST = 3,
+    ADDRESS_CALLERS = 4
+};
+
+/* Address of the n-th of a kind. */
 static uint32_t
-address_of(unsigned kind, int n)
+address_of(enum address_kind kind, int n)
 {
-    return 127U << 24 | soak.net << 16 | kind << 8 | (unsigned)(n + 1);
+    return 127U << 24 | soak.net << 16 | (uint32_t)kind << 8 |
+           (unsigned)(n + 1);
 }
 
 /* Random number below a bound. */
@@ -153,15 +182,16 @@
     char a[ADDRESS_TEXT], b[ADDRESS_TEXT], c[ADDRESS_TEXT], seeds[256] = "";
     char text[2048];
     char data[192] = "";
-    uint32_t own = address_of(1, n);
+    uint32_t own = address_of(ADDRESS_NODE, n);
 
     for (int i = 0; i < 3; i++) {
         char s[ADDRESS_TEXT];
         size_t used = strlen(seeds);
 
-        (void)snprintf(seeds + used, sizeof(seeds) - used,
-                       "%s{\"control\": \"%s\"}", i ? "," : "",
-                       address_format(address_of(2, i), CONTROL_PORT, s));
+        (void)snprintf(
+            seeds + used, sizeof(seeds) - used, "%s{\"control\": \"%s\"}",
+            i ? "," : "",
+            address_format(address_of(ADDRESS_PROXY, i), CONTROL_PORT, s));
     }
     if (soak.node[n].disk) {
         (void)snprintf(data, sizeof(data), "%s/data-%d", soak.folder, n);
@@ -192,11 +222,11 @@
     if (pid == 0) {
         if (freopen(log, "a", stdout) == NULL ||
             freopen(log, "a", stderr) == NULL) {
-            _exit(3);
+            _exit(EXIT_NOT_RUN);
         }
         (void)execl("build/ridgeridge", "ridgeridge", "node", "--settings",
                     settings, (char *)NULL);
-        _exit(3);
+        _exit(EXIT_NOT_RUN);
     }
     soak.node[n].pid = pid;
     soak.node[n].stopping = false;
@@ -205,7 +235,7 @@
     g_free(log);
 }
 
-/* Says when a node was last harmed: timed promises wait for CALM_MS. */
+/* Says whether timed promises hold at a node: CALM_MS after the last fault. */
 bool
 soak_is_calm(uint32_t node_address)
 {
@@ -234,7 +264,7 @@
         }
         ready += soak.node[n].ready;
     }
-    return address_of(1, best);
+    return address_of(ADDRESS_NODE, best);
 }
 
 /* Passes a datagram between nodes, or holds, or loses it. */
@@ -282,7 +312,7 @@
         struct sockaddr_in at = {.sin_family = AF_INET,
                                  .sin_port = htons(PEER_PORT),
                                  .sin_addr.s_addr =
-                                     htonl(address_of(1, held.to))};
+                                     htonl(address_of(ADDRESS_NODE, held.to))};
 
         if (held.at > now) {
             i++;
@@ -317,7 +347,7 @@
 
     (void)curl_easy_setopt(curl, CURLOPT_URL, url);
     (void)curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
-    (void)curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 1000L);
+    (void)curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
     (void)curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
     (void)curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
     (void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
@@ -331,7 +361,7 @@
             unsigned last = 0;
 
             (void)sscanf(location, "http://127.%*u.2.%u", &last);
-            *where = address_of(1, (int)last - 1);
+            *where = address_of(ADDRESS_NODE, (int)last - 1);
         }
     }
     curl_easy_cleanup(curl);
@@ -343,10 +373,11 @@
 static long
 operate(const char *method, const char *body, GString *answer)
 {
-    uint32_t at = address_of(1, (int)(g_random_int() % (guint)soak.nodes));
+    uint32_t at =
+        address_of(ADDRESS_NODE, (int)(g_random_int() % (guint)soak.nodes));
     long status = 0;
 
-    for (int hops = 0; hops < 3; hops++) {
+    for (int hops = 0; hops < HOPS; hops++) {
         uint32_t where = 0;
 
         g_string_truncate(answer, 0);
@@ -403,7 +434,7 @@
     (void)unused;
     while (!soak.over) {
         operate_once();
-        g_usleep(200000);
+        g_usleep(OPERATE_MS * 1000);
     }
     return NULL;
 }
@@ -417,15 +448,15 @@
 
     while (!soak.over) {
         GString *answer = g_string_new(NULL);
-        bool ok = soak_call("GET", address_of(1, n), READY_PORT,
+        bool ok = soak_call("GET", address_of(ADDRESS_NODE, n), READY_PORT,
                             "/-/readiness", NULL, answer, NULL) == 200;
 
         node->misses = ok ? 0 : node->misses + 1;
-        if (ok || node->misses >= 2) {
+        if (ok || node->misses >= ASK_MISSES) {
             node->ready = ok;
         }
         g_string_free(answer, TRUE);
-        g_usleep(500000);
+        g_usleep(ASK_MS * 1000);
     }
     return NULL;
 }
@@ -468,71 +499,108 @@
     }
 }
 
-/* Lets one fault happen. */
+/* Kills a node and loses its disk, when the others can spare it. */
 static void
-inject(uint64_t now)
+lose_disk(int n, uint64_t now)
 {
-    int n = below(soak.nodes);
     struct node_process *node = &soak.node[n];
-    uint64_t for_ms = 200 + (uint64_t)below(3500);
 
-    soak.fault_at = now + 300 + (uint64_t)below(1500);
-    if (node->pid == 0 || node->thaw_at != 0 || node->stopping) {
+    if (!may_wipe(n, now)) {
         return;
     }
-    switch (below(8)) {
-    case 0:
+    note("wipe node %d", n);
+    (void)kill(node->pid, SIGKILL);
+    (void)waitpid(node->pid, NULL, 0);
+    node->pid = 0;
+    wipe(n);
+    node->start_at = now + WIPED_MS;
+    harm(n, node->start_at + 1000);
+}
+
+/* Harms a node's process for a while. */
+static void
+harm_process(int n, enum fault fault, uint64_t now, uint64_t for_ms)
+{
+    struct node_process *node = &soak.node[n];
+
+    if (fault == FAULT_KILL) {
         note("kill node %d, start after %llu ms", n,
              (unsigned long long)for_ms);
         (void)kill(node->pid, SIGKILL);
         node->start_at = now + for_ms;
         harm(n, node->start_at);
         return;
-    case 1:
-        note("pause node %d for %llu ms", n, (unsigned long long)for_ms);
-        (void)kill(node->pid, SIGSTOP);
-        node->thaw_at = now + for_ms;
-        harm(n, node->thaw_at);
-        return;
-    case 2:
-        note("stop node %d", n);
-        (void)kill(node->pid, SIGTERM);
-        node->stopping = true;
-        harm(n, now + 6000);
-        return;
-    case 3:
+    }
+    note("pause node %d for %llu ms", n, (unsigned long long)for_ms);
+    (void)kill(node->pid, SIGSTOP);
+    node->thaw_at = now + for_ms;
+    harm(n, node->thaw_at);
+}
+
+/* Harms a node's link for a while. */
+static void
+harm_link(int n, enum fault fault, uint64_t now, uint64_t for_ms)
+{
+    struct node_process *node = &soak.node[n];
+
+    if (fault == FAULT_CUT) {
         node->cut_in = below(3) != 0;
         node->cut_out = !node->cut_in || below(2) != 0;
         note("cut node %d in=%d out=%d for %llu ms", n, node->cut_in,
              node->cut_out, (unsigned long long)for_ms);
-        break;
-    case 4:
+    }
+    else if (fault == FAULT_LOSS) {
         node->loss = 10 + (unsigned)below(40);
         note("lose %u%% at node %d", node->loss, n);
-        break;
-    case 5:
+    }
+    else {
         node->delay_ms = 20 + (unsigned)below(300);
         note("delay %u ms at node %d", node->delay_ms, n);
-        break;
-    case 6:
-        if (may_wipe(n, now)) {
-            note("wipe node %d", n);
-            (void)kill(node->pid, SIGKILL);
-            (void)waitpid(node->pid, NULL, 0);
-            node->pid = 0;
-            wipe(n);
-            node->start_at = now + 300;
-            harm(n, node->start_at + 1000);
-        }
-        return;
-    default:
-        soak_host_fault(below(3));
-        return;
     }
     node->heal_at = now + for_ms;
     harm(n, node->heal_at);
 }
 
+/* Lets one fault happen. */
+static void
+inject(uint64_t now)
+{
+    int n = below(soak.nodes);
+    struct node_process *node = &soak.node[n];
+    uint64_t for_ms = 200 + (uint64_t)below(3500);
+    enum fault fault;
+
+    soak.fault_at = now + 300 + (uint64_t)below(1500);
+    if (node->pid == 0 || node->thaw_at != 0 || node->stopping) {
+        return;
+    }
+    fault = (enum fault)below(FAULT_COUNT);
+    switch (fault) {
+    case FAULT_KILL:
+    case FAULT_PAUSE:
+        harm_process(n, fault, now, for_ms);
+        return;
+    case FAULT_STOP:
+        note("stop node %d", n);
+        (void)kill(node->pid, SIGTERM);
+        node->stopping = true;
+        harm(n, now + STOP_MS);
+        return;
+    case FAULT_CUT:
+    case FAULT_LOSS:
+    case FAULT_DELAY:
+        harm_link(n, fault, now, for_ms);
+        return;
+    case FAULT_WIPE:
+        lose_disk(n, now);
+        return;
+    case FAULT_HOST:
+    case FAULT_COUNT:
+        soak_host_fault(below(SOAK_HOST_FAULTS));
+        return;
+    }
+}
+
 /* Ends faults that are over, and looks after the processes. */
 static void
 look_after(uint64_t now)
@@ -554,7 +622,8 @@
             if (!node->stopping && node->start_at == 0) {
                 soak_broken("node %d ended by itself, status %d", n, status);
             }
-            node->start_at = node->start_at ? node->start_at : now + 200;
+            node->start_at =
+                node->start_at ? node->start_at : now + RESTART_MS;
             node->pid = 0;
         }
         if (node->pid == 0 && node->start_at != 0 && now >= node->start_at) {
@@ -579,7 +648,7 @@
                 (struct pollfd){.fd = soak.node[n].proxy, .events = POLLIN};
         }
         count += soak_host_poll(fds + count);
-        (void)poll(fds, count, 2);
+        (void)poll(fds, count, POLL_MS);
         for (int n = 0; n < soak.nodes; n++) {
             read_proxy(n);
         }
@@ -604,7 +673,8 @@
     (void)g_mkdir_with_parents(soak.folder, 0700);
     for (int n = 0; n < soak.nodes; n++) {
         soak.node[n].disk = n < DISKS;
-        soak.node[n].proxy = soak_socket(address_of(2, n), PEER_PORT);
+        soak.node[n].proxy =
+            soak_socket(address_of(ADDRESS_PROXY, n), PEER_PORT);
         if (soak.node[n].disk) {
             wipe(n);
         }
@@ -612,8 +682,9 @@
     for (int n = 0; n < soak.nodes; n++) {
         start_node(n, true);
     }
-    soak_host_open(address_of(3, 0), address_of(4, 0), address_of(1, 0),
-                   soak.nodes, PACKET_PORT, CONTROL_PORT, seed);
+    soak_host_open(address_of(ADDRESS_HOST, 0), address_of(ADDRESS_CALLERS, 0),
+                   address_of(ADDRESS_NODE, 0), soak.nodes, PACKET_PORT,
+                   CONTROL_PORT, seed);
     (void)g_thread_new("operator", run_operator, NULL);
     for (int n = 0; n < soak.nodes; n++) {
         (void)g_thread_new("fabric", run_fabric, GINT_TO_POINTER(n));
