--- a/cmd-node-status.c
+++ b/cmd-node-status.c
@@ -7,6 +7,9 @@
 #include "cmd.h"
 #include "evidence.h"
 
+#define PATH_BYTES 64 /* of a page of a node */
+#define URL_BYTES 160 /* of its whole URL */
+
 /* Path of the page about a flow: named by its hash, or by its two ends. */
 static enum status_kind
 flow_path(const char **args, char *out, size_t size, struct status *st)
@@ -37,14 +40,14 @@
     return STATUS_OK;
 }
 
-/* Asks and prints. */
+/* Asks a node for a page and prints it. */
 static enum status_kind
 run(const struct cmd_options *options, const char **args, struct status *st)
 {
     struct client_credentials nobody = {.name = ""};
     struct client_reply reply = {0};
-    char path[64] = "/v1/status";
-    char url[160];
+    char path[PATH_BYTES] = "/v1/status";
+    char url[URL_BYTES];
     json_object *doc;
 
     (void)options;
--- a/histogram.c
+++ b/histogram.c
@@ -3,7 +3,7 @@
 
 #include <stdio.h>
 
-#define FIRST_BOUND_US 16ULL
+#define FIRST_BOUND_US 16ULL /* of the first bucket; each next is twice it */
 
 /* Name and help of each. */
 static const struct {
--- a/histogram.h
+++ b/histogram.h
@@ -3,7 +3,8 @@
  * Latency histograms with fixed bounds, beside the counters: one table of
  * name and help, printed as Prometheus text. The registry serves no C library
  * for this (one in C++, one in Go, one in Java were found), so it is part of
- * the project's own counters.
+ * the project's own counters. Owns the bounds and the text; what is measured
+ * is up to who adds.
  */
 #ifndef RIDGERIDGE_HISTOGRAM_H
 #define RIDGERIDGE_HISTOGRAM_H
@@ -34,8 +35,8 @@
 
 /** A set of histograms, all empty at first. */
 struct histograms {
-    uint64_t buckets[HISTOGRAM_COUNT][HISTOGRAM_BUCKETS + 1];
-    uint64_t sum_us[HISTOGRAM_COUNT];
+    uint64_t buckets[HISTOGRAM_COUNT][HISTOGRAM_BUCKETS + 1]; /**< durations */
+    uint64_t sum_us[HISTOGRAM_COUNT]; /**< of all durations */
 };
 
 /** Adds one duration, in microseconds; safe from any thread. */
--- a/loop.h
+++ b/loop.h
@@ -1,7 +1,8 @@
 /**
  * @file loop.h
  * The event loop of a process (libev): one thread owns all state; others
- * post work to it. Time for cores comes from here.
+ * post work to it. Owns the watchers and the queue of posted work, knows
+ * nothing of what the work is. Time for cores comes from here.
  */
 #ifndef RIDGERIDGE_LOOP_H
 #define RIDGERIDGE_LOOP_H
--- a/node-settings.h
+++ b/node-settings.h
@@ -1,7 +1,8 @@
 /**
  * @file node-settings.h
  * Settings of a node: an entry of a fleet that finds itself. JSON with
- * comments, checked whole; the platform writes it from a template.
+ * comments, checked whole; the platform writes it from a template. Owns the
+ * table of keys and starts nothing.
  */
 #ifndef RIDGERIDGE_NODE_SETTINGS_H
 #define RIDGERIDGE_NODE_SETTINGS_H
