node-peers: one function takes a datagram; unused includes are gone

A constant stood beside sizeof() for the bytes of the checksum, and the comment of flow_max_ms was not what evidence_tick() does. Behaviour is unchanged.

--- a/cmd-node-status.c
+++ b/cmd-node-status.c
@@ -1,7 +1,6 @@
 /* ridgeridge node-status: asks a node for its state, or about one flow. */
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "address.h"
 #include "cmd.h"
--- a/evidence.h
+++ b/evidence.h
@@ -59,8 +59,9 @@
     GHashTable *flows;         /**< hash to struct evidence_flow */
     struct counters *counters; /**< borrowed */
     uint64_t sweep_at;         /**< deadline: forget flows that ended */
-    uint64_t flow_max_ms;      /**< older flows may be forgotten */
-    uint32_t turn;             /**< breaks ties in turn */
+    uint64_t flow_max_ms;      /**< rest after which a flow is forgotten,
+                                    when the table sets none */
+    uint32_t turn;             /**< of the choice: breaks ties in turn */
     bool settled;              /**< the inventory was compared with
                                     another node's: "none" is true */
 };
--- a/node-peers.c
+++ b/node-peers.c
@@ -15,7 +15,6 @@
 
 #define DATAGRAM_MAX 65507
 #define DATAGRAMS_A_TURN 64 /* then other events have their turn */
-#define CHECKSUM_BYTES 8
 
 /* Sends an encoded message. Safe from the voter's thread. */
 void
@@ -78,6 +77,28 @@
     codec_free(&msg);
 }
 
+/* Takes one datagram: a checksum, then a message. */
+static void
+take_datagram(struct node *node, const guint8 *bytes, size_t length)
+{
+    uint64_t sum;
+    const guint8 *message = bytes + sizeof(sum);
+
+    counter_add(&node->counters, COUNTER_MSGS_IN, 1);
+    counter_add(&node->counters, COUNTER_CONTROL_BYTES_IN, length);
+    if (length <= sizeof(sum)) {
+        counter_add(&node->counters, COUNTER_MSGS_MALFORMED, 1);
+        return;
+    }
+    memcpy(&sum, bytes, sizeof(sum));
+    length -= sizeof(sum);
+    if (sum != hash_checksum(message, length)) {
+        counter_add(&node->counters, COUNTER_MSGS_FORGED, 1);
+        return;
+    }
+    take_message(node, message, length);
+}
+
 /* Takes what the socket holds, in bounds. */
 static void
 on_datagrams(void *data)
@@ -87,24 +108,11 @@
 
     for (int i = 0; i < DATAGRAMS_A_TURN; i++) {
         ssize_t n = recv(node->peers_fd, bytes, sizeof(bytes), MSG_DONTWAIT);
-        uint64_t sum;
 
         if (n < 0) {
             break;
         }
-        counter_add(&node->counters, COUNTER_MSGS_IN, 1);
-        counter_add(&node->counters, COUNTER_CONTROL_BYTES_IN, (uint64_t)n);
-        if (n <= CHECKSUM_BYTES) {
-            counter_add(&node->counters, COUNTER_MSGS_MALFORMED, 1);
-            continue;
-        }
-        memcpy(&sum, bytes, sizeof(sum));
-        if (sum != hash_checksum(bytes + CHECKSUM_BYTES,
-                                 (size_t)n - CHECKSUM_BYTES)) {
-            counter_add(&node->counters, COUNTER_MSGS_FORGED, 1);
-            continue;
-        }
-        take_message(node, bytes + CHECKSUM_BYTES, (size_t)n - CHECKSUM_BYTES);
+        take_datagram(node, bytes, (size_t)n);
     }
     node_act(node);
 }
--- a/node.c
+++ b/node.c
@@ -3,7 +3,6 @@
 
 #include <signal.h>
 #include <sodium.h>
-#include <string.h>
 #include <sys/stat.h>
 
 #include "log.h"
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -26,7 +26,6 @@
 
 #include "address.h"
 #include "loop.h"
-#include "platform/platform.h"
 #include "host.h"
 
 #define NODES_MAX 24
