--- a/evidence.h
+++ b/evidence.h
@@ -3,7 +3,9 @@
  * Steering by evidence: each packet of a flow carries a token that an entry
  * wrote into its first packet and that both ends repeat; it names the
  * upstream's incarnation. So any entry can steer any packet without records,
- * keepers or steps. Only first packets are decided here. Does no I/O.
+ * keepers or steps. Only first packets are decided here. Owns the table in
+ * force and what it remembers of flows; of an upstream it writes only what
+ * packets tell (work, suspicion, signs of life). Does no I/O.
  */
 #ifndef RIDGERIDGE_EVIDENCE_H
 #define RIDGERIDGE_EVIDENCE_H
@@ -53,14 +55,15 @@
 struct evidence {
     struct upstream_set *upstreams; /**< borrowed */
     struct route_table *table;      /**< owned; version 0 at first */
-    GHashTable *dropped;            /**< places of routes that were dropped */
-    GHashTable *flows;              /**< hash to struct evidence_flow */
-    struct counters *counters;      /**< borrowed */
-    uint64_t sweep_at;              /**< deadline: forget flows that ended */
-    uint64_t flow_max_ms;           /**< older flows may be forgotten */
-    uint32_t turn;                  /**< breaks ties in turn */
-    bool settled;                   /**< the inventory was compared with
-                                         another node's: "none" is true */
+    GHashTable *dropped;       /**< route_key() of routes that were dropped */
+    GHashTable *flows;         /**< hash to struct evidence_flow */
+    struct counters *counters; /**< borrowed */
+    uint64_t sweep_at;         /**< deadline: forget flows that ended */
+    uint64_t flow_max_ms;      /**< rest after which a flow is forgotten,
+                                    when the table sets none */
+    uint32_t turn;             /**< of the choice: breaks ties in turn */
+    bool settled;              /**< the inventory was compared with
+                                    another node's: "none" is true */
 };
 
 /** Starts without a table. */
