Mend what the reading of the new code found

Held packets: expired ones make room when the buffer is full, a packet that was forwarded no longer shortens another's wait, and a packet held at its own place is moved, not copied. Reads count no longer as tables acknowledged. A merged record with another address counts as changed. The help of flow_max_s says what it does.

--- a/counter.h
+++ b/counter.h
@@ -65,7 +65,7 @@
       "operators' tables acknowledged here")                                  \
     X(TABLES_INVALID, "tables_invalid_total", "operators' tables refused")    \
     X(TABLES_UNCONFIRMED, "tables_unconfirmed_total",                         \
-      "answered 503: no leader, or no quorum in time")                        \
+      "tables and reads answered 503: no leader, or no quorum in time")       \
     X(REDIRECTS, "redirects_total", "operators sent to the leader")           \
     X(LOG_LINES_LOST, "log_lines_lost_total", "not written: the pipe was full")
 
--- a/node-http.c
+++ b/node-http.c
@@ -30,6 +30,7 @@
     GByteArray *body;
     bool too_large;           /* the body is past PLATFORM_BODY_MAX */
     bool registers;           /* is a registration */
+    bool submits;             /* sends a table */
     uint64_t token;           /* 0: not suspended */
     uint64_t began_us;        /* for its duration */
     struct MHD_Response *out; /* set when it is resumed */
@@ -137,6 +138,7 @@
     if (node->fleet.leads_since == 0) {
         return redirect(call, path);
     }
+    call->submits = true;
     token = suspend(call);
     log_event(LOG_INFO, "table-received",
               "call=%llu version=%llu bytes=%u held=%llu",
@@ -411,11 +413,15 @@
               "call=%llu result=%s took_ms=%llu reason=\"%s\"",
               (unsigned long long)token, status_name(status->kind),
               (unsigned long long)took_us / 1000, status->message);
-    counter_add(&node->counters,
-                ok ? COUNTER_TABLES_TAKEN : COUNTER_TABLES_UNCONFIRMED, 1);
     if (call == NULL) {
         return;
     }
+    if (!ok) {
+        counter_add(&node->counters, COUNTER_TABLES_UNCONFIRMED, 1);
+    }
+    else if (call->submits) {
+        counter_add(&node->counters, COUNTER_TABLES_TAKEN, 1);
+    }
     histogram_add(&node->histograms, HISTOGRAM_OPERATOR, took_us);
     if (table != NULL && table->bundle_version == 0) {
         call->code = MHD_HTTP_SERVICE_UNAVAILABLE;
--- a/node-packets.c
+++ b/node-packets.c
@@ -135,6 +135,24 @@
               (unsigned long long)node->evidence.table->version);
 }
 
+/* Drops held packets whose deadline is over, to make room. */
+static void
+drop_expired(struct node *node)
+{
+    uint64_t now = loop_now();
+    unsigned kept = 0;
+
+    for (unsigned i = 0; i < held_count; i++) {
+        if (now >= held[i].until) {
+            counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
+        }
+        else if (kept++ != i) {
+            held[kept - 1] = held[i];
+        }
+    }
+    held_count = kept;
+}
+
 /* Holds a packet; drops it when too many are held. */
 static void
 hold(struct node *node, uint64_t until, const uint8_t *bytes, size_t length)
@@ -144,6 +162,9 @@
     if (held == NULL) {
         held = g_new0(struct held, HELD_MAX);
     }
+    if (held_count == HELD_MAX) {
+        drop_expired(node);
+    }
     if (held_count == HELD_MAX) {
         counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
         return;
@@ -152,8 +173,9 @@
     place = &held[held_count++];
     place->until = until;
     place->length = length;
-    memcpy(place->bytes + PLATFORM_PREFIX_BYTES, bytes + PLATFORM_PREFIX_BYTES,
-           length);
+    /* A packet that is held again may lie at its own place. */
+    memmove(place->bytes + PLATFORM_PREFIX_BYTES,
+            bytes + PLATFORM_PREFIX_BYTES, length);
 }
 
 /* Steers one packet, which lies behind its prefix. */
@@ -237,15 +259,15 @@
     held_count = 0;
     for (unsigned i = 0; i < count; i++) {
         uint64_t until = held[i].until;
+        unsigned before = held_count;
 
         if (now >= until) {
             counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
             continue;
         }
         take_packet(node, now, held[i].bytes, held[i].length);
-        if (held_count > 0) {
-            held[held_count - 1].until =
-                MIN(held[held_count - 1].until, until);
+        if (held_count > before) {
+            held[before].until = MIN(held[before].until, until);
         }
         send_out(node);
     }
--- a/node-settings.c
+++ b/node-settings.c
@@ -104,7 +104,8 @@
      .value = 60000,
      .offset = AT(flow_max_ms),
      .unit = "s",
-     .help = "give the age past which a flow may be forgotten"},
+     .help = "give the time at rest after which a flow may be forgotten, "
+             "where the routing table sets none"},
     {.key = "log_level",
      .type = SCHEMA_WORD,
      .value = 1,
--- a/node-settings.h
+++ b/node-settings.h
@@ -33,7 +33,8 @@
     uint64_t first_start;           /**< 1: the deployment starts empty */
     uint64_t interval_ms;           /**< between an upstream's registrations */
     uint64_t grace_ms;              /**< a stop must be done within it */
-    uint64_t flow_max_ms;           /**< older flows may be forgotten */
+    uint64_t flow_max_ms;           /**< flows at rest so long may be
+                                         forgotten, where no table says */
     int log_level;                  /**< enum log_level */
     struct node_seed *seeds;        /**< whom to ask first */
     size_t seed_count;              /**< of seeds */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -110,13 +110,18 @@
     start_all(sim);
 }
 
-/* Lets an event happen to the leader; nothing happens to none. */
+/* Lets an event happen to the leader, which must be there in time. */
 static void
 happen_to_leader(struct fleet_sim *sim, char event)
 {
-    int leader = fleet_sim_leader(sim);
+    uint64_t until = sim->now + OPERATE_MS;
+    int leader;
 
+    while ((leader = fleet_sim_leader(sim)) < 0 && sim->now < until) {
+        fleet_sim_run(sim, sim->now + 100);
+    }
     if (leader < 0) {
+        fleet_sim_note(sim, "no leader for the event '%c'", event);
         return;
     }
     switch (event) {
@@ -177,6 +182,8 @@
         }
         start_all(sim);
         return;
+    case '.':
+        return;
     default:
         happen_to_leader(sim, event);
         return;
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -91,7 +91,8 @@
     unsigned net; /* second octet of all addresses */
     int nodes;
     struct node_process node[NODES_MAX];
-    GRand *rand;
+    GRand *rand;      /* of faults, so that a seed draws the same ones */
+    GRand *link_rand; /* of datagrams that are lost */
     GArray *held;
     uint64_t began_at;
     uint64_t fault_at;  /* deadline: the next fault */
@@ -105,6 +106,9 @@
     GMutex lock; /* of `acked`, `puts` and `put_at` */
 } soak;
 
+/* Set by a signal: the soak ends what it started, and itself. */
+static volatile sig_atomic_t stop_asked;
+
 /* Notes a broken promise. */
 void
 soak_broken(const char *format, ...)
@@ -275,7 +279,9 @@
     unsigned delay = a->delay_ms + b->delay_ms;
     struct held held = {.at = loop_now() + delay, .to = to};
 
-    if (a->cut_out || b->cut_in || (unsigned)below(100) < a->loss + b->loss) {
+    if (a->cut_out || b->cut_in ||
+        (unsigned)g_rand_int_range(soak.link_rand, 0, 100) <
+            a->loss + b->loss) {
         return;
     }
     held.bytes = g_byte_array_sized_new((guint)length);
@@ -638,7 +644,7 @@
 {
     struct pollfd fds[NODES_MAX + SOAK_HOSTS + 1];
 
-    while (loop_now() < until) {
+    while (loop_now() < until && !stop_asked) {
         uint64_t now = loop_now();
         nfds_t count = 0;
 
@@ -666,6 +672,7 @@
 {
     soak.net = 16 + seed % 200;
     soak.rand = g_rand_new_with_seed(seed);
+    soak.link_rand = g_rand_new_with_seed(seed + 1);
     soak.held = g_array_new(FALSE, FALSE, sizeof(struct held));
     soak.began_at = loop_now();
     (void)snprintf(soak.folder, sizeof(soak.folder), "build/soak-%u", seed);
@@ -723,6 +730,14 @@
     }
 }
 
+/* A signal asks the soak to end. */
+static void
+on_signal(int number)
+{
+    (void)number;
+    stop_asked = 1;
+}
+
 /* Runs the soak. */
 int
 main(int argc, char **argv)
@@ -735,12 +750,19 @@
         (void)fprintf(stderr, "usage: soak SECONDS SEED [NODES]\n");
         return 2;
     }
+    (void)signal(SIGTERM, on_signal);
+    (void)signal(SIGINT, on_signal);
     (void)curl_global_init(CURL_GLOBAL_DEFAULT);
     (void)setvbuf(stdout, NULL, _IOLBF, 0);
     set_up(seed);
     run_until(loop_now() + SETTLE_MS, false);
     run_until(loop_now() + seconds * 1000, true);
     run_until(loop_now() + HEAL_MS, false);
+    if (stop_asked) {
+        tear_down();
+        printf("not ok soak %u: ended by a signal\n", seed);
+        return 1;
+    }
     check_end();
     tear_down();
     printf("seed %u: %u faults, %u puts, %u reads, version %llu, ", seed,
--- a/upstream.c
+++ b/upstream.c
@@ -255,7 +255,9 @@
         upstream = add_upstream(set, record->id);
     }
     differs = is_new || upstream->state != record->state ||
-              upstream->keeper != record->keeper;
+              upstream->keeper != record->keeper ||
+              upstream->address != record->address ||
+              upstream->port != record->port;
     take_record(set, now, upstream, record);
     /* What this node heard before it was restarted, it watches again. */
     upstream->expire_at =
