--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 LOAD := $(patsubst %.c,$(BUILD)/%.o,$(filter-out tests/test-%,$(wildcard tests/*.c)))
 TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test-*.c))
 
-SOAK := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/soak/*.c))
+SOAK := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/soak/*.c platform/standin/*.c))
 
 all: $(BUILD)/ridgeridge $(TOOLS) $(BUILD)/soak
 
--- a/node-http.c
+++ b/node-http.c
@@ -245,14 +245,19 @@
 serve_operators(struct call *call, const char *path)
 {
     size_t prefix = strlen(FLOWS_PATH);
+    char *end = NULL;
+    uint64_t flow;
 
     if (strcmp(path, "/v1/status") == 0) {
         return serve_page(call, node_status(call->node));
     }
     if (strncmp(path, FLOWS_PATH, prefix) == 0) {
-        return serve_page(
-            call, node_explain(call->node,
-                               g_ascii_strtoull(path + prefix, NULL, 16)));
+        flow = g_ascii_strtoull(path + prefix, &end, 16);
+        if (end == path + prefix || *end != '\0') {
+            return refuse(call, MHD_HTTP_BAD_REQUEST,
+                          "a flow is 16 hex digits, as the log names it");
+        }
+        return serve_page(call, node_explain(call->node, flow));
     }
     return serve_counters(call);
 }
--- a/node-pack.c
+++ b/node-pack.c
@@ -6,16 +6,23 @@
 #include "node.h"
 
 /* Deflates a document. */
-void
+bool
 node_pack(const char *text, size_t length, wire_routes *out)
 {
     uLongf size = compressBound(length);
     Bytef *packed = g_malloc(size);
 
-    (void)compress2(packed, &size, (const Bytef *)text, length, Z_BEST_SPEED);
+    if (compress2(packed, &size, (const Bytef *)text, length, Z_BEST_SPEED) !=
+        Z_OK) {
+        log_event(LOG_ERROR, "table-not-packed", "bytes=%zu reason=\"%s\"",
+                  length, "zlib is out of memory");
+        g_free(packed);
+        return false;
+    }
     out->length = (u_int)length;
     out->packed.packed_val = (char *)packed;
     out->packed.packed_len = (u_int)size;
+    return true;
 }
 
 /* Inflates a document. */
--- a/node-packets.c
+++ b/node-packets.c
@@ -317,8 +317,11 @@
                           "port or set another",
                           own->port, g_strerror(errno));
     }
-    (void)setsockopt(node->packets_fd, SOL_SOCKET, SO_RCVBUF, &size,
-                     sizeof(size));
+    if (setsockopt(node->packets_fd, SOL_SOCKET, SO_RCVBUF, &size,
+                   sizeof(size)) != 0) {
+        log_event(LOG_WARN, "receive-buffer-not-set", "bytes=%d error=\"%s\"",
+                  size, g_strerror(errno));
+    }
     loop_watch(node->packets_fd, on_packets, node);
     loop_on_late(on_late, node, STALE_MS);
     return STATUS_OK;
--- a/node-voter.c
+++ b/node-voter.c
@@ -1,83 +1,14 @@
 /*
- * The voter of a node with a disk: a thread that owns consensus and storage.
- * Three parts: what the loop's thread does with news (on_news()), what the
- * voter's thread does (run_voter() and all that it calls), and node_voter_*(),
- * by which the loop's thread queues jobs. The two threads share the queue of
- * jobs, loop_post(), and of a node its settings, counters, histograms and the
- * socket to peers, nothing else. When the disk refuses, the voter lets go
- * of everything and opens the folder again.
+ * The loop's side of a node's voter: queues jobs for its thread, and takes
+ * the news that it posts. Knows nothing of consensus or storage.
  */
-#include <inttypes.h>
-#include <sodium.h>
-#include <string.h>
-
 #include "codec.h"
-#include "hash.h"
 #include "log.h"
 #include "loop.h"
-#include "node.h"
-#include "order.h"
-#include "store.h"
-
-#define REOPEN_MS 300U        /* a refusing disk is tried again so often */
-#define KEPT_FILE "upstreams" /* in the data folder: the inventory */
-#define IDLE_MS 1000U         /* longest sleep of the thread */
-
-/* What the loop asks of the voter. */
-enum job_kind {
-    JOB_MESSAGE, /* of another voter */
-    JOB_DISK,    /* a disk is alive */
-    JOB_FOUND,   /* found the quorum */
-    JOB_SUBMIT,  /* an operator's table */
-    JOB_READ,    /* an operator's question */
-    JOB_KEEP,    /* store the inventory */
-    JOB_RESIGN,  /* give up leading */
-    JOB_STOP     /* end the thread */
-};
-
-/* One job. */
-struct job {
-    enum job_kind kind; /* which of the following is set */
-    uint64_t queued_at; /* time */
-    GByteArray *bytes;  /* MESSAGE, KEEP; owned */
-    wire_node disk;     /* DISK */
-    uint64_t token;     /* SUBMIT, READ */
-    wire_routes routes; /* SUBMIT; packed is owned */
-};
-
-/* What the voter tells the loop. */
-struct news {
-    struct node *node;
-    bool opened;       /* the folder was opened: `identity` to `kept` */
-    uint64_t identity; /* of the disk */
-    uint32_t voters[CONS_REPLICAS_MAX]; /* their addresses */
-    u_int voter_count;                  /* of voters */
-    GByteArray *kept;                   /* the inventory stored, or NULL */
-    bool has_leader;                    /* `term` and `leader` are told */
-    uint64_t term;                      /* of the leader */
-    uint32_t leader;                    /* 0: none is known */
-    bool has_answer;                    /* `token` to `with_table` are told */
-    uint64_t token;                     /* of the call */
-    struct status status;               /* of the answer */
-    bool with_table;                    /* the answer carries `routes` */
-    bool apply;                         /* `routes` was committed */
-    wire_routes routes;                 /* packed is owned */
-};
+#include "node-voter.h"
 
-/* The thread's state. */
-static struct {
-    struct node *node;
-    GThread *thread;
-    GAsyncQueue *jobs;
-    bool open; /* order and store are in use */
-    struct order order;
-    struct store store;
-    uint64_t reopen_at;    /* deadline: open the folder again */
-    uint64_t told_term;    /* of the last leader told */
-    uint32_t told_leader;  /* last leader told */
-    uint64_t logged_index; /* of the last list of voters logged */
-    bool stop;             /* JOB_STOP was done */
-} voter;
+static struct voter_start start;
+static GThread *thread;
 
 /* Merges the inventory that was stored, as if a peer had sent it. */
 static void
@@ -98,10 +29,10 @@
 }
 
 /* Takes news on the loop's thread. */
-static void
-on_news(void *data)
+void
+voter_on_news(void *data)
 {
-    struct news *news = data;
+    struct voter_news *news = data;
     struct node *node = news->node;
     uint64_t now = loop_now();
 
@@ -134,404 +65,9 @@
     node_act(node);
 }
 
-/* Makes empty news. */
-static struct news *
-new_news(void)
-{
-    struct news *news = g_new0(struct news, 1);
-
-    news->node = voter.node;
-    return news;
-}
-
-/* Copies the table held into news. */
-static void
-copy_table(struct news *news)
-{
-    const struct order *order = &voter.order;
-    gsize length = 0;
-    const void *bytes;
-    wire_command command;
-
-    if (order->routes == NULL) {
-        return;
-    }
-    bytes = g_bytes_get_data(order->routes, &length);
-    if (codec_decode_command(bytes, length, &command)) {
-        news->routes = command.wire_command_u.routes;
-        news->routes.packed.packed_val = g_memdup2(
-            news->routes.packed.packed_val, news->routes.packed.packed_len);
-        codec_free_command(&command);
-    }
-}
-
-/* Sends a message to another voter. */
-static void
-send_message(struct cons_action *action)
-{
-    GByteArray *bytes = codec_encode(&action->msg);
-
-    node_send_to_peer(voter.node, action->to, bytes->data, bytes->len);
-    g_byte_array_unref(bytes);
-}
-
-/* Carries out one action of consensus; false when the disk refused. */
-static bool
-act_cons(struct cons_action *action)
-{
-    const struct cons *cons = &voter.order.cons;
-    struct status st = {STATUS_OK, ""};
-    uint64_t before = loop_now_us();
-    uint64_t took_us;
-
-    switch (action->kind) {
-    case CONS_SAVE_TERM:
-        (void)store_save_term(&voter.store, cons->term, cons->vote, &st);
-        break;
-    case CONS_SAVE_ENTRIES:
-        (void)store_append(&voter.store, cons, action->index, action->count,
-                           &st);
-        break;
-    case CONS_SAVE_CUT:
-        (void)store_cut(&voter.store, action->index, &st);
-        break;
-    case CONS_SAVE_SNAPSHOT:
-        (void)store_snapshot(&voter.store, cons, &st);
-        break;
-    case CONS_SEND:
-        send_message(action);
-        return true;
-    case CONS_LOAD:
-        return true;
-    }
-    took_us = loop_now_us() - before;
-    histogram_add(&voter.node->histograms, HISTOGRAM_SYNC, took_us);
-    if (st.kind != STATUS_OK) {
-        counter_add(&voter.node->counters, COUNTER_STORE_ERRORS, 1);
-        log_event(LOG_ERROR, "storage-failed",
-                  "took_ms=%" PRIu64 " message=\"%s\"", loop_now() - before,
-                  st.message);
-        return false;
-    }
-    return true;
-}
-
-/* Lets go of the folder, to open it again soon. */
-static void
-close_folder(void)
-{
-    order_close(&voter.order);
-    store_close(&voter.store);
-    voter.open = false;
-    voter.reopen_at = loop_now() + REOPEN_MS;
-}
-
-/* Names a role in the log. */
-static const char *
-role_name(enum cons_role role)
-{
-    switch (role) {
-    case CONS_FOLLOWER:
-        return "follower";
-    case CONS_CANDIDATE:
-        return "candidate";
-    case CONS_LEADER:
-        return "leader";
-    }
-    return "";
-}
-
-/* Tells the loop who leads, when that changed. */
-static void
-tell_leader(void)
-{
-    const struct cons *cons = &voter.order.cons;
-    struct news *news;
-
-    /* A new leader answers only when it knows all that was committed. */
-    uint32_t leader =
-        cons->role == CONS_LEADER && !cons_is_ready(cons) ? 0 : cons->leader;
-
-    if (cons->term == voter.told_term && leader == voter.told_leader) {
-        return;
-    }
-    voter.told_term = cons->term;
-    voter.told_leader = leader;
-    log_event(LOG_INFO, "leader", "leader=%08x term=%" PRIu64 " role=%s",
-              leader, cons->term, role_name(cons->role));
-    news = new_news();
-    news->has_leader = true;
-    news->term = cons->term;
-    news->leader = leader;
-    loop_post(on_news, news);
-}
-
-/* Logs who votes, when that changed. */
-static void
-log_voters(void)
-{
-    const wire_config *config = cons_config(&voter.order.cons);
-    GString *text;
-
-    if (voter.order.cons.change_index == voter.logged_index) {
-        return;
-    }
-    voter.logged_index = voter.order.cons.change_index;
-    text = g_string_new(NULL);
-    for (u_int i = 0; i < config->voters.voters_len; i++) {
-        const wire_voter *v = &config->voters.voters_val[i];
-
-        g_string_append_printf(text, "%s%08x/%016" PRIx64, i ? "," : "",
-                               v->replica, (uint64_t)v->identity);
-    }
-    log_event(LOG_INFO, "voters", "index=%" PRIu64 " voters=%s",
-              voter.logged_index, text->str);
-    g_string_free(text, TRUE);
-}
-
-/* Carries out all actions; what the disk refused is not answered, and
- * nothing that follows it in the same batch is done. */
-static void
-act_all(void)
-{
-    size_t count;
-    const struct order_action *all = order_actions(&voter.order, &count);
-
-    for (size_t i = 0; i < count; i++) {
-        struct order_action action = all[i];
-        struct news *news;
-
-        switch (action.kind) {
-        case ORDER_CONS:
-            if (!act_cons(&action.cons)) {
-                close_folder();
-                return;
-            }
-            break;
-        case ORDER_REPLY:
-            news = new_news();
-            news->has_answer = true;
-            news->token = action.token;
-            news->status = action.status;
-            news->with_table = action.with_table;
-            if (action.with_table) {
-                copy_table(news);
-            }
-            loop_post(on_news, news);
-            break;
-        case ORDER_APPLY:
-            news = new_news();
-            news->apply = true;
-            copy_table(news);
-            loop_post(on_news, news);
-            break;
-        }
-    }
-    order_clear(&voter.order);
-    tell_leader();
-    log_voters();
-}
-
-/* Reads the inventory that was stored; NULL when there is none. */
-static GByteArray *
-read_kept(void)
-{
-    GByteArray *bytes = store_read_file(voter.store.folder, KEPT_FILE);
-    uint64_t sum;
-
-    if (bytes == NULL) {
-        return NULL;
-    }
-    if (bytes->len > sizeof(sum)) {
-        memcpy(&sum, bytes->data, sizeof(sum));
-        g_byte_array_remove_range(bytes, 0, sizeof(sum));
-        if (sum == hash_checksum(bytes->data, bytes->len)) {
-            return bytes;
-        }
-    }
-    log_event(LOG_WARN, "inventory-damaged", "bytes=%u", bytes->len);
-    g_byte_array_unref(bytes);
-    return NULL;
-}
-
-/* Stores the inventory. It is only a help, so a refusing disk is logged and
- * nothing more. */
-static void
-store_kept(const GByteArray *bytes)
-{
-    uint64_t sum = hash_checksum(bytes->data, bytes->len);
-    GByteArray *file = g_byte_array_new();
-    struct status st = {STATUS_OK, ""};
-
-    g_byte_array_append(file, (const guint8 *)&sum, sizeof(sum));
-    g_byte_array_append(file, bytes->data, bytes->len);
-    if (store_write_file(voter.store.folder, KEPT_FILE, file->data, file->len,
-                         &st) != STATUS_OK) {
-        counter_add(&voter.node->counters, COUNTER_STORE_ERRORS, 1);
-        log_event(LOG_WARN, "inventory-not-stored", "message=\"%s\"",
-                  st.message);
-    }
-    g_byte_array_unref(file);
-}
-
-/* Tells the loop what the folder holds. */
-static void
-tell_opened(void)
-{
-    const wire_config *config = cons_config(&voter.order.cons);
-    struct news *news = new_news();
-
-    news->opened = true;
-    news->identity = voter.store.identity;
-    news->kept = read_kept();
-    for (u_int i = 0; i < config->voters.voters_len; i++) {
-        news->voters[news->voter_count++] =
-            config->voters.voters_val[i].replica;
-    }
-    loop_post(on_news, news);
-}
-
-/* Opens the folder and starts consensus from it. A damaged folder is given
- * up: this replica then joins with a new identity and counts nowhere until
- * it holds the log. */
-static void
-open_folder(void)
-{
-    const struct node_settings *s = &voter.node->settings;
-    struct status st = {STATUS_OK, ""};
-    struct cons_stored stored;
-    uint32_t self = node_settings_address(s);
-    uint64_t seed;
-
-    if (store_open(&voter.store, s->data, STORE_TAIL_TORN, &stored, &st) !=
-        STATUS_OK) {
-        log_event(LOG_ERROR, "storage-not-opened", "message=\"%s\"",
-                  st.message);
-        store_close(&voter.store);
-        if (st.kind == STATUS_DAMAGED) {
-            (void)store_wipe(s->data, &st);
-        }
-        voter.reopen_at = loop_now() + REOPEN_MS;
-        return;
-    }
-    randombytes_buf(&seed, sizeof(seed));
-    order_open(&voter.order, loop_now(), self, voter.store.identity,
-               voter.store.identity == self, seed, &stored,
-               &voter.node->counters);
-    voter.open = true;
-    log_event(LOG_INFO, "storage-opened",
-              "identity=%016" PRIx64 " last_index=%" PRIu64 " version=%" PRIu64
-              " torn_bytes=%" PRIu64,
-              voter.store.identity, cons_last_index(&voter.order.cons),
-              voter.order.version, voter.store.cut_bytes);
-    tell_opened();
-    act_all();
-}
-
-/* Becomes the founder, when nothing was stored here yet. */
-static void
-found(void)
-{
-    struct status st = {STATUS_OK, ""};
-    uint32_t self = node_settings_address(&voter.node->settings);
-
-    if (!voter.open || cons_last_index(&voter.order.cons) > 0 ||
-        voter.order.cons.leader != 0) {
-        return;
-    }
-    if (store_found(&voter.store, self, &st) != STATUS_OK) {
-        log_event(LOG_ERROR, "founding-failed", "message=\"%s\"", st.message);
-        return;
-    }
-    log_event(LOG_INFO, "founding", "replica=%08x", self);
-    close_folder();
-    open_folder();
-}
-
-/* Takes a message of another voter. */
-static void
-take_message(const GByteArray *bytes)
-{
-    wire_msg msg;
-
-    if (codec_decode(bytes->data, bytes->len, &msg)) {
-        order_receive(&voter.order, loop_now(), &msg);
-        codec_free(&msg);
-    }
-}
-
-/* Refuses an operator: the disk does not answer, or did not in time. */
-static void
-refuse(uint64_t token)
-{
-    struct news *news = new_news();
-
-    news->has_answer = true;
-    news->token = token;
-    (void)status_set(&news->status, STATUS_NO_ANSWER,
-                     "this node's disk does not answer; ask another node");
-    loop_post(on_news, news);
-}
-
-/* Passes an operator's call to consensus, or refuses it. */
-static void
-take_call(struct job *job, uint64_t now)
-{
-    if (!voter.open || now > job->queued_at + ORDER_ANSWER_MS) {
-        refuse(job->token);
-    }
-    else if (job->kind == JOB_READ) {
-        order_read(&voter.order, now, job->token);
-    }
-    else {
-        order_submit(&voter.order, now, job->token, &job->routes);
-    }
-}
-
-/* Does one job. */
-static void
-do_job(struct job *job)
-{
-    uint64_t now = loop_now();
-
-    switch (job->kind) {
-    case JOB_MESSAGE:
-        if (voter.open) {
-            take_message(job->bytes);
-        }
-        break;
-    case JOB_DISK:
-        if (voter.open) {
-            order_hear(&voter.order, now, job->disk.address,
-                       job->disk.identity);
-        }
-        break;
-    case JOB_FOUND:
-        found();
-        break;
-    case JOB_SUBMIT:
-    case JOB_READ:
-        take_call(job, now);
-        break;
-    case JOB_KEEP:
-        if (voter.open) {
-            store_kept(job->bytes);
-        }
-        break;
-    case JOB_RESIGN:
-        if (voter.open) {
-            order_resign(&voter.order, now);
-        }
-        break;
-    case JOB_STOP:
-        voter.stop = true;
-        break;
-    }
-}
-
 /* Frees a job. */
-static void
-free_job(struct job *job)
+void
+voter_free_job(struct voter_job *job)
 {
     if (job->bytes != NULL) {
         g_byte_array_unref(job->bytes);
@@ -540,62 +76,39 @@
     g_free(job);
 }
 
-/* Time until the thread has something to do, in us. */
-static uint64_t
-wait_us(void)
-{
-    uint64_t now = loop_now();
-    uint64_t at = voter.open ? order_deadline(&voter.order) : voter.reopen_at;
-
-    at = MIN(at, now + IDLE_MS);
-    return at > now ? (at - now) * 1000 : 0;
-}
-
-/* Runs the thread. */
-static gpointer
-run_voter(gpointer unused)
+/* Refuses an operator whose call cannot be passed on. */
+static void
+refuse(struct node *node, uint64_t token, const char *reason)
 {
-    (void)unused;
-    open_folder();
-    while (!voter.stop) {
-        uint64_t us = wait_us();
-        struct job *job = us > 0 ? g_async_queue_timeout_pop(voter.jobs, us)
-                                 : g_async_queue_try_pop(voter.jobs);
+    struct voter_news *news = g_new0(struct voter_news, 1);
 
-        if (job != NULL) {
-            do_job(job);
-            free_job(job);
-        }
-        if (!voter.open && loop_now() >= voter.reopen_at) {
-            open_folder();
-        }
-        if (voter.open) {
-            order_tick(&voter.order, loop_now());
-            act_all();
-        }
-    }
-    if (voter.open) {
-        close_folder();
-    }
-    return NULL;
+    news->node = node;
+    news->has_answer = true;
+    news->token = token;
+    (void)status_set(&news->status, STATUS_NO_ANSWER, "%s", reason);
+    loop_post(voter_on_news, news);
 }
 
-/* Queues a job; drops it when there is no disk. */
+/* Queues a job. A node without a disk has no voter: operators are refused, and
+ * what other voters say is not meant for it. */
 static void
-push(struct node *node, struct job *job)
+push(struct node *node, struct voter_job *job)
 {
     if (!node->voter.running) {
-        free_job(job);
+        if (job->token != 0) {
+            refuse(node, job->token, "this node has no disk; ask another");
+        }
+        voter_free_job(job);
         return;
     }
-    g_async_queue_push(voter.jobs, job);
+    g_async_queue_push(start.jobs, job);
 }
 
 /* Makes a job. */
-static struct job *
-new_job(enum job_kind kind)
+static struct voter_job *
+new_job(enum voter_job_kind kind)
 {
-    struct job *job = g_new0(struct job, 1);
+    struct voter_job *job = g_new0(struct voter_job, 1);
 
     job->kind = kind;
     job->queued_at = loop_now();
@@ -609,10 +122,10 @@
     if (node->settings.data[0] == '\0') {
         return;
     }
-    voter.node = node;
-    voter.jobs = g_async_queue_new();
+    start.node = node;
+    start.jobs = g_async_queue_new();
     node->voter.running = true;
-    voter.thread = g_thread_new("voter", run_voter, NULL);
+    thread = g_thread_new("voter", voter_run, &start);
 }
 
 /* Ends the thread. */
@@ -620,8 +133,8 @@
 node_stop_voter(struct node *node)
 {
     if (node->voter.running) {
-        push(node, new_job(JOB_STOP));
-        (void)g_thread_join(voter.thread);
+        push(node, new_job(VOTER_JOB_STOP));
+        (void)g_thread_join(thread);
     }
 }
 
@@ -629,7 +142,7 @@
 void
 node_voter_receive(struct node *node, GByteArray *bytes)
 {
-    struct job *job = new_job(JOB_MESSAGE);
+    struct voter_job *job = new_job(VOTER_JOB_MESSAGE);
 
     job->bytes = bytes;
     push(node, job);
@@ -639,7 +152,7 @@
 void
 node_voter_hear(struct node *node, const wire_node *disk)
 {
-    struct job *job = new_job(JOB_DISK);
+    struct voter_job *job = new_job(VOTER_JOB_DISK);
 
     job->disk = *disk;
     push(node, job);
@@ -649,14 +162,14 @@
 void
 node_voter_found(struct node *node)
 {
-    push(node, new_job(JOB_FOUND));
+    push(node, new_job(VOTER_JOB_FOUND));
 }
 
 /* Gives up leading. */
 void
 node_voter_resign(struct node *node)
 {
-    push(node, new_job(JOB_RESIGN));
+    push(node, new_job(VOTER_JOB_RESIGN));
 }
 
 /* Passes an operator's table on. */
@@ -664,11 +177,15 @@
 node_voter_submit(struct node *node, uint64_t token, const char *text,
                   size_t length, uint64_t version)
 {
-    struct job *job = new_job(JOB_SUBMIT);
+    struct voter_job *job = new_job(VOTER_JOB_SUBMIT);
 
     job->token = token;
     job->routes.bundle_version = version;
-    node_pack(text, length, &job->routes);
+    if (!node_pack(text, length, &job->routes)) {
+        refuse(node, token, "the table cannot be packed; send it again");
+        voter_free_job(job);
+        return;
+    }
     push(node, job);
 }
 
@@ -676,7 +193,7 @@
 void
 node_voter_read(struct node *node, uint64_t token)
 {
-    struct job *job = new_job(JOB_READ);
+    struct voter_job *job = new_job(VOTER_JOB_READ);
 
     job->token = token;
     push(node, job);
@@ -686,7 +203,7 @@
 void
 node_voter_keep(struct node *node, GByteArray *bytes)
 {
-    struct job *job = new_job(JOB_KEEP);
+    struct voter_job *job = new_job(VOTER_JOB_KEEP);
 
     job->bytes = bytes;
     push(node, job);
--- a/node.h
+++ b/node.h
@@ -118,8 +118,9 @@
 void node_voter_keep(struct node *node, GByteArray *bytes);
 
 /* node-pack.c */
-/** Deflates a document; free `packed` with g_free(). */
-void node_pack(const char *text, size_t length, wire_routes *out);
+/** Deflates a document, false when zlib refuses; free `packed` with g_free().
+ */
+bool node_pack(const char *text, size_t length, wire_routes *out);
 /** Inflates a document; NULL when it is damaged. Free with g_free(). */
 char *node_unpack(const wire_routes *routes);
 
--- a/order.c
+++ b/order.c
@@ -313,6 +313,10 @@
     if (wait.index != 0) {
         g_array_append_val(order->waits, wait);
     }
+    else {
+        reply(order, token, STATUS_NO_ANSWER,
+              "this node leads no more; send it to another", false);
+    }
     settle(order, now);
 }
 
@@ -353,6 +357,27 @@
     return (const struct order_action *)(void *)order->actions->data;
 }
 
+/* Lists the operators who are still owed an answer. */
+GArray *
+order_unanswered(const struct order *order, size_t from)
+{
+    GArray *tokens = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+    for (size_t i = from; i < order->actions->len; i++) {
+        const struct order_action *action =
+            &g_array_index(order->actions, struct order_action, i);
+
+        if (action->kind == ORDER_REPLY) {
+            g_array_append_val(tokens, action->token);
+        }
+    }
+    for (guint i = 0; i < order->waits->len; i++) {
+        g_array_append_val(
+            tokens, g_array_index(order->waits, struct order_wait, i).token);
+    }
+    return tokens;
+}
+
 /* Forgets the actions, and frees what appends borrowed. */
 void
 order_clear(struct order *order)
--- a/order.h
+++ b/order.h
@@ -123,6 +123,13 @@
 /** Takes the actions. */
 const struct order_action *order_actions(struct order *order, size_t *count);
 
+/**
+ * Lists the operators who are still owed an answer when a disk refused: those
+ * who wait, and those whose answer stands among the actions from `from` on.
+ * @return uint64_t tokens; free with g_array_free()
+ */
+GArray *order_unanswered(const struct order *order, size_t from);
+
 /** Forgets the actions, after they were carried out. */
 void order_clear(struct order *order);
 
--- a/store.c
+++ b/store.c
@@ -116,28 +116,57 @@
     return STATUS_OK;
 }
 
-/* Reads a small file; NULL when it is not there. */
-GByteArray *
-store_read_file(int folder, const char *name)
+/* Reads what an open file holds. */
+static bool
+read_all(int fd, GByteArray *out)
+{
+    size_t at = 0;
+
+    while (at < out->len) {
+        ssize_t n = pread(fd, out->data + at, out->len - at, (off_t)at);
+
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n < 0) {
+            return false;
+        }
+        if (n == 0) {
+            break;
+        }
+        at += (size_t)n;
+    }
+    g_byte_array_set_size(out, (guint)at);
+    return true;
+}
+
+/* Reads a small file. One that is there and cannot be read is an error of the
+ * disk, neither a new disk nor damage. */
+enum status_kind
+store_read_file(int folder, const char *name, GByteArray **out,
+                struct status *st)
 {
     int fd = openat(folder, name, O_RDONLY | O_CLOEXEC);
     struct stat info;
-    GByteArray *out;
-    ssize_t n;
 
+    *out = NULL;
     if (fd < 0) {
-        return NULL;
+        return errno == ENOENT ? STATUS_OK : io_error(st, "open", name);
     }
     if (fstat(fd, &info) != 0 || info.st_size > INT32_MAX) {
+        (void)io_error(st, "read", name);
         (void)close(fd);
-        return NULL;
+        return st->kind;
+    }
+    *out = g_byte_array_sized_new((guint)info.st_size + 1);
+    g_byte_array_set_size(*out, (guint)info.st_size);
+    if (!read_all(fd, *out)) {
+        (void)io_error(st, "read", name);
+        g_byte_array_unref(*out);
+        *out = NULL;
     }
-    out = g_byte_array_sized_new((guint)info.st_size + 1);
-    g_byte_array_set_size(out, (guint)info.st_size);
-    n = pread(fd, out->data, out->len, 0);
-    g_byte_array_set_size(out, n > 0 ? (guint)n : 0);
     (void)close(fd);
-    return out;
+    return *out != NULL ? STATUS_OK : st->kind;
 }
 
 /* Checksum of a record. */
@@ -155,9 +184,12 @@
 static enum status_kind
 load_vote(struct store *store, struct cons_stored *stored, struct status *st)
 {
-    GByteArray *bytes = store_read_file(store->folder, "vote");
+    GByteArray *bytes;
     struct vote_file file;
 
+    if (store_read_file(store->folder, "vote", &bytes, st) != STATUS_OK) {
+        return st->kind;
+    }
     if (bytes == NULL) {
         return STATUS_OK;
     }
@@ -202,11 +234,14 @@
 load_snapshot(struct store *store, struct cons_stored *stored,
               struct status *st)
 {
-    GByteArray *bytes = store_read_file(store->folder, "snapshot");
+    GByteArray *bytes;
     struct snapshot_file file;
     const guint8 *body;
     bool ok;
 
+    if (store_read_file(store->folder, "snapshot", &bytes, st) != STATUS_OK) {
+        return st->kind;
+    }
     if (bytes == NULL) {
         return STATUS_OK;
     }
@@ -345,9 +380,12 @@
 load_log(struct store *store, struct cons_stored *stored, struct status *st)
 {
     uint64_t magic = LOG_MAGIC;
-    GByteArray *bytes = store_read_file(store->folder, "log");
+    GByteArray *bytes;
     enum status_kind kind;
 
+    if (store_read_file(store->folder, "log", &bytes, st) != STATUS_OK) {
+        return st->kind;
+    }
     if (bytes == NULL || bytes->len == 0) {
         if (bytes != NULL) {
             g_byte_array_unref(bytes);
@@ -356,7 +394,9 @@
                              st) != STATUS_OK) {
             return st->kind;
         }
-        bytes = store_read_file(store->folder, "log");
+        if (store_read_file(store->folder, "log", &bytes, st) != STATUS_OK) {
+            return st->kind;
+        }
     }
     store->log = openat(store->folder, "log", O_RDWR | O_CLOEXEC);
     if (store->log < 0 || bytes == NULL) {
@@ -378,8 +418,11 @@
 static enum status_kind
 load_identity(struct store *store, struct status *st)
 {
-    GByteArray *bytes = store_read_file(store->folder, "identity");
+    GByteArray *bytes;
 
+    if (store_read_file(store->folder, "identity", &bytes, st) != STATUS_OK) {
+        return st->kind;
+    }
     if (bytes != NULL && bytes->len == sizeof(store->identity)) {
         memcpy(&store->identity, bytes->data, sizeof(store->identity));
         g_byte_array_unref(bytes);
--- a/store.h
+++ b/store.h
@@ -75,8 +75,13 @@
 enum status_kind store_snapshot(struct store *store, const struct cons *cons,
                                 struct status *st);
 
-/** Reads a small file; NULL when it is not there. */
-GByteArray *store_read_file(int folder, const char *name);
+/**
+ * Reads a small file.
+ * @param out receives its bytes, NULL when it is not there
+ * @return STATUS_IO when it is there and cannot be read
+ */
+enum status_kind store_read_file(int folder, const char *name,
+                                 GByteArray **out, struct status *st);
 
 /** Writes a whole small file under a folder: temporary, sync, rename. */
 enum status_kind store_write_file(int folder, const char *name,
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -12,8 +12,8 @@
 #define DELAY_MS 1       /* least time that a message is under way */
 #define JITTER_MS 3      /* most that is added to it */
 #define TRY_MS 100 /* between an operator's calls until one is answered */
-#define BEAT_TRY_MS 1000 /* until an upstream asks another node */
-#define SEEDS 3          /* nodes that the settings of each name */
+#define TRY_AGAIN_MS 1000 /* until an upstream asks another node */
+#define SEEDS 3           /* nodes that the settings of each name */
 #define FLOW_MAX_MS 60000
 #define FIRST_ADDRESS 0x0a010010U   /* 10.1.0.16 */
 #define UPSTREAM_ADDRESS 0x0a800000 /* 10.128.0.0 */
@@ -513,7 +513,8 @@
 
 /* Lets an upstream register. */
 static void
-beat(struct fleet_sim *sim, struct fleet_sim_upstream *u, int index)
+register_upstream(struct fleet_sim *sim, struct fleet_sim_upstream *u,
+                  int index)
 {
     struct upstream_registration registration = {.id = u->id,
                                                  .service = "feed",
@@ -529,24 +530,24 @@
     registration.sequence = ++u->sequence;
     if (!is_running(sim, n)) {
         u->keeper = -1;
-        u->beat_at = sim->now + BEAT_TRY_MS;
+        u->register_at = sim->now + TRY_AGAIN_MS;
         return;
     }
     u->keeper = n;
-    u->beat_at = sim->now + FLEET_SIM_INTERVAL_MS;
+    u->register_at = sim->now + FLEET_SIM_INTERVAL_MS;
     upstream_register(&sim->nodes[n].upstreams, sim->now, &registration);
     act(sim, n);
 }
 
 /* Lets upstreams register. */
 static void
-beat_all(struct fleet_sim *sim)
+register_all(struct fleet_sim *sim)
 {
     for (int i = 0; i < sim->upstream_count; i++) {
         struct fleet_sim_upstream *u = &sim->upstreams[i];
 
-        if (u->up && sim->now >= u->beat_at) {
-            beat(sim, u, i);
+        if (u->up && sim->now >= u->register_at) {
+            register_upstream(sim, u, i);
         }
     }
 }
@@ -610,7 +611,7 @@
 {
     while (sim->now < until) {
         sim->now += STEP_MS;
-        beat_all(sim);
+        register_all(sim);
         deliver_due(sim);
         for (int i = 0; i < sim->count; i++) {
             if (is_running(sim, i)) {
@@ -644,7 +645,7 @@
             .id = fleet_sim_random(sim, 0) >> 24 | 1,
             .up = true,
             .keeper = -1,
-            .beat_at =
+            .register_at =
                 sim->now + fleet_sim_random(sim, FLEET_SIM_INTERVAL_MS)};
     }
     return sim;
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -39,7 +39,7 @@
     bool up;
     bool leaving;
     int keeper; /* node that it registers with, -1: any */
-    uint64_t beat_at;
+    uint64_t register_at;
 };
 
 /* What a fleet is made of. */
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -435,6 +435,12 @@
     {"version-past-2-53", "", "\"version\":9007199254740993,\"services\":[]",
      false},
     {"version-text", "", "\"version\":\"7\",\"services\":[]", false},
+    {"limits-no-object", "", "\"version\":7,\"services\":[],\"limits\":[]",
+     false},
+    {"idle-no-number", "",
+     "\"version\":7,\"services\":[],\"limits\":{\"idle_timeout_ms\":\"9\"}",
+     false},
+    {"no-limits", "", "\"version\":7,\"services\":[]", true},
     {"services-missing", "", "\"version\":7", false},
 };
 
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -290,6 +290,34 @@
     fleet_sim_free(sim);
 }
 
+/* When a disk refuses, every operator who waits is owed an answer: those who
+ * wait for a quorum, and those whose answer was not given yet. */
+static void
+test_unanswered(void)
+{
+    struct counters counters = {{0}};
+    struct order order;
+    wire_routes routes = {.bundle_version = 2};
+    GArray *tokens;
+    size_t count;
+
+    order_open(&order, 1, 7, 7, true, 1, NULL, &counters);
+    order_tick(&order, 2);
+    order_clear(&order);
+    /* A founder alone is its own quorum: answered in the same batch. */
+    order_submit(&order, 2 + ORDER_SETTLE_MS, 41, &routes);
+    (void)order_actions(&order, &count);
+    g_assert_cmpuint(count, >, 0);
+    tokens = order_unanswered(&order, 0);
+    g_assert_cmpuint(tokens->len, ==, 1);
+    g_assert_cmpuint(g_array_index(tokens, uint64_t, 0), ==, 41);
+    g_array_free(tokens, TRUE);
+    tokens = order_unanswered(&order, count);
+    g_assert_cmpuint(tokens->len, ==, 0);
+    g_array_free(tokens, TRUE);
+    order_close(&order);
+}
+
 /* Lists the tests. */
 int
 main(int argc, char **argv)
@@ -306,5 +334,6 @@
                        knowns[i].name);
         g_test_add_data_func(path, &knowns[i], test_known);
     }
+    g_test_add_func("/fleet/unanswered", test_unanswered);
     return g_test_run();
 }
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -201,6 +201,27 @@
     remove_folder(&f);
 }
 
+/* A file that is there and cannot be read is neither a new disk nor damage:
+ * either would throw away what was acknowledged. */
+static void
+test_unreadable(gconstpointer data)
+{
+    const char *name = data;
+    struct fixture f = {.tail = STORE_TAIL_TORN};
+    struct status st;
+    char *path;
+
+    make_folder(&f, 3);
+    path = g_build_filename(f.path, name, NULL);
+    (void)g_unlink(path);
+    g_assert_cmpint(g_mkdir(path, 0700), ==, 0);
+    g_assert_cmpint(open_folder(&f, &st), ==, STATUS_IO);
+    close_folder(&f, false);
+    g_assert_cmpint(g_rmdir(path), ==, 0);
+    g_free(path);
+    remove_folder(&f);
+}
+
 /* Term and vote last over a restart; a damaged vote refuses to start. */
 static void
 test_vote(void)
@@ -357,6 +378,12 @@
         (void)snprintf(path, sizeof(path), "/store/harm/%s", harms[i].name);
         g_test_add_data_func(path, &harms[i], test_harm);
     }
+    g_test_add_data_func("/store/unreadable/identity", "identity",
+                         test_unreadable);
+    g_test_add_data_func("/store/unreadable/vote", "vote", test_unreadable);
+    g_test_add_data_func("/store/unreadable/snapshot", "snapshot",
+                         test_unreadable);
+    g_test_add_data_func("/store/unreadable/log", "log", test_unreadable);
     g_test_add_func("/store/vote", test_vote);
     g_test_add_func("/store/lock", test_lock);
     g_test_add_func("/store/new-disk", test_new_disk);
--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -11,9 +11,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include "address.h"
 #include "loop.h"
-#include "platform/platform.h"
+#include "platform/standin/standin.h"
 
 #define HOST_PORT 17110
 #define FLOWS 120           /* of all callers, open at once */
@@ -21,10 +20,12 @@
 #define ROUTE_B 0xc6120002U /* 198.18.0.2 */
 #define ROUTE_PORT 443
 #define FIRST_CALLER_PORT 20000
-#define DATA_MS 250     /* between data on an open flow */
-#define LIFE_MS 20000   /* longest life of a flow */
-#define COPY_1_MS 200   /* a first packet is sent again */
-#define COPY_2_MS 600   /* and once more */
+#define DATA_MS 250   /* between data on an open flow */
+#define LIFE_MS 20000 /* longest life of a flow */
+#define SHORT_LIFE_MS                                                         \
+    800               /* life of each fourth flow, so that flows always open */
+#define COPY_1_MS 200 /* a first packet is sent again */
+#define COPY_2_MS 600 /* and once more */
 #define GIVE_UP_MS 1400 /* then the flow is given up */
 #define DRAIN_MS 3000   /* a confirmed leaving is known everywhere */
 #define LEAVE_MS 6000   /* a leaving host ends after it */
@@ -32,10 +33,7 @@
 #define DATA_BYTES 100  /* of a request and of its answer */
 #define LAG_MAX 20      /* data without an answer: the flow is given up */
 #define SECOND_HOSTS 2  /* the last hosts serve "b", the others "a" */
-#define AT_FLAGS 30     /* place of the flags in a head */
-#define FLAG_SYN 64
-#define FLAG_ACK 128
-#define FLAG_RST 32
+#define SAFE_MS 1000    /* callers of the soak's routes give up after it */
 
 /* One upstream process. */
 struct host {
@@ -93,23 +91,6 @@
     return (uint32_t)(world.random >> 33) % bound;
 }
 
-/* Writes a head: fields little-endian at the places of the pages. */
-static void
-put_head(uint8_t *out, uint32_t src, uint16_t sport, uint32_t dst,
-         uint16_t dport, uint32_t token, uint32_t ack, uint16_t length,
-         uint8_t flags)
-{
-    memset(out, 0, PLATFORM_HEAD_BYTES);
-    memcpy(out + 4, &sport, 2);
-    memcpy(out + 6, &dst, 4);
-    memcpy(out + 10, &src, 4);
-    memcpy(out + 14, &dport, 2);
-    memcpy(out + 16, &token, 4);
-    memcpy(out + 24, &ack, 4);
-    memcpy(out + 28, &length, 2);
-    out[AT_FLAGS] = flags;
-}
-
 /* Sends bytes. */
 static void
 send_to(int fd, uint32_t address, uint16_t port, const uint8_t *bytes,
@@ -125,25 +106,27 @@
 
 /* Registers a host, or says that it ends. */
 static void
-beat(struct host *host, int index, bool ends)
+register_host(struct host *host, int index, bool ends)
 {
-    char place[ADDRESS_TEXT];
-    char path[64];
-    char *body = g_strdup_printf(
-        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"hall-0\","
-        "\"version\":\"v1\",\"slots\":2,\"state\":\"%s\","
-        "\"warmup_remaining_ms\":0,\"sequence\":%llu}",
-        host->service_b ? "b" : "a",
-        address_format(world.hosts + (uint32_t)index, HOST_PORT, place),
-        host->leaving ? "draining" : "ready",
-        (unsigned long long)++host->sequence);
+    char path[STANDIN_PATH_MAX];
+    struct upstream_registration registration = {.id = host->id,
+                                                 .address = world.hosts +
+                                                            (uint32_t)index,
+                                                 .port = HOST_PORT,
+                                                 .slots = 2,
+                                                 .leaving = host->leaving,
+                                                 .sequence = ++host->sequence};
+    char *body;
     GString *answer = g_string_new(NULL);
     bool leaving = host->leaving;
     uint64_t id = host->id;
     long status;
 
-    (void)snprintf(path, sizeof(path), "/-/instances/i-%llx",
-                   (unsigned long long)id);
+    g_strlcpy(registration.service, host->service_b ? "b" : "a",
+              sizeof(registration.service));
+    g_strlcpy(registration.hall, "hall-0", sizeof(registration.hall));
+    body = standin_registration(&registration);
+    standin_upstream_path(id, path);
     status = soak_call(
         ends ? "DELETE" : "PUT", world.nodes + (uint32_t)host->keeper,
         world.control_port, path, ends ? NULL : body, answer, NULL);
@@ -159,7 +142,7 @@
 
 /* The registering thread of a host. */
 static gpointer
-run_beats(gpointer data)
+run_registrations(gpointer data)
 {
     int index = GPOINTER_TO_INT(data);
     struct host *host = &world.host[index];
@@ -168,8 +151,9 @@
         uint64_t now = loop_now();
 
         if (host->up && now >= host->paused_until) {
-            beat(host, index,
-                 host->leaving && host->end_at != 0 && now >= host->end_at);
+            register_host(host, index,
+                          host->leaving && host->end_at != 0 &&
+                              now >= host->end_at);
             if (host->leaving && host->end_at != 0 && now >= host->end_at) {
                 host->up = false;
                 host->start_at = now + REUSE_MS;
@@ -217,7 +201,8 @@
         host->keeper = i % node_count;
         host->flows = g_hash_table_new(g_direct_hash, g_direct_equal);
         start_host(host);
-        (void)g_thread_new("beats", run_beats, GINT_TO_POINTER(i));
+        (void)g_thread_new("registrations", run_registrations,
+                           GINT_TO_POINTER(i));
     }
 }
 
@@ -250,9 +235,16 @@
        uint32_t number, uint8_t flags, uint16_t length)
 {
     uint8_t out[PLATFORM_HEAD_BYTES + PLATFORM_DATA_MAX] = {0};
-
-    put_head(out, p->destination, p->destination_port, p->source,
-             p->source_port, p->token, number, length, flags);
+    struct platform_head head = {.source = p->destination,
+                                 .source_port = p->destination_port,
+                                 .destination = p->source,
+                                 .destination_port = p->source_port,
+                                 .token = p->token,
+                                 .acknowledged = number,
+                                 .length = length,
+                                 .flags = flags};
+
+    platform_write_head(&head, out);
     send_to(host->fd, p->source, world.packet_port, out,
             PLATFORM_HEAD_BYTES + length);
 }
@@ -369,7 +361,7 @@
     if (!platform_read_packet(bytes, length, &p)) {
         return;
     }
-    flags = bytes[AT_FLAGS];
+    flags = standin_flags(bytes);
     flow = flow_of(p.destination_port);
     if (flow == NULL) {
         return;
@@ -426,9 +418,17 @@
           uint16_t length)
 {
     uint8_t out[PLATFORM_HEAD_BYTES + PLATFORM_DATA_MAX] = {0};
-
-    put_head(out, world.callers, flow->port, flow->route, ROUTE_PORT,
-             (flags & FLAG_SYN) != 0 ? 0 : flow->token, ack, length, flags);
+    struct platform_head head = {.source = world.callers,
+                                 .source_port = flow->port,
+                                 .destination = flow->route,
+                                 .destination_port = ROUTE_PORT,
+                                 .token =
+                                     (flags & FLAG_SYN) != 0 ? 0 : flow->token,
+                                 .acknowledged = ack,
+                                 .length = length,
+                                 .flags = flags};
+
+    platform_write_head(&head, out);
     send_to(world.caller_fd, soak_route(flow->port * 2654435761U),
             world.packet_port, out, PLATFORM_HEAD_BYTES + length);
 }
@@ -448,6 +448,13 @@
     send_flow(flow, FLAG_SYN, 0, 0);
 }
 
+/* How long a flow lives. */
+static uint64_t
+life_of(const struct flow *flow)
+{
+    return (flow - world.flow) % 4 == 0 ? SHORT_LIFE_MS : LIFE_MS;
+}
+
 /* Lets a flow do what is due. */
 static void
 run_flow(struct flow *flow, uint64_t now)
@@ -477,7 +484,7 @@
             world.data++;
             send_flow(flow, FLAG_ACK, flow->number, DATA_BYTES);
         }
-        if (now > flow->began_at + LIFE_MS ||
+        if (now > flow->began_at + life_of(flow) ||
             flow->data_sent > flow->answered + LAG_MAX) {
             flow->state = FLOW_CLOSED;
         }
@@ -533,17 +540,21 @@
 char *
 soak_table(uint64_t version)
 {
-    return g_strdup_printf(
-        "{\"version\":%llu,\"routes\":["
-        "{\"name\":\"r-a\",\"hostname\":\"198.18.0.1\","
-        "\"path_prefix\":\"/443/\",\"kind\":\"safe\",\"timeout_ms\":%llu,"
-        "\"service\":\"a\"},"
-        "{\"name\":\"r-b\",\"hostname\":\"198.18.0.2\","
-        "\"path_prefix\":\"/443/\",\"kind\":\"unsafe\",\"timeout_ms\":1000,"
-        "\"service\":\"b\"}],"
-        "\"services\":[{\"name\":\"a\"},{\"name\":\"b\"}],"
-        "\"limits\":{\"idle_timeout_ms\":15000}}",
-        (unsigned long long)version, 1000 + (unsigned long long)version % 7);
+    const struct standin_route routes[] = {
+        {.name = "r-a",
+         .service = "a",
+         .address = ROUTE_A,
+         .port = ROUTE_PORT,
+         .deadline_ms = SAFE_MS + version % 7},
+        {.name = "r-b",
+         .service = "b",
+         .address = ROUTE_B,
+         .port = ROUTE_PORT,
+         .once = true,
+         .deadline_ms = SAFE_MS},
+    };
+
+    return standin_table(version, routes, G_N_ELEMENTS(routes));
 }
 
 /* Prints what callers saw. */
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -27,6 +27,7 @@
 #include "address.h"
 #include "loop.h"
 #include "host.h"
+#include "platform/standin/standin.h"
 
 #define NODES_MAX 24
 #define DISKS 3
@@ -36,6 +37,9 @@
 #define PEER_PORT 17103
 #define CALM_MS 5000   /* without a fault, all that is timed must hold */
 #define SETTLE_MS 6000 /* from the start to the first fault */
+#define LEAVING_MS                                                            \
+    6000               /* two upstreams leave while all is calm: no new       \
+                          flow may come to them after a while */
 #define HEAL_MS 12000  /* after the last fault */
 #define STOP_MS 6000   /* a planned stop is done within it */
 #define RESTART_MS 200 /* from an end to the next start */
@@ -386,7 +390,7 @@
         uint32_t where = 0;
 
         g_string_truncate(answer, 0);
-        status = soak_call(method, at, CONTROL_PORT, "/-/configuration", body,
+        status = soak_call(method, at, CONTROL_PORT, STANDIN_TABLE_PATH, body,
                            answer, &where);
         if (status != 307 || where == 0) {
             break;
@@ -421,7 +425,7 @@
     else if (operate("GET", NULL, answer) == 200) {
         unsigned long long read = 0;
 
-        (void)sscanf(answer->str, "{\"version\":%llu", &read);
+        (void)sscanf(answer->str, STANDIN_VERSION_FORMAT, &read);
         soak.reads++;
         soak.read_at = loop_now();
         if (read < acked) {
@@ -454,7 +458,7 @@
     while (!soak.over) {
         GString *answer = g_string_new(NULL);
         bool ok = soak_call("GET", address_of(ADDRESS_NODE, n), READY_PORT,
-                            "/-/readiness", NULL, answer, NULL) == 200;
+                            STANDIN_READY_PATH, NULL, answer, NULL) == 200;
 
         node->misses = ok ? 0 : node->misses + 1;
         if (ok || node->misses >= ASK_MISSES) {
@@ -758,6 +762,9 @@
     run_until(loop_now() + SETTLE_MS, false);
     run_until(loop_now() + seconds * 1000, true);
     run_until(loop_now() + HEAL_MS, false);
+    soak_host_fault(SOAK_HOST_LEAVES);
+    soak_host_fault(SOAK_HOST_LEAVES);
+    run_until(loop_now() + LEAVING_MS, false);
     if (stop_asked) {
         tear_down();
         printf("not ok soak %u: ended by a signal\n", seed);
