library: load ulfius, curl and microhttpd by name, when they are needed

Most of it was the loading of 52 shared libraries: 9.7 ms of processor time, of which a node needs a fifth before its first packet. Ruled out: the node's own start (settings, sockets: under 0.3 ms), the disk (VMs with one start in 0.04 s), linking with unresolved symbols and lazy binding (a trial: the loader refuses it). Change: library.h names the functions used; commands load what they need before they run; a node opens HTTP, and with it libmicrohttpd, once it is settled or 0.3 s after its start. What is left of the start is the loading of the others and what the platform charges for each system call.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 #   make            the program and the tools
 #   make tests      the test programs
 #   make SANITIZE=1 the same under build-asan with ASan and UBSan
-PACKAGES := libulfius libcurl libtirpc popt json-c libsodium libxxhash glib-2.0 zlib
+PACKAGES := libtirpc popt json-c libsodium libxxhash glib-2.0 zlib
+# Compiled against, and loaded only by the commands that need them: library.h.
+LOADED := libulfius libcurl libmicrohttpd
 BUILD := build
 OPTIMIZE := -O2
 ifdef SANITIZE
@@ -13,8 +15,13 @@
 CFLAGS := -std=c11 -D_GNU_SOURCE -DU_DISABLE_JANSSON -g $(OPTIMIZE) \
 	-Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wno-cast-function-type -Wno-format-truncation -fPIE \
-	$(shell pkg-config --cflags $(PACKAGES))
-LDLIBS := $(shell pkg-config --libs $(PACKAGES)) -lmicrohttpd -lev -lm -lpthread
+	$(shell pkg-config --cflags $(PACKAGES) $(LOADED))
+LDLIBS := $(shell pkg-config --libs $(PACKAGES)) -lev -lm -lpthread
+# The stand-ins call these directly.
+LOADED_LIBS := $(shell pkg-config --libs $(LOADED))
+# Name of the shared object that a library's file for the linker stands for.
+object_of = $(shell objdump -p $$($(CC) -print-file-name=lib$(1).so) | \
+	sed -n 's/^ *SONAME *//p')
 GENERATED_CFLAGS := -Wno-unused-variable -Wno-error -Wno-missing-prototypes
 
 SOURCES := $(wildcard *.c platform/*.c)
@@ -43,14 +50,19 @@
 	@ar rcs $@ $^
 
 $(BUILD)/soak: $(SOAK) $(BUILD)/lib.a
-	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
+	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LOADED_LIBS) $(LDLIBS)
 
 $(BUILD)/%: $(BUILD)/tools/%.o $(LOAD) $(BUILD)/lib.a
-	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
+	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LOADED_LIBS) $(LDLIBS)
 
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(LOAD) $(BUILD)/lib.a
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
 
+$(BUILD)/library.o: CFLAGS += \
+	-DLIBRARY_ULFIUS_OBJECT='"$(call object_of,ulfius)"' \
+	-DLIBRARY_CURL_OBJECT='"$(call object_of,curl)"' \
+	-DLIBRARY_MICROHTTPD_OBJECT='"$(call object_of,microhttpd)"'
+
 $(BUILD)/generated/%.o: generated/%.c
 	@mkdir -p $(dir $@)
 	@$(CC) $(CFLAGS) $(GENERATED_CFLAGS) -I. -Itests -MMD -c -o $@ $<
--- a/auth.c
+++ b/auth.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "library.h"
+
 #define BEARER "Bearer "
 
 /* Finds the operator of a request. */
@@ -12,7 +14,8 @@
 auth_operator(const struct settings *settings,
               const struct _u_request *request)
 {
-    const char *header = u_map_get_case(request->map_header, "Authorization");
+    const char *header =
+        library_ulfius.map_get_case(request->map_header, "Authorization");
     const struct settings_operator *found = NULL;
     unsigned char digest[crypto_hash_sha256_BYTES];
 
--- a/client.c
+++ b/client.c
@@ -1,12 +1,12 @@
 /* HTTP of operators' commands. */
 #include "client.h"
 
-#include <curl/curl.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "address.h"
+#include "library.h"
 
 #define CALL_MS 5000L
 #define CONNECT_MS 500L
@@ -75,41 +75,42 @@
             const char *submission, const char *body, size_t length,
             struct client_reply *out)
 {
-    CURL *curl = curl_easy_init();
+    CURL *curl = library_curl.init();
     struct curl_slist *headers = NULL;
     GString *answer = g_string_new("");
     char line[256];
 
     out->status = 0;
-    headers = curl_slist_append(headers, "Expect:");
-    headers = curl_slist_append(headers, "Content-Type: application/json");
+    headers = library_curl.list_append(headers, "Expect:");
+    headers =
+        library_curl.list_append(headers, "Content-Type: application/json");
     if (credentials != NULL) {
         (void)snprintf(line, sizeof(line), "Authorization: Bearer %s",
                        credentials->token);
-        headers = curl_slist_append(headers, line);
+        headers = library_curl.list_append(headers, line);
     }
     if (submission != NULL) {
         (void)snprintf(line, sizeof(line), "Idempotency-Key: %s", submission);
-        headers = curl_slist_append(headers, line);
+        headers = library_curl.list_append(headers, line);
     }
-    (void)curl_easy_setopt(curl, CURLOPT_URL, url);
-    (void)curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
-    (void)curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+    (void)library_curl.setopt(curl, CURLOPT_URL, url);
+    (void)library_curl.setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+    (void)library_curl.setopt(curl, CURLOPT_HTTPHEADER, headers);
     if (body != NULL) {
-        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
-        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
-                               (curl_off_t)length);
+        (void)library_curl.setopt(curl, CURLOPT_POSTFIELDS, body);
+        (void)library_curl.setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+                                  (curl_off_t)length);
     }
-    (void)curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-    (void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
-    (void)curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, CALL_MS);
-    (void)curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
-    (void)curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-    if (curl_easy_perform(curl) == CURLE_OK) {
-        (void)curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &out->status);
+    (void)library_curl.setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+    (void)library_curl.setopt(curl, CURLOPT_WRITEDATA, answer);
+    (void)library_curl.setopt(curl, CURLOPT_TIMEOUT_MS, CALL_MS);
+    (void)library_curl.setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
+    (void)library_curl.setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    if (library_curl.perform(curl) == CURLE_OK) {
+        (void)library_curl.getinfo(curl, CURLINFO_RESPONSE_CODE, &out->status);
     }
-    curl_slist_free_all(headers);
-    curl_easy_cleanup(curl);
+    library_curl.list_free(headers);
+    library_curl.cleanup(curl);
     out->length = answer->len;
     out->body = g_string_free(answer, FALSE);
 }
--- a/cmd-bundle.c
+++ b/cmd-bundle.c
@@ -30,5 +30,6 @@
     .args = "",
     .takes = CMD_SETTINGS | CMD_CREDENTIALS,
     .help = "Print the text of the bundle rolled out last.",
+    .libraries = LIBRARY_CURL,
     .run = run,
 };
--- a/cmd-control.c
+++ b/cmd-control.c
@@ -20,5 +20,6 @@
     .args = "",
     .takes = CMD_SETTINGS,
     .help = "Run a control VM.",
+    .libraries = LIBRARY_ULFIUS,
     .run = run,
 };
--- a/cmd-entry.c
+++ b/cmd-entry.c
@@ -20,5 +20,6 @@
     .args = "",
     .takes = CMD_SETTINGS,
     .help = "Run an entry VM.",
+    .libraries = LIBRARY_ULFIUS | LIBRARY_CURL | LIBRARY_MICROHTTPD,
     .run = run,
 };
--- a/cmd-explain.c
+++ b/cmd-explain.c
@@ -417,5 +417,6 @@
     .takes = CMD_SETTINGS | CMD_CREDENTIALS | CMD_JSON | CMD_VERIFY,
     .help = "Explain flow SERVICE ADDRESS:PORT, request HOST KEY, upstream "
             "NAME, bundle, or refusal TYPE.",
+    .libraries = LIBRARY_CURL,
     .run = run,
 };
--- a/cmd-node-status.c
+++ b/cmd-node-status.c
@@ -79,5 +79,6 @@
     .min_args = 1,
     .max_args = 3,
     .help = "Show a node's state, or why it decided about a flow.",
+    .libraries = LIBRARY_CURL,
     .run = run,
 };
--- a/cmd-report.c
+++ b/cmd-report.c
@@ -198,5 +198,6 @@
     .takes = CMD_SETTINGS | CMD_CREDENTIALS | CMD_JSON | CMD_PLOT,
     .help = "Report how fast each service spends its error budget, over "
             "four windows.",
+    .libraries = LIBRARY_CURL,
     .run = run,
 };
--- a/cmd-sign-off.c
+++ b/cmd-sign-off.c
@@ -102,5 +102,6 @@
     .takes = CMD_SETTINGS | CMD_CREDENTIALS,
     .help = "Sign the accepted bundle off, as another operator than its "
             "submitter; its roll-out begins.",
+    .libraries = LIBRARY_CURL,
     .run = run,
 };
--- a/cmd-status.c
+++ b/cmd-status.c
@@ -197,5 +197,6 @@
     .takes = CMD_SETTINGS | CMD_CREDENTIALS | CMD_JSON | CMD_WATCH,
     .help = "Show the bundle, its roll-out, the entries and their leases; "
             "exit 3 when no quorum confirms it.",
+    .libraries = LIBRARY_CURL,
     .run = run,
 };
--- a/cmd-submit.c
+++ b/cmd-submit.c
@@ -63,5 +63,6 @@
     .max_args = 1,
     .takes = CMD_SETTINGS | CMD_CREDENTIALS | CMD_SUBMISSION,
     .help = "Submit a bundle; sending it again gets the first outcome.",
+    .libraries = LIBRARY_CURL,
     .run = run,
 };
--- a/cmd-voters.c
+++ b/cmd-voters.c
@@ -38,5 +38,6 @@
     .takes = CMD_SETTINGS | CMD_CREDENTIALS | CMD_REMOVE,
     .help = "Add a caught-up control VM to the voters, or remove one; one "
             "at a time.",
+    .libraries = LIBRARY_CURL,
     .run = run,
 };
--- a/cmd.h
+++ b/cmd.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 
 #include "client.h"
+#include "library.h"
 #include "settings.h"
 #include "status.h"
 
@@ -39,12 +40,13 @@
 
 /** One command. */
 struct cmd {
-    const char *name; /**< as typed */
-    const char *args; /**< operands, for usage */
-    int min_args;     /**< operands at least */
-    int max_args;     /**< operands at most */
-    unsigned takes;   /**< enum cmd_takes */
-    const char *help; /**< one sentence */
+    const char *name;   /**< as typed */
+    const char *args;   /**< operands, for usage */
+    int min_args;       /**< operands at least */
+    int max_args;       /**< operands at most */
+    unsigned takes;     /**< enum cmd_takes */
+    const char *help;   /**< one sentence */
+    unsigned libraries; /**< enum library_set: loaded before it runs */
     /** Runs it. `args` ends with NULL. */
     enum status_kind (*run)(const struct cmd_options *options,
                             const char **args, struct status *st);
--- a/control-http.c
+++ b/control-http.c
@@ -10,6 +10,7 @@
 #include "auth.h"
 #include "bundle.h"
 #include "control.h"
+#include "library.h"
 #include "loop.h"
 #include "page.h"
 #include "problem.h"
@@ -261,7 +262,7 @@
     const struct settings_operator *op =
         require_operator(control, request, response);
     const char *submission =
-        u_map_get_case(request->map_header, "Idempotency-Key");
+        library_ulfius.map_get_case(request->map_header, "Idempotency-Key");
     struct ask ask = {.control = control, .kind = CONTROL_WAIT_SUBMIT};
     struct status st = {STATUS_OK, ""};
     struct bundle bundle;
@@ -393,8 +394,7 @@
         return U_CALLBACK_COMPLETE;
     }
     loop_call(on_read, &ask);
-    (void)ulfius_set_binary_body_response(response, 200, ask.text,
-                                          strlen(ask.text));
+    (void)library_ulfius.set_body(response, 200, ask.text, strlen(ask.text));
     json_object_put(ask.out);
     g_free(ask.text);
     return U_CALLBACK_COMPLETE;
@@ -453,8 +453,8 @@
 control_close_http(struct control *control)
 {
     if (control->http_open) {
-        (void)ulfius_stop_framework(&control->http);
-        ulfius_clean_instance(&control->http);
+        (void)library_ulfius.stop(&control->http);
+        library_ulfius.clean(&control->http);
         control->http_open = false;
     }
 }
--- a/entry-call.c
+++ b/entry-call.c
@@ -3,12 +3,12 @@
  * libcurl, and the answer. Decides nothing; the core does.
  */
 #include <arpa/inet.h>
-#include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "address.h"
 #include "entry.h"
+#include "library.h"
 #include "log.h"
 #include "loop.h"
 #include "problem.h"
@@ -69,14 +69,14 @@
 copy_header(struct curl_slist *list, const struct _u_request *request,
             const char *name)
 {
-    const char *value = u_map_get_case(request->map_header, name);
+    const char *value = library_ulfius.map_get_case(request->map_header, name);
     char line[1024];
 
     if (value == NULL || strpbrk(value, "\r\n") != NULL) {
         return list;
     }
     (void)snprintf(line, sizeof(line), "%s: %s", name, value);
-    return curl_slist_append(list, line);
+    return library_curl.list_append(list, line);
 }
 
 /* Lists the headers that go to the upstream. */
@@ -94,11 +94,11 @@
     }
     (void)snprintf(line, sizeof(line), "Request-Deadline: %llu",
                    (unsigned long long)call->spec.wall_deadline);
-    list = curl_slist_append(list, line);
+    list = library_curl.list_append(list, line);
     if (call->handed) {
-        list = curl_slist_append(list, HANDED_HEADER ": 1");
+        list = library_curl.list_append(list, HANDED_HEADER ": 1");
     }
-    return curl_slist_append(list, "Expect:");
+    return library_curl.list_append(list, "Expect:");
 }
 
 /* Tells what a finished call proves. */
@@ -124,27 +124,27 @@
     uint64_t now = loop_now();
     long left = call->deadline > now ? (long)(call->deadline - now) : 1;
 
-    (void)curl_easy_setopt(curl, CURLOPT_URL, url);
-    (void)curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request->http_verb);
+    (void)library_curl.setopt(curl, CURLOPT_URL, url);
+    (void)library_curl.setopt(curl, CURLOPT_CUSTOMREQUEST, request->http_verb);
     if (request->binary_body_length > 0) {
-        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
-                               (char *)request->binary_body);
-        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
-                               (curl_off_t)request->binary_body_length);
+        (void)library_curl.setopt(curl, CURLOPT_POSTFIELDS,
+                                  (char *)request->binary_body);
+        (void)library_curl.setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+                                  (curl_off_t)request->binary_body_length);
     }
     if (strcmp(request->http_verb, "HEAD") == 0) {
-        (void)curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+        (void)library_curl.setopt(curl, CURLOPT_NOBODY, 1L);
     }
-    (void)curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-    (void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, reply);
-    (void)curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
-    (void)curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
-    (void)curl_easy_setopt(curl, CURLOPT_XFERINFODATA, call);
-    (void)curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
-    (void)curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, left);
-    (void)curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-    (void)curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L);
-    (void)curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
+    (void)library_curl.setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+    (void)library_curl.setopt(curl, CURLOPT_WRITEDATA, reply);
+    (void)library_curl.setopt(curl, CURLOPT_NOPROGRESS, 0L);
+    (void)library_curl.setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
+    (void)library_curl.setopt(curl, CURLOPT_XFERINFODATA, call);
+    (void)library_curl.setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
+    (void)library_curl.setopt(curl, CURLOPT_TIMEOUT_MS, left);
+    (void)library_curl.setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    (void)library_curl.setopt(curl, CURLOPT_PATH_AS_IS, 1L);
+    (void)library_curl.setopt(curl, CURLOPT_FORBID_REUSE, 1L);
 }
 
 /* Calls the upstream and waits for its answer. */
@@ -153,7 +153,7 @@
         struct upstream_reply *reply)
 {
     struct curl_slist *headers = make_headers(call, request);
-    CURL *curl = curl_easy_init();
+    CURL *curl = library_curl.init();
     char *type = NULL;
     CURLcode code;
     char endpoint[ADDRESS_TEXT];
@@ -162,15 +162,15 @@
         request->http_url, NULL);
 
     set_options(curl, call, request, reply, url);
-    (void)curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
-    code = curl_easy_perform(curl);
-    (void)curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply->status);
-    (void)curl_easy_getinfo(curl, CURLINFO_CONTENT_TYPE, &type);
+    (void)library_curl.setopt(curl, CURLOPT_HTTPHEADER, headers);
+    code = library_curl.perform(curl);
+    (void)library_curl.getinfo(curl, CURLINFO_RESPONSE_CODE, &reply->status);
+    (void)library_curl.getinfo(curl, CURLINFO_CONTENT_TYPE, &type);
     if (type != NULL) {
         g_strlcpy(reply->content_type, type, sizeof(reply->content_type));
     }
-    curl_easy_cleanup(curl);
-    curl_slist_free_all(headers);
+    library_curl.cleanup(curl);
+    library_curl.list_free(headers);
     g_free(url);
     return judge(code, reply->status);
 }
@@ -212,12 +212,12 @@
 answer_directly(const struct upstream_reply *reply,
                 struct _u_response *response)
 {
-    (void)ulfius_set_binary_body_response(response, (unsigned)reply->status,
-                                          (const char *)reply->body->data,
-                                          reply->body->len);
+    (void)library_ulfius.set_body(response, (unsigned)reply->status,
+                                  (const char *)reply->body->data,
+                                  reply->body->len);
     if (reply->content_type[0] != '\0') {
-        (void)u_map_put(response->map_header, "Content-Type",
-                        reply->content_type);
+        (void)library_ulfius.map_put(response->map_header, "Content-Type",
+                                     reply->content_type);
     }
 }
 
@@ -232,14 +232,15 @@
                      "answered", 0);
         return;
     }
-    (void)ulfius_set_binary_body_response(response, outcome->status,
-                                          outcome->body.body_val,
-                                          outcome->body.body_len);
+    (void)library_ulfius.set_body(response, outcome->status,
+                                  outcome->body.body_val,
+                                  outcome->body.body_len);
     if (outcome->content_type[0] != '\0') {
-        (void)u_map_put(response->map_header, "Content-Type",
-                        outcome->content_type);
+        (void)library_ulfius.map_put(response->map_header, "Content-Type",
+                                     outcome->content_type);
     }
-    (void)u_map_put(response->map_header, "Idempotency-Replayed", "true");
+    (void)library_ulfius.map_put(response->map_header, "Idempotency-Replayed",
+                                 "true");
 }
 
 /* HTTP status of a refusal. */
@@ -304,7 +305,8 @@
     struct peer_choice choice = {.entry = entry, .key = call->spec.subject};
 
     if (call->rule != RULE_NO_LEASE ||
-        u_map_get_case(request->map_header, HANDED_HEADER) != NULL) {
+        library_ulfius.map_get_case(request->map_header, HANDED_HEADER) !=
+            NULL) {
         return false;
     }
     loop_call(on_choose_peer, &choice);
--- a/entry-http.c
+++ b/entry-http.c
@@ -14,6 +14,7 @@
 #include "burn.h"
 #include "entry.h"
 #include "hash.h"
+#include "library.h"
 #include "log.h"
 #include "loop.h"
 #include "page.h"
@@ -63,7 +64,8 @@
 static void
 read_deadline(const struct _u_request *request, struct request_spec *spec)
 {
-    const char *text = u_map_get_case(request->map_header, "Request-Deadline");
+    const char *text =
+        library_ulfius.map_get_case(request->map_header, "Request-Deadline");
     uint64_t now = loop_now();
     uint64_t wall = loop_wall();
     char *end = NULL;
@@ -86,7 +88,8 @@
 static void
 fill_spec(const struct _u_request *request, struct request_spec *spec)
 {
-    const char *key = u_map_get_case(request->map_header, "Idempotency-Key");
+    const char *key =
+        library_ulfius.map_get_case(request->map_header, "Idempotency-Key");
     char host[BUNDLE_NAME_MAX + 1];
     char *head =
         g_strdup_printf("%s %s", request->http_verb, request->http_url);
@@ -95,8 +98,8 @@
     spec->safe = is_safe(request->http_verb);
     spec->keyed = !spec->safe && key != NULL && *key != '\0';
     if (spec->keyed) {
-        plain_host(u_map_get_case(request->map_header, "Host"), host,
-                   sizeof(host));
+        plain_host(library_ulfius.map_get_case(request->map_header, "Host"),
+                   host, sizeof(host));
         auth_hash_key(host, key, spec->key);
     }
     auth_hash_two(head, request->binary_body, request->binary_body_length,
@@ -179,7 +182,8 @@
            void *data)
 {
     struct entry *entry = data;
-    const char *host = u_map_get_case(request->map_header, "Host");
+    const char *host =
+        library_ulfius.map_get_case(request->map_header, "Host");
     bool served = false;
 
     if (host == NULL || request->http_url == NULL ||
@@ -202,7 +206,8 @@
         served = serve(entry, request, response, host);
     }
     if (entry->core->stopping) {
-        (void)u_map_put(response->map_header, "Connection", "close");
+        (void)library_ulfius.map_put(response->map_header, "Connection",
+                                     "close");
     }
     (void)g_atomic_int_add(&entry->held_calls, -1);
     if (!served) {
@@ -255,11 +260,11 @@
                struct entry *entry,
                json_object *(*ask)(struct question *question))
 {
-    const char *subject = u_map_get(request->map_url, "subject");
-    struct question question = {.entry = entry,
-                                .service =
-                                    u_map_get(request->map_url, "service"),
-                                .ask = ask};
+    const char *subject = library_ulfius.map_get(request->map_url, "subject");
+    struct question question = {
+        .entry = entry,
+        .service = library_ulfius.map_get(request->map_url, "service"),
+        .ask = ask};
 
     if (auth_operator(&entry->settings, request) == NULL) {
         problem_fill(response, 401, "unauthorized",
@@ -344,7 +349,7 @@
 void
 entry_quiesce_http(struct entry *entry)
 {
-    MHD_socket listening = MHD_quiesce_daemon(entry->http.mhd_daemon);
+    MHD_socket listening = library_microhttpd.quiesce(entry->http.mhd_daemon);
 
     if (listening != MHD_INVALID_SOCKET) {
         (void)close(listening);
@@ -356,8 +361,8 @@
 entry_close_http(struct entry *entry)
 {
     if (entry->http_open) {
-        (void)ulfius_stop_framework(&entry->http);
-        ulfius_clean_instance(&entry->http);
+        (void)library_ulfius.stop(&entry->http);
+        library_ulfius.clean(&entry->http);
         entry->http_open = false;
     }
 }
--- a/entry.c
+++ b/entry.c
@@ -2,7 +2,6 @@
 #include "entry.h"
 
 #include <arpa/inet.h>
-#include <curl/curl.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -12,6 +11,7 @@
 #include <unistd.h>
 
 #include "burn.h"
+#include "library.h"
 #include "log.h"
 #include "loop.h"
 #include "rpc.h"
@@ -272,7 +272,7 @@
         return status_set(st, STATUS_IO, "libsodium does not start");
     }
     (void)mkdir(s->data, 0700);
-    (void)curl_global_init(CURL_GLOBAL_DEFAULT);
+    (void)library_curl.global_init(CURL_GLOBAL_DEFAULT);
     open_core(entry);
     loop_open(on_tick, entry, TICK_MS);
     loop_signal(SIGTERM, on_terminate, entry);
--- a/node-http.c
+++ b/node-http.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "address.h"
+#include "library.h"
 #include "log.h"
 #include "loop.h"
 #include "node-status.h"
@@ -42,18 +43,18 @@
 answer(struct call *call, unsigned code, const char *type, const char *body,
        size_t length)
 {
-    struct MHD_Response *out = MHD_create_response_from_buffer(
+    struct MHD_Response *out = library_microhttpd.new_response(
         length, (void *)body, MHD_RESPMEM_MUST_COPY);
     enum MHD_Result result;
 
     if (length > 0) {
-        (void)MHD_add_response_header(out, "Content-Type", type);
+        (void)library_microhttpd.add_header(out, "Content-Type", type);
     }
     if (code == MHD_HTTP_SERVICE_UNAVAILABLE) {
-        (void)MHD_add_response_header(out, "Retry-After", RETRY_AFTER_S);
+        (void)library_microhttpd.add_header(out, "Retry-After", RETRY_AFTER_S);
     }
-    result = MHD_queue_response(call->connection, code, out);
-    MHD_destroy_response(out);
+    result = library_microhttpd.queue(call->connection, code, out);
+    library_microhttpd.free_response(out);
     return result;
 }
 
@@ -95,11 +96,11 @@
         address_format(node->fleet.leader, node->settings.control.port, place),
         path);
     counter_add(&node->counters, COUNTER_REDIRECTS, 1);
-    out = MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
-    (void)MHD_add_response_header(out, "Location", location);
-    result =
-        MHD_queue_response(call->connection, MHD_HTTP_TEMPORARY_REDIRECT, out);
-    MHD_destroy_response(out);
+    out = library_microhttpd.new_response(0, NULL, MHD_RESPMEM_PERSISTENT);
+    (void)library_microhttpd.add_header(out, "Location", location);
+    result = library_microhttpd.queue(call->connection,
+                                      MHD_HTTP_TEMPORARY_REDIRECT, out);
+    library_microhttpd.free_response(out);
     return result;
 }
 
@@ -111,7 +112,7 @@
 
     call->token = ++node->last_token;
     g_hash_table_insert(node->calls, &call->token, call);
-    MHD_suspend_connection(call->connection);
+    library_microhttpd.suspend(call->connection);
     return call->token;
 }
 
@@ -340,12 +341,13 @@
         return MHD_YES;
     }
     if (call->out != NULL) {
-        return MHD_queue_response(connection, call->code, call->out);
+        return library_microhttpd.queue(connection, call->code, call->out);
     }
     if (call->token != 0) {
         return MHD_YES;
     }
-    info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_DAEMON);
+    info = library_microhttpd.connection_info(connection,
+                                              MHD_CONNECTION_INFO_DAEMON);
     return serve(call, port_of(node, info->daemon), method, path);
 }
 
@@ -370,7 +372,7 @@
         (void)g_hash_table_remove(node->calls, &call->token);
     }
     if (call->out != NULL) {
-        MHD_destroy_response(call->out);
+        library_microhttpd.free_response(call->out);
     }
     g_byte_array_unref(call->body);
     g_free(call);
@@ -387,7 +389,7 @@
     json_object *doc;
 
     if (text != NULL) {
-        out = MHD_create_response_from_buffer(table->length, text,
+        out = library_microhttpd.new_response(table->length, text,
                                               MHD_RESPMEM_MUST_COPY);
         g_free(text);
     }
@@ -396,12 +398,13 @@
         if (status->kind != STATUS_OK) {
             page_add_text(doc, "error", status->message);
         }
-        out = MHD_create_response_from_buffer(
+        out = library_microhttpd.new_response(
             strlen(json_object_to_json_string(doc)),
             (void *)json_object_to_json_string(doc), MHD_RESPMEM_MUST_COPY);
         json_object_put(doc);
     }
-    (void)MHD_add_response_header(out, "Content-Type", "application/json");
+    (void)library_microhttpd.add_header(out, "Content-Type",
+                                        "application/json");
     return out;
 }
 
@@ -436,10 +439,11 @@
     }
     call->out = make_body(status, table);
     if (!ok) {
-        (void)MHD_add_response_header(call->out, "Retry-After", RETRY_AFTER_S);
+        (void)library_microhttpd.add_header(call->out, "Retry-After",
+                                            RETRY_AFTER_S);
     }
     (void)g_hash_table_remove(node->calls, &token);
-    MHD_resume_connection(call->connection);
+    library_microhttpd.resume(call->connection);
     node_poll_http(node);
 }
 
@@ -449,7 +453,7 @@
 {
     struct MHD_Daemon *daemon = data;
 
-    (void)MHD_run(daemon);
+    (void)library_microhttpd.run(daemon);
 }
 
 /* Lets all daemons do what is due. */
@@ -458,7 +462,7 @@
 {
     for (int i = 0; i < NODE_PORTS; i++) {
         if (node->http[i] != NULL) {
-            (void)MHD_run(node->http[i]);
+            (void)library_microhttpd.run(node->http[i]);
         }
     }
 }
@@ -474,7 +478,7 @@
         MHD_UNSIGNED_LONG_LONG wait;
 
         if (node->http[i] != NULL &&
-            MHD_get_timeout(node->http[i], &wait) == MHD_YES) {
+            library_microhttpd.get_timeout(node->http[i], &wait) == MHD_YES) {
             at = MIN(at, now + wait);
         }
     }
@@ -491,7 +495,7 @@
                              .sin_addr.s_addr = htonl(address)};
     const union MHD_DaemonInfo *info;
 
-    node->http[which] = MHD_start_daemon(
+    node->http[which] = library_microhttpd.start(
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, on_call,
         node, MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_NOTIFY_COMPLETED, on_done,
         node, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_CONNECTION_S,
@@ -499,7 +503,8 @@
     if (node->http[which] == NULL) {
         return false;
     }
-    info = MHD_get_daemon_info(node->http[which], MHD_DAEMON_INFO_EPOLL_FD);
+    info = library_microhttpd.daemon_info(node->http[which],
+                                          MHD_DAEMON_INFO_EPOLL_FD);
     loop_watch(info->epoll_fd, on_daemon, node->http[which]);
     return true;
 }
@@ -510,6 +515,9 @@
 {
     const struct node_settings *s = &node->settings;
 
+    if (library_load(LIBRARY_MICROHTTPD, st) != STATUS_OK) {
+        return st->kind;
+    }
     if (!open_daemon(node, NODE_READY, s->ready.address, s->ready.port) ||
         !open_daemon(node, NODE_CONTROL, s->control.address,
                      s->control.port) ||
@@ -536,7 +544,7 @@
     g_list_free(tokens);
     for (int i = 0; i < NODE_PORTS; i++) {
         if (node->http[i] != NULL) {
-            MHD_stop_daemon(node->http[i]);
+            library_microhttpd.stop(node->http[i]);
             node->http[i] = NULL;
         }
     }
--- a/node.c
+++ b/node.c
@@ -22,6 +22,10 @@
 /* Least time between two stores of the inventory: two syncs of 5 ms are then
  * at most a hundredth of a disk's time. */
 #define KEEP_MS 1000U
+/* HTTP is opened once the node holds enough to serve, or so long after its
+ * start: opening it costs more processor time than all before it, up to
+ * 0.1 s on the smallest VMs, and the fabric asks twice a second. */
+#define HTTP_LATEST_MS 300U
 /* A tick later than this by its deadline means that the process stood still,
  * and what it did not hear meanwhile proves nothing. */
 #define STANDSTILL_MS 400U
@@ -125,6 +129,9 @@
     at = MIN(at, upstream_deadline(&node->upstreams));
     at = MIN(at, node_http_deadline(node));
     at = MIN(at, node->settings_at);
+    if (node->http_at != 0) {
+        at = node->fleet.settled ? loop_now() : MIN(at, node->http_at);
+    }
     if (node->end_at != 0) {
         at = MIN(at, node->end_at);
     }
@@ -227,6 +234,21 @@
     node_act(node);
 }
 
+/* Opens HTTP when it is due; packets come first. */
+static void
+open_http_when_due(struct node *node, uint64_t now)
+{
+    if (node->http_at == 0 || (now < node->http_at && !node->fleet.settled)) {
+        return;
+    }
+    node->http_at = 0;
+    if (node_open_http(node, &node->failure) != STATUS_OK) {
+        log_event(LOG_ERROR, "http-not-opened", "message=\"%s\"",
+                  node->failure.message);
+        loop_stop();
+    }
+}
+
 /* Lets time pass. */
 static void
 on_tick(void *data)
@@ -255,6 +277,7 @@
     evidence_tick(&node->evidence, now);
     fleet_tick(&node->fleet, now);
     keep_upstreams(node, now);
+    open_http_when_due(node, now);
     node_poll_http(node);
     node_act(node);
 }
@@ -288,9 +311,9 @@
     loop_signal(SIGINT, on_terminate, node);
     loop_signal(SIGHUP, on_hangup, node);
     open_cores(node);
+    node->http_at = loop_now() + HTTP_LATEST_MS;
     if (node_open_packets(node, st) != STATUS_OK ||
-        node_open_peers(node, st) != STATUS_OK ||
-        node_open_http(node, st) != STATUS_OK) {
+        node_open_peers(node, st) != STATUS_OK) {
         return st->kind;
     }
     node_start_voter(node);
@@ -320,5 +343,6 @@
     node_close_http(&node);
     node_stop_voter(&node);
     log_event(LOG_INFO, "stopped", "name=%s", settings->name);
-    return STATUS_OK;
+    *st = node.failure;
+    return st->kind;
 }
--- a/node.h
+++ b/node.h
@@ -34,20 +34,22 @@
 
 /** A node. */
 struct node {
-    struct node_settings settings;       /**< as loaded */
-    const char *settings_path;           /**< to be read again */
-    int64_t settings_changed;            /**< time of the file's last change */
-    uint64_t settings_at;                /**< deadline: look at it again */
-    struct counters counters;            /**< of the process */
-    struct histograms histograms;        /**< of the process */
-    struct ring ring;                    /**< decisions, to be explained */
-    struct upstream_set upstreams;       /**< the inventory */
-    struct evidence evidence;            /**< steering */
-    struct fleet fleet;                  /**< other nodes */
-    struct node_voter voter;             /**< what its thread told */
-    int packets_fd;                      /**< UDP: callers and upstreams */
-    int peers_fd;                        /**< UDP: other nodes */
+    struct node_settings settings; /**< as loaded */
+    const char *settings_path;     /**< to be read again */
+    int64_t settings_changed;      /**< time of the file's last change */
+    uint64_t settings_at;          /**< deadline: look at it again */
+    struct counters counters;      /**< of the process */
+    struct histograms histograms;  /**< of the process */
+    struct ring ring;              /**< decisions, to be explained */
+    struct upstream_set upstreams; /**< the inventory */
+    struct evidence evidence;      /**< steering */
+    struct fleet fleet;            /**< other nodes */
+    struct node_voter voter;       /**< what its thread told */
+    int packets_fd;                /**< UDP: callers and upstreams */
+    int peers_fd;                  /**< UDP: other nodes */
+    uint64_t http_at;              /**< deadline: open HTTP, 0: it is open */
     struct MHD_Daemon *http[NODE_PORTS]; /**< by enum node_port */
+    struct status failure;               /**< why the node ends by itself */
     GHashTable *calls;     /**< token to a suspended struct call */
     uint64_t last_token;   /**< of the call suspended last */
     uint64_t kept_changes; /**< of the inventory, that are stored */
--- a/page.c
+++ b/page.c
@@ -9,6 +9,7 @@
 #include <sys/resource.h>
 
 #include "address.h"
+#include "library.h"
 
 #define COUNTERS_MAX 65536
 
@@ -24,18 +25,18 @@
                              .sin_addr.s_addr = htonl(settings->address)};
     const struct page_route *route = routes;
 
-    if (ulfius_init_instance(http, port, &at, NULL) != U_OK) {
+    if (library_ulfius.init(http, port, &at, NULL) != U_OK) {
         return status_set(st, STATUS_IO, "ulfius does not start");
     }
     http->max_post_body_size = body_max;
     http->max_post_param_size = body_max;
     http->check_utf8 = 0;
     for (; route->path != NULL; route++) {
-        (void)ulfius_add_endpoint_by_val(http, route->method, route->prefix,
-                                         route->path, 0, route->call, data);
+        (void)library_ulfius.add_endpoint(http, route->method, route->prefix,
+                                          route->path, 0, route->call, data);
     }
-    (void)ulfius_set_default_endpoint(http, route->call, data);
-    if (ulfius_start_framework(http) != U_OK) {
+    (void)library_ulfius.set_default_endpoint(http, route->call, data);
+    if (library_ulfius.start(http) != U_OK) {
         return status_set(st, STATUS_IO,
                           "cannot listen on http_port %u; free the port or "
                           "set another",
@@ -50,8 +51,9 @@
 {
     const char *text = json_object_to_json_string(doc);
 
-    (void)ulfius_set_binary_body_response(response, 200, text, strlen(text));
-    (void)u_map_put(response->map_header, "Content-Type", "application/json");
+    (void)library_ulfius.set_body(response, 200, text, strlen(text));
+    (void)library_ulfius.map_put(response->map_header, "Content-Type",
+                                 "application/json");
     json_object_put(doc);
 }
 
@@ -87,9 +89,9 @@
     size_t length = counter_print(counters, text, COUNTERS_MAX);
 
     length += page_print_process(text + length, COUNTERS_MAX - length);
-    (void)ulfius_set_binary_body_response(response, 200, text, length);
-    (void)u_map_put(response->map_header, "Content-Type",
-                    "text/plain; version=0.0.4");
+    (void)library_ulfius.set_body(response, 200, text, length);
+    (void)library_ulfius.map_put(response->map_header, "Content-Type",
+                                 "text/plain; version=0.0.4");
     g_free(text);
 }
 
--- a/problem.c
+++ b/problem.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "library.h"
+
 #define TYPE_PREFIX "urn:ridgeridge:problem:"
 
 /* Fills a response with a problem. */
@@ -31,13 +33,13 @@
                                json_object_new_int64(retry_ms));
         (void)snprintf(seconds, sizeof(seconds), "%u",
                        (retry_ms + 999) / 1000);
-        (void)u_map_put(response->map_header, "Retry-After", seconds);
+        (void)library_ulfius.map_put(response->map_header, "Retry-After",
+                                     seconds);
     }
     text = json_object_to_json_string(doc);
-    (void)ulfius_set_binary_body_response(response, status, text,
-                                          strlen(text));
-    (void)u_map_put(response->map_header, "Content-Type",
-                    "application/problem+json");
+    (void)library_ulfius.set_body(response, status, text, strlen(text));
+    (void)library_ulfius.map_put(response->map_header, "Content-Type",
+                                 "application/problem+json");
     json_object_put(doc);
 }
 
--- a/ridgeridge.c
+++ b/ridgeridge.c
@@ -171,7 +171,8 @@
             st, STATUS_BAD_INPUT, "%s: %s; see `ridgeridge %s --help`",
             poptBadOption(context, 0), poptStrerror(code), cmd->name);
     }
-    else if (check_operands(cmd, args, st)) {
+    else if (check_operands(cmd, args, st) &&
+             library_load(cmd->libraries, st) == STATUS_OK) {
         (void)cmd->run(&options, args ? args : (const char **)none, st);
     }
     (void)poptFreeContext(context);
