fleet: the leader alone watches the upstreams of a lost node

Change: only the leader adopts what a lost node watched; it tells all. A new leader does so for upstreams whose node is no member, as before.

--- a/fleet-members.c
+++ b/fleet-members.c
@@ -30,10 +30,15 @@
     return digest;
 }
 
-/* A node that heard upstreams is lost, or began anew without what it knew. */
+/* A node that heard upstreams is lost, or began anew without what it knew. The
+ * leader alone watches them from now on, and tells all when they are silent:
+ * if every node did, all would tell all and fill small links. */
 static void
 lose_keeper(struct fleet *fleet, uint64_t now, uint32_t address)
 {
+    if (fleet->leads_since == 0) {
+        return;
+    }
     upstream_adopt(fleet->upstreams, address,
                    now + ADOPT_INTERVALS * fleet->upstreams->interval_ms);
 }
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -16,6 +16,9 @@
 #define HEAL_MS 8000    /* after the last event */
 #define FREEZE_MS 3000  /* of a frozen leader */
 #define KNOWN_UPSTREAMS 18
+#define LOST_UPSTREAMS 16 /* that are lost with their node */
+#define DROP_MS 1500      /* after that all know that a node is dropped */
+#define NOTICE_MS 8000    /* then its upstreams are known to be silent */
 
 /* One scene; what happens is a string of letters, a second apart. */
 struct scene {
@@ -290,6 +293,62 @@
     fleet_sim_free(sim);
 }
 
+/* Counts the nodes' records of lost upstreams that are silent, or watched. */
+static void
+count_lost(const struct fleet_sim *sim, unsigned *silent, unsigned *watched)
+{
+    *silent = 0;
+    *watched = 0;
+    for (int i = 0; i < LOST_UPSTREAMS; i++) {
+        for (int n = 0; n < sim->count; n++) {
+            const struct upstream *u;
+
+            if (!sim->nodes[n].up) {
+                continue;
+            }
+            u = upstream_by_id(&sim->nodes[n].upstreams, sim->upstreams[i].id);
+            if (u != NULL) {
+                *silent += u->state == UPSTREAM_SILENT;
+                *watched += u->expire_at != 0;
+            }
+        }
+    }
+}
+
+/* When a node is lost together with the upstreams that registered with it, one
+ * node watches them and tells the others. If each did, all would tell all,
+ * which fills small links (seen: packets of callers 200 ms late). */
+static void
+test_lost_together(void)
+{
+    struct fleet_sim_options options = {.nodes = FLEET_SIM_NODES / 2,
+                                        .disks = 3,
+                                        .upstreams = FLEET_SIM_UPSTREAMS,
+                                        .seed = 5};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    int lost = sim->count - 1;
+    unsigned silent;
+    unsigned watched;
+
+    for (int i = 0; i < LOST_UPSTREAMS; i++) {
+        sim->upstreams[i].keeper = lost;
+    }
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    fleet_sim_kill(sim, lost);
+    for (int i = 0; i < LOST_UPSTREAMS; i++) {
+        sim->upstreams[i].up = false;
+    }
+    fleet_sim_run(sim, sim->now + FLEET_LOST_MS + DROP_MS);
+    count_lost(sim, &silent, &watched);
+    g_assert_cmpuint(silent, ==, 0);
+    g_assert_cmpuint(watched, ==, LOST_UPSTREAMS);
+    fleet_sim_run(sim, sim->now + NOTICE_MS);
+    count_lost(sim, &silent, &watched);
+    g_assert_cmpuint(silent, ==, LOST_UPSTREAMS * (unsigned)lost);
+    g_assert_cmpuint(watched, ==, 0);
+    fleet_sim_free(sim);
+}
+
 /* When a disk refuses, every operator who waits is owed an answer: those who
  * wait for a quorum, and those whose answer was not given yet. */
 static void
@@ -334,6 +393,7 @@
                        knowns[i].name);
         g_test_add_data_func(path, &knowns[i], test_known);
     }
+    g_test_add_func("/fleet/upstream/lost-together", test_lost_together);
     g_test_add_func("/fleet/unanswered", test_unanswered);
     return g_test_run();
 }
