upstream: spread what a restarted node hears for the first time

Cause: a node that restarts gets its own records back from its peers, so a registration that it then heard changed nothing and was not spread; the leader, which watches the upstreams of a node that began anew, never learned of it and after four intervals told all that they were silent. Such an upstream gets no new flow for about a second, and during a roll of all nodes every upstream has its turn. Ruled out: a lost push (the keeper never made one), a leaving upstream (it was ready). Change: a record says whether this process heard the upstream; the first registration heard is spread. Before/after: /fleet/upstream/keeper-restarts failed (a node believed "silent"), passes.

--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -16,6 +16,7 @@
 #define HEAL_MS 8000    /* after the last event */
 #define FREEZE_MS 3000  /* of a frozen leader */
 #define KNOWN_UPSTREAMS 18
+#define LOOK_MS 100       /* between two looks at what nodes believe */
 #define LOST_UPSTREAMS 16 /* that are lost with their node */
 #define DROP_MS 1500      /* after that all know that a node is dropped */
 #define NOTICE_MS 8000    /* then its upstreams are known to be silent */
@@ -293,6 +294,36 @@
     fleet_sim_free(sim);
 }
 
+/* A keeper that restarts at once still hears its upstreams: nobody may believe
+ * that they are silent. */
+static void
+test_keeper_restarts(void)
+{
+    struct fleet_sim_options options = {
+        .nodes = 11, .disks = 3, .upstreams = KNOWN_UPSTREAMS, .seed = 3};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    struct fleet_sim_upstream *u = &sim->upstreams[0];
+    uint64_t until;
+
+    u->keeper = sim->count - 1;
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    g_assert_cmpint(u->keeper, ==, sim->count - 1);
+    fleet_sim_kill(sim, u->keeper);
+    fleet_sim_start(sim, u->keeper);
+    until = sim->now + FLEET_LOST_MS + NOTICE_MS;
+    while (sim->now < until) {
+        fleet_sim_run(sim, sim->now + LOOK_MS);
+        for (int i = 0; i < sim->count; i++) {
+            const struct upstream *found =
+                upstream_by_id(&sim->nodes[i].upstreams, u->id);
+
+            g_assert_true(found == NULL || found->state == UPSTREAM_READY);
+        }
+    }
+    g_assert_cmpint(u->keeper, ==, sim->count - 1);
+    fleet_sim_free(sim);
+}
+
 /* Counts the nodes' records of lost upstreams that are silent, or watched. */
 static void
 count_lost(const struct fleet_sim *sim, unsigned *silent, unsigned *watched)
@@ -393,6 +424,7 @@
                        knowns[i].name);
         g_test_add_data_func(path, &knowns[i], test_known);
     }
+    g_test_add_func("/fleet/upstream/keeper-restarts", test_keeper_restarts);
     g_test_add_func("/fleet/upstream/lost-together", test_lost_together);
     g_test_add_func("/fleet/unanswered", test_unanswered);
     return g_test_run();
--- a/upstream.c
+++ b/upstream.c
@@ -202,10 +202,13 @@
     else if (!is_newer(upstream, state, r->sequence)) {
         return;
     }
-    differs = is_new || upstream->state != state ||
+    /* What this process did not hear before is spread, though the record may
+     * name this node: others watch what it heard before it was restarted. */
+    differs = is_new || !upstream->heard || upstream->state != state ||
               upstream->keeper != set->self ||
               upstream->address != r->address || upstream->port != r->port;
     take_record(set, now, upstream, &record);
+    upstream->heard = true;
     upstream->expire_at = next_expiry(set, now);
     if (differs) {
         note_change(set, upstream);
--- a/upstream.h
+++ b/upstream.h
@@ -58,6 +58,7 @@
     uint64_t warm_at;                 /**< deadline: slow until then */
     uint64_t expire_at;               /**< deadline: silent then; 0: another
                                            node watches it */
+    bool heard;                       /**< this process heard it register */
     uint64_t forget_at;               /**< GONE: dropped then */
     uint64_t suspect_until;           /**< no new flows until then: packets
                                            to it went without an answer */
