evidence: reset flows whose upstream is lost

Answers go past a node, so it sees only what callers acknowledge and send again. Change: evidence-life.c notes data that is sent again. A flow is reset (rule upstream-lost) when its upstream showed no life since the data was first sent, data that was sent later was answered by another upstream, the node has run for 4 s, and: the upstream is silent, or two flows have a copy each, or one has two. The upstream gets no new flow for 3 s.

--- /dev/null
+++ b/evidence-internal.h
@@ -0,0 +1,46 @@
+/**
+ * @file evidence-internal.h
+ * What the evidence*.c files share. Nothing else includes it.
+ */
+#ifndef RIDGERIDGE_EVIDENCE_INTERNAL_H
+#define RIDGERIDGE_EVIDENCE_INTERNAL_H
+
+#include "evidence.h"
+
+/** What this entry remembers of a flow, to estimate the work at upstreams, to
+ * send copies of a first packet the same way, and to notice lost upstreams. */
+struct evidence_flow {
+    uint64_t key;          /**< hash of its addresses and ports */
+    uint64_t upstream;     /**< id of the incarnation */
+    uint64_t seen_at;      /**< last packet */
+    uint64_t forget_at;    /**< deadline; 0: by rest */
+    uint64_t opened_at;    /**< first packet that was forwarded */
+    uint64_t sent_at;      /**< first data without an answer, 0: none */
+    uint64_t resent_at;    /**< last copy of it that counted */
+    uint32_t sequence;     /**< of that data */
+    uint32_t resends;      /**< copies that counted */
+    uint32_t acknowledged; /**< highest that the caller told */
+    bool answered;         /**< the upstream gave a sign of life */
+    bool busy;             /**< a request was sent and no answer was seen */
+};
+
+/* evidence-life.c */
+/** Upstream of a flow; NULL when its record is gone. */
+struct upstream *evidence_upstream_of(const struct evidence *ev,
+                                      const struct evidence_flow *flow);
+/** Ends the work that a flow is thought to cause. */
+void evidence_set_idle(struct evidence *ev, struct evidence_flow *flow);
+/** Notes what a packet tells of the work and the life of its upstream. */
+void evidence_learn(struct evidence *ev, uint64_t now,
+                    const struct evidence_packet *packet,
+                    struct evidence_flow *flow, struct upstream *upstream);
+/** Says whether a flow's upstream is lost, so that its caller should not wait
+ * for it any longer. */
+bool evidence_is_lost(const struct evidence *ev, uint64_t now,
+                      const struct evidence_flow *flow,
+                      const struct upstream *upstream);
+/** Ends a flow whose upstream is lost. */
+void evidence_give_up(struct evidence *ev, uint64_t now,
+                      struct evidence_flow *flow, struct upstream *upstream);
+
+#endif
--- a/evidence.c
+++ b/evidence.c
@@ -1,13 +1,10 @@
 /* Steering by evidence, and the choice of an upstream for a new flow. */
-#include "evidence.h"
+#include "evidence-internal.h"
 
 #include <string.h>
 
 #include "hash.h"
 
-/* A flow that was closed is kept this long, since its last packets may be
- * sent again (the ends' longest wait is 1.6 s). */
-#define CLOSED_MS 2000U
 /* Between two sweeps for flows that ended. */
 #define SWEEP_MS 1000U
 /* First packets are repeated after 200 and 600 ms and given up after 1.4 s:
@@ -31,19 +28,6 @@
 /* What is wrong with an upstream; the least is best. */
 enum rank { RANK_GOOD, RANK_SUSPECT, RANK_SILENT };
 
-/* What this entry remembers of a flow, to estimate the work at upstreams and
- * to send copies of a first packet the same way. */
-struct evidence_flow {
-    uint64_t key;          /* hash of its addresses and ports */
-    uint64_t upstream;     /* id of the incarnation */
-    uint64_t seen_at;      /* last packet */
-    uint64_t forget_at;    /* deadline; 0: by rest */
-    uint64_t opened_at;    /* first packet that was forwarded */
-    uint32_t acknowledged; /* highest that the caller told */
-    bool answered;         /* the upstream gave a sign of life */
-    bool busy;             /* a request was sent and no answer was seen */
-};
-
 /* Starts without a table. */
 void
 evidence_open(struct evidence *ev, struct upstream_set *upstreams,
@@ -125,32 +109,13 @@
     return hash_pair(HASH_FLOW, caller, place);
 }
 
-/* Upstream of a flow; NULL when its record is gone. */
-static struct upstream *
-upstream_of(const struct evidence *ev, const struct evidence_flow *flow)
-{
-    return upstream_by_id(ev->upstreams, flow->upstream);
-}
-
-/* Ends the work that a flow is thought to cause. */
-static void
-set_idle(struct evidence *ev, struct evidence_flow *flow)
-{
-    struct upstream *upstream = upstream_of(ev, flow);
-
-    if (flow->busy && upstream != NULL && upstream->busy > 0) {
-        upstream->busy--;
-    }
-    flow->busy = false;
-}
-
 /* Takes a flow off its upstream's counts. */
 static void
 detach(struct evidence *ev, struct evidence_flow *flow)
 {
-    struct upstream *upstream = upstream_of(ev, flow);
+    struct upstream *upstream = evidence_upstream_of(ev, flow);
 
-    set_idle(ev, flow);
+    evidence_set_idle(ev, flow);
     if (upstream != NULL && upstream->open > 0) {
         upstream->open--;
     }
@@ -296,7 +261,7 @@
 open_flow(struct evidence *ev, uint64_t now, struct evidence_flow *flow,
           struct upstream *upstream, struct evidence_verdict *verdict)
 {
-    bool moves = flow != NULL && upstream_of(ev, flow) != NULL;
+    bool moves = flow != NULL && evidence_upstream_of(ev, flow) != NULL;
 
     if (flow == NULL) {
         counter_add(ev->counters, COUNTER_FLOWS_NEW, 1);
@@ -318,7 +283,8 @@
 {
     struct evidence_flow *flow =
         g_hash_table_lookup(ev->flows, &verdict->flow);
-    struct upstream *before = flow != NULL ? upstream_of(ev, flow) : NULL;
+    struct upstream *before =
+        flow != NULL ? evidence_upstream_of(ev, flow) : NULL;
     const struct route_target *target = route_pick(route, verdict->flow);
     struct upstream *upstream;
 
@@ -344,41 +310,22 @@
     open_flow(ev, now, flow, upstream, verdict);
 }
 
-/* Notes what a packet tells of the work and the life of its upstream. */
-static void
-learn(struct evidence *ev, uint64_t now, const struct evidence_packet *packet,
-      struct evidence_flow *flow, struct upstream *upstream)
-{
-    bool progress = packet->acknowledged != flow->acknowledged;
-
-    flow->seen_at = now;
-    flow->answered = true;
-    if (progress) {
-        flow->acknowledged = packet->acknowledged;
-        upstream->suspect_until = 0;
-        upstream->alive_at = now;
-        set_idle(ev, flow);
-    }
-    if (packet->length > 0 && !flow->busy) {
-        flow->busy = true;
-        upstream->busy++;
-    }
-    if (packet->closing && flow->forget_at == 0) {
-        set_idle(ev, flow);
-        flow->forget_at = now + CLOSED_MS;
-    }
-}
-
-/* The record of a flow whose packet names an upstream. */
+/* The record of a flow whose packet names an upstream. Of a flow that was not
+ * known here, data or an end, perhaps sent again, proves no life: what it
+ * acknowledges may be old. */
 static struct evidence_flow *
-flow_of(struct evidence *ev, uint64_t now, uint64_t key,
+flow_of(struct evidence *ev, uint64_t now,
+        const struct evidence_packet *packet, uint64_t key,
         struct upstream *upstream)
 {
     struct evidence_flow *flow = g_hash_table_lookup(ev->flows, &key);
 
-    return flow != NULL && flow->upstream == upstream->id
-               ? flow
-               : bind_flow(ev, now, key, flow, upstream);
+    if (flow == NULL || flow->upstream != upstream->id) {
+        flow = bind_flow(ev, now, key, flow, upstream);
+        flow->acknowledged =
+            packet->length > 0 || packet->closing ? packet->acknowledged : 0;
+    }
+    return flow;
 }
 
 /* Steers a packet of a flow that is open, or thought to be. */
@@ -387,6 +334,7 @@
            const struct evidence_packet *packet,
            struct evidence_verdict *verdict)
 {
+    struct evidence_flow *flow;
     struct upstream *upstream;
 
     if (g_hash_table_contains(
@@ -411,8 +359,13 @@
                  RULE_UPSTREAM_GONE);
         return;
     }
-    learn(ev, now, packet, flow_of(ev, now, verdict->flow, upstream),
-          upstream);
+    flow = flow_of(ev, now, packet, verdict->flow, upstream);
+    evidence_learn(ev, now, packet, flow, upstream);
+    if (evidence_is_lost(ev, now, flow, upstream)) {
+        evidence_give_up(ev, now, flow, upstream);
+        end_with(verdict, EVIDENCE_REFUSE, RULE_UPSTREAM_LOST);
+        return;
+    }
     forward_to(verdict, upstream, RULE_EVIDENCE);
 }
 
--- a/evidence.h
+++ b/evidence.h
@@ -28,6 +28,7 @@
     uint32_t token;            /**< names the upstream; 0: none */
     uint32_t acknowledged;     /**< bytes of the upstream that arrived; of a
                                     first packet: copies sent before it */
+    uint32_t sequence;         /**< names the first byte of data */
     uint32_t length;           /**< bytes of data */
     bool first;                /**< opens the flow */
     bool closing;              /**< FIN or reset */
@@ -61,6 +62,10 @@
     uint64_t sweep_at;         /**< deadline: forget flows that ended */
     uint64_t flow_max_ms;      /**< rest after which a flow is forgotten,
                                     when the table sets none */
+    uint64_t trust_at;         /**< deadline: until then the silence of an
+                                    upstream proves nothing */
+    uint64_t answered_sent_at; /**< when the latest data that was answered
+                                    had been forwarded, 0: none yet */
     uint32_t turn;             /**< of the choice: breaks ties in turn */
     bool settled;              /**< the inventory was compared with
                                     another node's: "none" is true */
@@ -83,6 +88,10 @@
                     const struct evidence_packet *packet,
                     struct evidence_verdict *verdict);
 
+/** Says that this process has just started or stood still: it missed packets,
+ * so for some seconds the silence of an upstream proves nothing. */
+void evidence_distrust(struct evidence *ev, uint64_t now);
+
 /** Forgets flows that ended or rested too long. */
 void evidence_tick(struct evidence *ev, uint64_t now);
 
--- a/node.c
+++ b/node.c
@@ -261,6 +261,7 @@
         log_event(LOG_WARN, "stood-still", "ms=%llu",
                   (unsigned long long)(now - node->ticked_at));
         upstream_excuse(&node->upstreams, now, now - node->ticked_at);
+        evidence_distrust(&node->evidence, now);
     }
     node->ticked_at = now;
     if (node->end_at != 0 && now >= node->end_at) {
@@ -298,6 +299,7 @@
     upstream_open(&node->upstreams, options.address, s->interval_ms);
     evidence_open(&node->evidence, &node->upstreams, &node->counters,
                   s->flow_max_ms, turn);
+    evidence_distrust(&node->evidence, loop_now());
     fleet_open(&node->fleet, loop_now(), &options, &node->upstreams);
     take_seeds(node, s);
 }
--- a/ring.h
+++ b/ring.h
@@ -62,7 +62,9 @@
     X(UNKNOWN_EVIDENCE, "unknown-evidence",                                   \
       "the upstream that the packet names is not known here")                 \
     X(UPSTREAM_GONE, "upstream-gone",                                         \
-      "the upstream that the packet names has ended")
+      "the upstream that the packet names has ended")                         \
+    X(UPSTREAM_LOST, "upstream-lost",                                         \
+      "data was sent again without an answer, while others answered")
 
 /** A rule. */
 enum ring_rule {
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -261,6 +261,92 @@
     tear_down(&f);
 }
 
+/* What becomes of data that gets no answer. Each step is a letter and the time
+ * since the start, in 10 ms:
+ *   a b   the caller of that flow sends its data (again); both flows are at
+ *         upstream 1
+ *   A B   that caller acknowledges more bytes: upstream 1 answered it
+ *   o     a flow at upstream 2 sends data; O it gets an answer
+ *   s     upstream 1 is silent
+ *   r     upstream 1 registers again
+ *   z     this entry stood still
+ *   f     the first flow's caller gives up
+ * `lost` names the steps whose packet is answered by a reset. */
+struct lost_case {
+    const char *name;
+    const char *steps;
+    const char *lost;
+};
+
+static const struct lost_case losts[] = {
+    {"one-copy", "a0 o10 O15 a20", ""},
+    {"two-copies", "a0 o10 O15 a20 a60", "a60"},
+    {"one-copy-of-a-silent-one", "a0 s5 o10 O15 a20", "a20"},
+    {"silent-but-answering", "a0 s5 o10 O15 A18 a20", ""},
+    {"one-copy-each-of-two-flows", "a0 b1 o10 O15 a20 b21", "b21"},
+    {"then-the-first-flow-too", "a0 b1 o10 O15 a20 b21 a60", "b21 a60"},
+    {"another-flow-is-answered", "a0 b1 o10 O15 B16 a20 a60", ""},
+    {"answered-before-and-then-dead", "a0 A3 b4 o10 O15 b24 b64", "b64"},
+    {"nothing-sent-later-was-answered", "o0 a1 O15 a21 a61", ""},
+    {"nobody-else-is-there", "a0 a20 a60 a140", ""},
+    {"copies-that-were-held-up", "a0 o10 O15 a20 a21 a22", ""},
+    {"copies-held-up-together", "a0 o1 O5 a5 a6 a7", ""},
+    {"silent-and-held-up", "a0 s1 o2 O5 a6", ""},
+    {"stood-still", "a0 z5 o10 O15 a20 a60", ""},
+    {"stood-still-long-ago", "z0 a400 o410 O415 a420 a460", "a460"},
+    {"an-end-is-no-life", "f0 b1 o10 O15 b21 b61", "b61"},
+    {"registers-again", "a0 s5 r8 o10 O15 a20", ""},
+};
+
+/* Plays the steps of one case. */
+static void
+test_lost(const void *data)
+{
+    const struct lost_case *c = data;
+    gchar **steps = g_strsplit(c->steps, " ", -1);
+    GString *lost = g_string_new("");
+    uint32_t acknowledged[256] = {0};
+    struct fixture f;
+
+    set_up(&f, 2);
+    for (gchar **at = steps; *at != NULL; at++) {
+        char letter = (*at)[0];
+        char flow = g_ascii_tolower(letter);
+        uint64_t now = NOW + 10 * g_ascii_strtoull(*at + 1, NULL, 10);
+        struct evidence_packet packet;
+        struct evidence_verdict verdict;
+
+        if (letter == 's') {
+            upstream_by_id(&f.upstreams, 1)->state = UPSTREAM_SILENT;
+            continue;
+        }
+        if (letter == 'r') {
+            reg(&f, now, 1, 2, false);
+            continue;
+        }
+        if (letter == 'z') {
+            evidence_distrust(&f.ev, now);
+            continue;
+        }
+        acknowledged[(int)flow] += letter != flow ? 100 : 0;
+        packet = packet_of((uint16_t)flow, false,
+                           upstream_token(flow == 'o' ? 2 : 1),
+                           acknowledged[(int)flow]);
+        packet.length = letter == flow && letter != 'f' ? 200 : 0;
+        packet.closing = letter == 'f';
+        packet.sequence = 1;
+        evidence_steer(&f.ev, now, &packet, &verdict);
+        if (verdict.action == EVIDENCE_REFUSE) {
+            g_assert_cmpint(verdict.rule, ==, RULE_UPSTREAM_LOST);
+            g_string_append_printf(lost, "%s%s", lost->len ? " " : "", *at);
+        }
+    }
+    g_assert_cmpstr(lost->str, ==, c->lost);
+    g_string_free(lost, TRUE);
+    g_strfreev(steps);
+    tear_down(&f);
+}
+
 /* New flows spread over upstreams, and away from a suspect. */
 static void
 test_spread(void)
@@ -564,6 +650,10 @@
     ADD("/upstream/merge/", merges, test_merge)
     ADD("/platform/table/", tables, test_table)
     ADD("/platform/registration/", registrations, test_registration)
+    for (size_t i = 0; i < G_N_ELEMENTS(losts); i++) {
+        (void)snprintf(path, sizeof(path), "/evidence/lost/%s", losts[i].name);
+        g_test_add_data_func(path, &losts[i], test_lost);
+    }
     g_test_add_func("/evidence/spread", test_spread);
     g_test_add_func("/platform/packet", test_packet);
     g_test_add_func("/platform/fuzz", test_fuzz);
--- a/upstream.h
+++ b/upstream.h
@@ -63,6 +63,8 @@
     uint64_t suspect_until;           /**< no new flows until then: packets
                                            to it went without an answer */
     uint64_t alive_at;                /**< last sign of life in a packet */
+    uint32_t stalled_flows;           /**< flows of this node whose data was
+                                           sent again since then */
     uint32_t open;                    /**< flows of this node that are open */
     uint32_t busy;                    /**< of those, awaiting an answer */
 };
