fault: safeguards can be left out of tests only

Cause: the trials that show each safeguard to be needed were fields which the program read on its decision paths (15 reads in cons, control, claim and request), so a stray write could have told it to skip a quorum. Ruled out: a second build of everything (the structures would differ between the builds); macros on each field. Change: fault.h; fault_is() is false at compile time in the program, and the files that use it are built once more for the tests. FAULT_NO_LEASE, NO_TERM_CHECK and READ_LOCAL had no test before and have none now.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,9 @@
 LOAD := $(patsubst %.c,$(BUILD)/%.o,$(filter-out tests/test-%,$(wildcard tests/*.c)))
 TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test-*.c))
 
+# What may leave a safeguard out, built once more for the tests: fault.h.
+FAULTY := $(patsubst %.c,$(BUILD)/faulty/%.o,$(shell grep -l '"fault.h"' *.c))
+
 SOAK := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/soak/*.c platform/standin/*.c))
 
 all: $(BUILD)/ridgeridge $(TOOLS) $(BUILD)/soak
@@ -55,7 +58,7 @@
 $(BUILD)/%: $(BUILD)/tools/%.o $(LOAD) $(BUILD)/lib.a
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LOADED_LIBS) $(LDLIBS)
 
-$(BUILD)/test-%: $(BUILD)/tests/test-%.o $(LOAD) $(BUILD)/lib.a
+$(BUILD)/test-%: $(BUILD)/tests/test-%.o $(LOAD) $(FAULTY) $(BUILD)/lib.a
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
 
 $(BUILD)/library.o: CFLAGS += \
@@ -67,6 +70,12 @@
 	@mkdir -p $(dir $@)
 	@$(CC) $(CFLAGS) $(GENERATED_CFLAGS) -I. -Itests -MMD -c -o $@ $<
 
+$(BUILD)/tests/%.o: CFLAGS += -DFAULT_TRIALS
+
+$(BUILD)/faulty/%.o: %.c
+	@mkdir -p $(dir $@)
+	@$(CC) $(CFLAGS) -DFAULT_TRIALS -I. -Itests -MMD -c -o $@ $<
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
 	@$(CC) $(CFLAGS) -I. -Itests -MMD -c -o $@ $<
@@ -83,6 +92,6 @@
 	rm -rf build build-asan
 
 .PHONY: all tests program install clean
-.SECONDARY: $(LOAD)
+.SECONDARY: $(LOAD) $(FAULTY)
 .PRECIOUS: $(BUILD)/tests/%.o $(BUILD)/tools/%.o
 -include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
--- a/claim.c
+++ b/claim.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "fault.h"
 #include "hash.h"
 
 /* Hashes a key for the table. */
@@ -123,10 +124,9 @@
 
 /* Says whether the epochs of replica and coordinator forbid an answer. */
 static bool
-is_fenced(const struct claim_table *table, uint64_t epoch,
-          const wire_claim *claim)
+is_fenced(uint64_t epoch, const wire_claim *claim)
 {
-    if (table->fault_no_fence) {
+    if (fault_is(FAULT_NO_FENCE)) {
         return false;
     }
     return claim->probe ? epoch < claim->epoch : epoch != claim->epoch;
@@ -147,7 +147,7 @@
     out->probe = claim->probe;
     out->absorbed.absorbed_len = claim_list_absorbed(table, table->replied);
     out->absorbed.absorbed_val = table->replied;
-    if (is_fenced(table, epoch, claim)) {
+    if (is_fenced(epoch, claim)) {
         out->result = WIRE_CLAIM_EPOCH;
     }
     else if (record != NULL) {
--- a/claim.h
+++ b/claim.h
@@ -44,7 +44,6 @@
     wire_absorbed replied[WIRE_ABSORBED_MAX]; /**< borrowed by replies */
     GHashTable *partial; /**< sender and epoch to sequences received */
     uint64_t self;       /**< this entry's id */
-    bool fault_no_fence; /**< trial: grant in any epoch */
 };
 
 /** Starts an empty table. */
--- a/cons-replicate.c
+++ b/cons-replicate.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+#include "fault.h"
+
 #define BATCH_ENTRIES 16
 #define BATCH_BYTES 65536
 
@@ -103,12 +105,11 @@
 
     if (voter->replica == cons->self) {
         return voter->identity == cons->identity ||
-               cons->fault == CONS_FAULT_COUNT_WIPED;
+               fault_is(FAULT_COUNT_WIPED);
     }
     peer = cons_peer_of((struct cons *)cons, voter->replica);
     return peer != NULL && peer->match >= index &&
-           (peer->identity == voter->identity ||
-            cons->fault == CONS_FAULT_COUNT_WIPED);
+           (peer->identity == voter->identity || fault_is(FAULT_COUNT_WIPED));
 }
 
 /* Says whether a voter has answered a round. */
@@ -117,7 +118,7 @@
 {
     const struct cons_peer *peer;
 
-    if (cons->fault == CONS_FAULT_LEASE_NO_QUORUM) {
+    if (fault_is(FAULT_LEASE_NO_QUORUM)) {
         return true;
     }
     if (voter->replica == cons->self) {
@@ -143,7 +144,7 @@
     }
     /* Entries of older terms are committed only under one of this term. */
     if (index > cons->commit && (cons_term_at(cons, index) == cons->term ||
-                                 cons->fault == CONS_FAULT_NO_TERM_CHECK)) {
+                                 fault_is(FAULT_NO_TERM_CHECK))) {
         cons->commit = index;
         cons->heartbeat_at = 0;
     }
--- a/cons-voters.c
+++ b/cons-voters.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "fault.h"
 
 /* Copies a list of voters over another. */
 void
@@ -254,15 +255,13 @@
 
 /* Says whether a list of voters holds a replica with an identity. */
 static bool
-has_voter(const struct cons *cons, const wire_config *config, uint32_t replica,
-          uint64_t identity)
+has_voter(const wire_config *config, uint32_t replica, uint64_t identity)
 {
     for (u_int i = 0; i < config->voters.voters_len; i++) {
         const wire_voter *voter = &config->voters.voters_val[i];
 
         if (voter->replica == replica &&
-            (voter->identity == identity ||
-             cons->fault == CONS_FAULT_COUNT_WIPED)) {
+            (voter->identity == identity || fault_is(FAULT_COUNT_WIPED))) {
             return true;
         }
     }
@@ -275,11 +274,11 @@
 cons_may_lead(const struct cons *cons)
 {
     wire_config before = {0};
-    bool ok = has_voter(cons, &cons->latest, cons->self, cons->identity);
+    bool ok = has_voter(&cons->latest, cons->self, cons->identity);
 
     if (!ok && cons_config_pending(cons)) {
         config_of(cons, last_change(cons, cons->change_index - 1), &before);
-        ok = has_voter(cons, &before, cons->self, cons->identity);
+        ok = has_voter(&before, cons->self, cons->identity);
         g_free(before.voters.voters_val);
     }
     return ok;
@@ -289,5 +288,5 @@
 bool
 cons_is_voter(const struct cons *cons, uint32_t replica, uint64_t identity)
 {
-    return has_voter(cons, &cons->latest, replica, identity);
+    return has_voter(&cons->latest, replica, identity);
 }
--- a/cons.c
+++ b/cons.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "fault.h"
 #include "random.h"
 
 #define QUIET_LEADER_MS (2 * CONS_ELECTION_MS)
@@ -109,11 +110,11 @@
     (void)unused;
     if (voter->replica == cons->self) {
         return voter->identity == cons->identity ||
-               cons->fault == CONS_FAULT_COUNT_WIPED;
+               fault_is(FAULT_COUNT_WIPED);
     }
     return peer != NULL && peer->vote &&
            (peer->vote_identity == voter->identity ||
-            cons->fault == CONS_FAULT_COUNT_WIPED);
+            fault_is(FAULT_COUNT_WIPED));
 }
 
 /* Becomes the leader; an empty entry commits what older terms left. */
@@ -194,7 +195,7 @@
     uint64_t last = cons_last_index(cons);
     uint64_t last_term = cons_term_at(cons, last);
 
-    if (cons->fault == CONS_FAULT_VOTE_BEHIND) {
+    if (fault_is(FAULT_VOTE_BEHIND)) {
         return true;
     }
     if (ask->last_term != last_term) {
@@ -217,7 +218,7 @@
         return quiet && ask->term > cons->term;
     }
     if (cons->vote != 0 && cons->vote != ask->replica &&
-        cons->fault != CONS_FAULT_VOTE_TWICE) {
+        !fault_is(FAULT_VOTE_TWICE)) {
         return false;
     }
     if (cons->vote != ask->replica) {
@@ -306,7 +307,7 @@
         cons->leader = 0;
         return;
     }
-    if (cons->fault != CONS_FAULT_LEASE_NO_QUORUM &&
+    if (!fault_is(FAULT_LEASE_NO_QUORUM) &&
         now > cons->elected_at + QUIET_LEADER_MS &&
         !cons_quorum(cons, heard_since, since)) {
         cons->role = CONS_FOLLOWER;
--- a/cons.h
+++ b/cons.h
@@ -68,17 +68,6 @@
     uint64_t vote_identity; /**< identity that granted */
 };
 
-/** Trials that leave out a safeguard, so that tests can show it is needed. */
-enum cons_fault {
-    CONS_FAULT_NONE,
-    CONS_FAULT_COUNT_WIPED,     /**< count any identity as a voter */
-    CONS_FAULT_NO_TERM_CHECK,   /**< commit entries of older terms */
-    CONS_FAULT_VOTE_TWICE,      /**< forget the vote of a term */
-    CONS_FAULT_VOTE_BEHIND,     /**< vote for a shorter log */
-    CONS_FAULT_LEASE_NO_QUORUM, /**< confirm rounds without a quorum */
-    CONS_FAULT_ACK_UNSAVED,     /**< the shell skips syncing */
-};
-
 /** A replica. */
 struct cons {
     uint32_t self;                     /**< own number */
@@ -104,7 +93,6 @@
     uint64_t confirmed;       /**< last round a quorum answered */
     uint64_t elected_at;      /**< LEADER: since when */
     struct cons_peer peers[CONS_PEERS_MAX]; /**< as `replicas` */
-    enum cons_fault fault;                  /**< for tests */
     GArray *actions;                        /**< struct cons_action */
 };
 
--- a/control-core.c
+++ b/control-core.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "fault.h"
 #include "control-internal.h"
 
 /* Adds an action. */
@@ -240,7 +241,7 @@
     bool leads = core->cons.role == CONS_LEADER;
 
     if (wait->kind == CONTROL_WAIT_READ) {
-        if (core->fault == CONTROL_FAULT_READ_LOCAL ||
+        if (fault_is(FAULT_READ_LOCAL) ||
             (cons_is_ready(&core->cons) && core->cons.term == wait->term &&
              core->cons.confirmed >= wait->round)) {
             (void)reply(core, wait->token);
@@ -413,7 +414,7 @@
     struct control_wait *wait;
 
     if (core->cons.role != CONS_LEADER) {
-        if (core->fault == CONTROL_FAULT_READ_LOCAL) {
+        if (fault_is(FAULT_READ_LOCAL)) {
             (void)reply(core, token);
             return;
         }
--- a/control-core.h
+++ b/control-core.h
@@ -75,14 +75,6 @@
     char submission[64];         /**< SUBMIT: which one */
 };
 
-/** Trials that leave out a safeguard, so that tests can show it is needed. */
-enum control_fault {
-    CONTROL_FAULT_NONE,
-    CONTROL_FAULT_EVICT_EARLY, /**< drop an entry before its lease ends */
-    CONTROL_FAULT_NO_BARRIER,  /**< step without waiting for entries */
-    CONTROL_FAULT_READ_LOCAL,  /**< answer reads without a quorum */
-};
-
 /** One control replica. */
 struct control_core {
     struct cons cons;          /**< the log */
@@ -101,10 +93,9 @@
                                     last leaves out; no lease for them */
     uint64_t epoch_ended[WIRE_EPOCHS_MAX]; /**< when, as seen here */
     u_quad_t ended_ago[WIRE_EPOCHS_MAX];   /**< borrowed by messages */
-    uint64_t in_force_ms;     /**< how long the last roll-out took */
-    uint64_t wall;            /**< ms since 1970, set before each call */
-    uint64_t signed_at;       /**< when its sign-off was applied here */
-    enum control_fault fault; /**< for tests */
+    uint64_t in_force_ms; /**< how long the last roll-out took */
+    uint64_t wall;        /**< ms since 1970, set before each call */
+    uint64_t signed_at;   /**< when its sign-off was applied here */
 };
 
 /** Starts a replica; see cons_open(). Applies what a snapshot holds. */
--- a/control-rollout.c
+++ b/control-rollout.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "control-internal.h"
+#include "fault.h"
 #include "flow.h"
 
 #define FIRST_EPOCH_MS 1500U /* after the election of the first leader */
@@ -92,8 +93,7 @@
 {
     uint32_t step = core->state.step;
 
-    if (core->fault != CONTROL_FAULT_NO_BARRIER &&
-        !all_confirmed(core, step, NULL, 0)) {
+    if (!fault_is(FAULT_NO_BARRIER) && !all_confirmed(core, step, NULL, 0)) {
         return FLOW_STEP_NONE;
     }
     switch (step) {
@@ -154,7 +154,7 @@
     if (entry != NULL && entry->gone) {
         return true;
     }
-    if (core->fault == CONTROL_FAULT_EVICT_EARLY) {
+    if (fault_is(FAULT_EVICT_EARLY)) {
         return now >= heard + CONTROL_SUSPECT_MS / 4;
     }
     /* A leader before this one may have granted a lease up to its end. */
--- a/request-claim.c
+++ b/request-claim.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "fault.h"
 #include "hash.h"
 #include "request-internal.h"
 
@@ -42,7 +43,7 @@
         const struct member *set[MEMBER_KEEPERS];
         size_t count;
 
-        if (e > 0 && core->fault_no_old) {
+        if (e > 0 && fault_is(FAULT_NO_OLD_EPOCHS)) {
             continue;
         }
         count = replicas_of(&epoch->members, request, set);
@@ -216,7 +217,7 @@
         granted += replica->current && replica->heard &&
                    replica->result == WIRE_CLAIM_GRANTED;
     }
-    return core->fault_no_majority ? granted > 0 : granted > size / 2;
+    return fault_is(FAULT_NO_MAJORITY) ? granted > 0 : granted > size / 2;
 }
 
 /* Says whether a replica of one epoch's set reported another holder. */
@@ -257,7 +258,7 @@
 {
     enum claim_verdict verdict = VERDICT_OURS;
 
-    if (core->fault_no_old) {
+    if (fault_is(FAULT_NO_OLD_EPOCHS)) {
         return verdict;
     }
     if (core->history_cut || request->too_many) {
--- a/request.c
+++ b/request.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "fault.h"
 #include "hash.h"
 #include "request-internal.h"
 
@@ -372,7 +373,7 @@
     }
     request->address = grant->address;
     request->port = (uint16_t)grant->port;
-    if (now >= core->lease_deadline && !core->fault_no_lease) {
+    if (now >= core->lease_deadline && !fault_is(FAULT_NO_LEASE)) {
         send_slot_done(core, grant->gate, grant->token, request, GATE_UNUSED,
                        0);
         request_end(core, now, request, WIRE_OUTCOME_NOT_RUN, RULE_NO_LEASE,
--- a/request.h
+++ b/request.h
@@ -140,9 +140,6 @@
     struct ring *ring;         /**< decisions; may be NULL */
     uint64_t version;          /**< of the bundle, for the ring */
     GArray *actions;           /**< struct request_action */
-    bool fault_no_majority;    /**< trial: one grant is enough */
-    bool fault_no_old;         /**< trial: earlier epochs are not read */
-    bool fault_no_lease;       /**< trial: dispatch without a lease */
 };
 
 /** Starts a coordinator. */
--- a/tests/request-load.c
+++ b/tests/request-load.c
@@ -600,9 +600,6 @@
 start_entry(struct run *r, int n)
 {
     sim_start(r->sim, sim_entry(r->sim, n));
-    if (r->load->tune != NULL) {
-        r->load->tune(r->sim);
-    }
     r->listed[n] = true;
     r->stopping[n] = false;
 }
@@ -863,9 +860,6 @@
     r.attempts = g_array_new(FALSE, FALSE, sizeof(struct attempt));
     r.waits = g_array_new(FALSE, FALSE, sizeof(double));
     r.sim = sim_new(&options);
-    if (load->tune != NULL) {
-        load->tune(r.sim);
-    }
     for (int n = 0; n < load->entries; n++) {
         r.listed[n] = true;
     }
--- a/tests/request-load.h
+++ b/tests/request-load.h
@@ -48,7 +48,6 @@
     unsigned service_ms; /* mean */
     unsigned loss;       /* of 1,000 messages between entries */
     bool duplicates;     /* callers send some twice at once, and resend */
-    void (*tune)(struct sim *sim); /* sets trials after each start */
 };
 
 struct request_result {
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "fault.h"
 #include "random.h"
 
 #define CONTROL_TICK_MS 20
@@ -202,7 +203,7 @@
 act_cons(struct sim *sim, int index, struct cons_action *action)
 {
     struct sim_node *node = &sim->nodes[index];
-    bool unsaved = sim->options.cons_fault == CONS_FAULT_ACK_UNSAVED;
+    bool unsaved = fault_is(FAULT_ACK_UNSAVED);
 
     switch (action->kind) {
     case CONS_SAVE_TERM:
@@ -340,8 +341,6 @@
     control_core_open(&node->core, sim->now, (uint32_t)index + 1,
                       node->disk.identity, replicas, (size_t)o->controls,
                       &founders, sim_random(sim, 0), &stored, &sim->counters);
-    node->core.cons.fault = o->cons_fault;
-    node->core.fault = o->control_fault;
 }
 
 /* Starts an entry from what it saved. */
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -57,8 +57,6 @@
     unsigned delay_ms;  /* least, between halls */
     unsigned jitter_ms; /* random, added */
     size_t flow_capacity;
-    enum cons_fault cons_fault;
-    enum control_fault control_fault;
     bool push_off;
     struct sim_hooks hooks;
 };
--- a/tests/test-control.c
+++ b/tests/test-control.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "fault.h"
 #include "hash.h"
 #include "sim.h"
 
@@ -312,8 +313,7 @@
             return false;
         }
         voters += cons_is_voter(&node->core.cons, (uint32_t)i + 1,
-                                node->disk.identity) &&
-                  !node->core.cons.fault;
+                                node->disk.identity);
     }
     return voters == sim->options.controls;
 }
@@ -363,7 +363,7 @@
         }
     }
     if (sim_random(sim, 1000) < w->wipe && node < sim->options.controls &&
-        (sim->options.cons_fault == CONS_FAULT_COUNT_WIPED || may_wipe(sim))) {
+        (fault_is(FAULT_COUNT_WIPED) || may_wipe(sim))) {
         sim_wipe(sim, node);
     }
     if (sim_random(sim, 1000) < w->operate) {
@@ -533,46 +533,38 @@
 /* A safeguard left out, and the weather that shows it. */
 struct mutation {
     const char *name;
-    enum cons_fault cons;
-    enum control_fault control;
+    enum fault fault;
     struct weather weather;
     unsigned jitter_ms; /* 0: as in the scenes */
 };
 
 static const struct mutation mutations[] = {
     {"count-a-wiped-replica",
-     CONS_FAULT_COUNT_WIPED,
-     CONTROL_FAULT_NONE,
+     FAULT_COUNT_WIPED,
      {25, 0, 10, 0, 40, 100, 0, 0},
      0},
     {"vote-for-a-shorter-log",
-     CONS_FAULT_VOTE_BEHIND,
-     CONTROL_FAULT_NONE,
+     FAULT_VOTE_BEHIND,
      {25, 10, 10, 0, 0, 100, 0, 0},
      0},
     {"vote-twice-in-a-term",
-     CONS_FAULT_VOTE_TWICE,
-     CONTROL_FAULT_NONE,
+     FAULT_VOTE_TWICE,
      {25, 10, 10, 10, 0, 100, 0, 0},
      400},
     {"acknowledge-unsynced",
-     CONS_FAULT_ACK_UNSAVED,
-     CONTROL_FAULT_NONE,
+     FAULT_ACK_UNSAVED,
      {60, 0, 5, 0, 0, 100, 0, 0},
      0},
     {"renew-a-lease-without-a-quorum",
-     CONS_FAULT_LEASE_NO_QUORUM,
-     CONTROL_FAULT_NONE,
+     FAULT_LEASE_NO_QUORUM,
      {5, 5, 0, 0, 0, 60, 0, 15},
      0},
     {"drop-an-entry-before-its-lease-ends",
-     CONS_FAULT_NONE,
-     CONTROL_FAULT_EVICT_EARLY,
+     FAULT_EVICT_EARLY,
      {5, 20, 10, 10, 0, 60, 0, 0},
      0},
     {"step-without-waiting",
-     CONS_FAULT_NONE,
-     CONTROL_FAULT_NO_BARRIER,
+     FAULT_NO_BARRIER,
      {5, 10, 10, 10, 0, 100, 0, 0},
      0},
 };
@@ -591,13 +583,13 @@
                                       .delay_ms = 1,
                                       .jitter_ms =
                                           m->jitter_ms ? m->jitter_ms : 4,
-                                      .flow_capacity = 1024,
-                                      .cons_fault = m->cons,
-                                      .control_fault = m->control};
+                                      .flow_capacity = 1024};
         struct truth t;
         bool caught;
 
+        fault_trials[m->fault] = true;
         run_seed(&t, &options, (uint64_t)seed, &m->weather, RUN_MS);
+        fault_trials[m->fault] = false;
         caught = t.broken[0] != '\0';
         if (caught) {
             g_test_message("%s: seed %d: %s", m->name, seed, t.broken);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -7,9 +7,11 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "fault.h"
 #include "fleet-sim.h"
 
 #define SEEDS 8
+#define MUTATION_SEEDS 40
 #define SETTLE_MS 6000  /* from the first start to the first table */
 #define OPERATE_MS 8000 /* an operator's call is answered within it */
 #define EVENT_MS 1000   /* between two events */
@@ -194,9 +196,9 @@
     }
 }
 
-/* Plays a scene with one seed. */
-static void
-play(const struct scene *scene, uint64_t seed)
+/* Plays the events of a scene with one seed; counts the versions sent. */
+static struct fleet_sim *
+play_events(const struct scene *scene, uint64_t seed, uint64_t *version)
 {
     struct fleet_sim_options options = {.nodes = scene->nodes,
                                         .disks = scene->disks,
@@ -204,15 +206,25 @@
                                         .seed = seed,
                                         .loss = scene->loss};
     struct fleet_sim *sim = fleet_sim_new(&options);
-    uint64_t version = 0;
-    int leader;
 
+    *version = 0;
     fleet_sim_run(sim, sim->now + SETTLE_MS);
     for (const char *event = scene->events; *event != '\0'; event++) {
-        happen(sim, *event, &version);
+        happen(sim, *event, version);
         fleet_sim_run(sim, sim->now + EVENT_MS);
     }
     fleet_sim_run(sim, sim->now + HEAL_MS);
+    return sim;
+}
+
+/* Plays a scene with one seed; all promises must hold. */
+static void
+play(const struct scene *scene, uint64_t seed)
+{
+    uint64_t version;
+    struct fleet_sim *sim = play_events(scene, seed, &version);
+    int leader;
+
     leader = fleet_sim_leader(sim);
     g_test_message("%s seed %llu: %s", scene->name, (unsigned long long)seed,
                    sim->broken);
@@ -239,6 +251,44 @@
     }
 }
 
+/* A safeguard left out, and the events that show it. */
+struct mutation {
+    const char *name;
+    enum fault fault;
+    struct scene scene;
+};
+
+static const struct mutation mutations[] = {
+    {"confirm-without-a-quorum",
+     FAULT_LEASE_NO_QUORUM,
+     {"", 11, 3, 5, 3, "pcpgggggghpcpgggggg"}},
+    {"vote-for-a-shorter-log",
+     FAULT_VOTE_BEHIND,
+     {"", 11, 3, 5, 3, "pc...pkh...g"}},
+};
+
+/* Looks for a seed that catches the mutation. */
+static void
+test_mutation(const void *data)
+{
+    const struct mutation *m = data;
+    bool caught = false;
+
+    for (uint64_t seed = 1; seed <= MUTATION_SEEDS && !caught; seed++) {
+        uint64_t version;
+        struct fleet_sim *sim;
+
+        fault_trials[m->fault] = true;
+        sim = play_events(&m->scene, seed, &version);
+        fault_trials[m->fault] = false;
+        caught = sim->broken[0] != '\0';
+        g_test_message("%s seed %llu: %s", m->name, (unsigned long long)seed,
+                       sim->broken);
+        fleet_sim_free(sim);
+    }
+    g_assert_true(caught);
+}
+
 /* What becomes known of upstreams. */
 struct known {
     const char *name;
@@ -419,6 +469,11 @@
         (void)snprintf(path, sizeof(path), "/fleet/%s", scenes[i].name);
         g_test_add_data_func(path, &scenes[i], test_scene);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(mutations); i++) {
+        (void)snprintf(path, sizeof(path), "/fleet/mutation/%s",
+                       mutations[i].name);
+        g_test_add_data_func(path, &mutations[i], test_mutation);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(knowns); i++) {
         (void)snprintf(path, sizeof(path), "/fleet/upstream/%s",
                        knowns[i].name);
--- a/tests/test-request.c
+++ b/tests/test-request.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "fault.h"
 #include "request-load.h"
 
 /* One scene and the share of requests that must be answered. */
@@ -125,54 +126,34 @@
     g_assert_cmpuint(broken_promises(&r), ==, 0);
 }
 
-/* ---- trials: one safeguard left out ---- */
-
-/* One grant is enough. */
-static void
-no_majority(struct sim *sim)
-{
-    for (int i = sim->options.controls; i < sim->count; i++) {
-        if (sim->nodes[i].up) {
-            sim->nodes[i].entry->requests.fault_no_majority = true;
-        }
-    }
-}
-
-/* Replicas grant in any epoch, and earlier ones are not read. */
-static void
-no_fence(struct sim *sim)
-{
-    for (int i = sim->options.controls; i < sim->count; i++) {
-        if (sim->nodes[i].up) {
-            sim->nodes[i].entry->claims.fault_no_fence = true;
-            sim->nodes[i].entry->requests.fault_no_old = true;
-        }
-    }
-}
-
-/* Earlier epochs are not read. */
-static void
-no_old(struct sim *sim)
-{
-    for (int i = sim->options.controls; i < sim->count; i++) {
-        if (sim->nodes[i].up) {
-            sim->nodes[i].entry->requests.fault_no_old = true;
-        }
-    }
-}
-
+/* Safeguards left out, and the trouble that shows it. */
 struct mutation {
     const char *name;
     enum request_trouble trouble;
-    void (*tune)(struct sim *sim);
+    enum fault faults[2]; /* FAULT_NONE: no second one */
 };
 
 static const struct mutation mutations[] = {
-    {"one-grant-is-enough", REQ_CALM, no_majority},
-    {"earlier-epochs-are-not-read", REQ_EPOCHS, no_old},
-    {"no-fence-between-epochs", REQ_EPOCHS, no_fence},
+    {"one-grant-is-enough", REQ_CALM, {FAULT_NO_MAJORITY, FAULT_NONE}},
+    {"earlier-epochs-are-not-read",
+     REQ_EPOCHS,
+     {FAULT_NO_OLD_EPOCHS, FAULT_NONE}},
+    {"no-fence-between-epochs",
+     REQ_EPOCHS,
+     {FAULT_NO_FENCE, FAULT_NO_OLD_EPOCHS}},
 };
 
+/* Leaves the safeguards of a mutation out, or puts them back. */
+static void
+set_faults(const struct mutation *m, bool left_out)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(m->faults); i++) {
+        if (m->faults[i] != FAULT_NONE) {
+            fault_trials[m->faults[i]] = left_out;
+        }
+    }
+}
+
 /* Looks for a seed that catches the mutation. */
 static void
 test_mutation(gconstpointer data)
@@ -183,8 +164,9 @@
         struct request_load load = make_load(m->trouble, seed, 20);
         struct request_result r;
 
-        load.tune = m->tune;
+        set_faults(m, true);
         request_load_run(&load, &r);
+        set_faults(m, false);
         if (broken_promises(&r) > 0) {
             g_test_message("%s: seed %u: twice %u, false %u", m->name,
                            (unsigned)seed, r.run_twice, r.false_not_run);
