soak: a disk refuses writes; nodes survive a file-size limit

Cause: the soak lost disks but none refused writes, as a full one does. Ruled out: the store itself; with the signal ignored the write fails with an error and is handled as a refusing disk: let go of, opened again. Nodes and control VMs ignore SIGXFSZ.

--- a/control.c
+++ b/control.c
@@ -233,6 +233,8 @@
     static struct control control;
 
     (void)signal(SIGPIPE, SIG_IGN);
+    /* A file that may not grow is an error of the disk, not an end. */
+    (void)signal(SIGXFSZ, SIG_IGN);
     control.settings = *settings;
     control.calls =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -1,8 +1,9 @@
 /*
  * A fault soak of nodes as real processes on loopback. From one seed it kills,
- * stops, pauses and restarts them, loses disks, and delays, drops or cuts what
- * they say to each other through a proxy of its own; it plays the fabric,
- * callers, upstreams and an operator, and checks while it runs what these see.
+ * stops, pauses and restarts them, loses disks or lets them refuse writes, and
+ * delays, drops or cuts what they say to each other through a proxy of its
+ * own; it plays the fabric, callers, upstreams and an operator, and checks
+ * while it runs what these see.
  *
  *   build/soak SECONDS SEED [NODES]
  *
@@ -20,6 +21,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -60,7 +62,7 @@
     FAULT_CUT,
     FAULT_LOSS,
     FAULT_DELAY,
-    FAULT_WIPE, /* the disk is lost */
+    FAULT_WIPE, /* the disk is lost; else it refuses writes */
     FAULT_HOST, /* of an upstream */
     FAULT_COUNT
 };
@@ -73,6 +75,7 @@
     uint64_t start_at;  /* deadline: start it (again), 0: no */
     uint64_t thaw_at;   /* deadline: let it go on, 0: it is not paused */
     uint64_t heal_at;   /* deadline: its link is whole again */
+    uint64_t write_at;  /* deadline: its disk takes writes again, 0: it does */
     bool cut_in;        /* nothing arrives */
     bool cut_out;       /* nothing leaves */
     unsigned loss;      /* of 100 datagrams */
@@ -237,6 +240,7 @@
     }
     soak.node[n].pid = pid;
     soak.node[n].stopping = false;
+    soak.node[n].write_at = 0;
     soak.node[n].start_at = 0;
     g_free(settings);
     g_free(log);
@@ -508,13 +512,43 @@
     }
 }
 
-/* Kills a node and loses its disk, when the others can spare it. */
+/* Lets a node's files grow, or refuses every write that would make one
+ * longer, as a full disk does. */
 static void
-lose_disk(int n, uint64_t now)
+allow_writes(int n, bool allowed)
+{
+    struct rlimit limit = {.rlim_cur = allowed ? RLIM_INFINITY : 0,
+                           .rlim_max = RLIM_INFINITY};
+
+    if (prlimit(soak.node[n].pid, RLIMIT_FSIZE, &limit, NULL) != 0) {
+        perror("soak: prlimit");
+    }
+    soak.node[n].write_at = 0;
+}
+
+/* Lets a node's disk refuse writes for a while. */
+static void
+refuse_writes(int n, uint64_t now, uint64_t for_ms)
+{
+    if (!soak.node[n].disk || soak.node[n].write_at != 0) {
+        return;
+    }
+    note("refuse writes of node %d for %llu ms", n,
+         (unsigned long long)for_ms);
+    allow_writes(n, false);
+    soak.node[n].write_at = now + for_ms;
+    harm(n, now + for_ms);
+}
+
+/* Kills a node and loses its disk, when the others can spare it; else the
+ * disk refuses writes. */
+static void
+lose_disk(int n, uint64_t now, uint64_t for_ms)
 {
     struct node_process *node = &soak.node[n];
 
     if (!may_wipe(n, now)) {
+        refuse_writes(n, now, for_ms);
         return;
     }
     note("wipe node %d", n);
@@ -601,7 +635,7 @@
         harm_link(n, fault, now, for_ms);
         return;
     case FAULT_WIPE:
-        lose_disk(n, now);
+        lose_disk(n, now, for_ms);
         return;
     case FAULT_HOST:
     case FAULT_COUNT:
@@ -622,6 +656,9 @@
             node->thaw_at = 0;
             (void)kill(node->pid, SIGCONT);
         }
+        if (node->pid != 0 && node->write_at != 0 && now >= node->write_at) {
+            allow_writes(n, true);
+        }
         if (node->heal_at != 0 && now >= node->heal_at) {
             node->heal_at = 0;
             node->cut_in = node->cut_out = false;
