tests: a libFuzzer target for what strangers send to a node

Cause: readers were fuzzed by fixed seeds only, which never leave the neighbourhood of valid inputs. Ruled out: a second harness; the target is one function, which the tests call on each input of tests/corpus as well. Change: tests/fuzz-input.c, `make fuzz` (clang), tests/corpus with one valid input for each reader and what was found.

--- a/Makefile
+++ b/Makefile
@@ -80,6 +80,16 @@
 	@mkdir -p $(dir $@)
 	@$(CC) $(CFLAGS) -I. -Itests -MMD -c -o $@ $<
 
+# The fuzzing target, by clang; see tests/fuzz-input.c.
+fuzz:
+	@mkdir -p build-fuzz/found
+	@$(MAKE) --no-print-directory BUILD=build-fuzz CC=clang \
+		OPTIMIZE='-O1 -fsanitize=fuzzer-no-link,address,undefined -Wno-unknown-warning-option -Wno-error' \
+		build-fuzz/fuzz-input
+
+$(BUILD)/fuzz-input: $(BUILD)/tests/fuzz-input.o $(BUILD)/lib.a
+	@$(CC) $(OPTIMIZE) -fsanitize=fuzzer -pie -o $@ $^ $(LDLIBS)
+
 PREFIX ?= /usr/local
 install: all
 	install -D -m 755 $(BUILD)/ridgeridge $(DESTDIR)$(PREFIX)/bin/ridgeridge
@@ -89,9 +99,9 @@
 		$(DESTDIR)$(PREFIX)/lib/systemd/system/ridgeridge@.service
 
 clean:
-	rm -rf build build-asan
+	rm -rf build build-asan build-fuzz
 
-.PHONY: all tests program install clean
+.PHONY: all tests program fuzz install clean
 .SECONDARY: $(LOAD) $(FAULTY)
 .PRECIOUS: $(BUILD)/tests/%.o $(BUILD)/tools/%.o
 -include $(wildcard $(BUILD)/*.d $(BUILD)/*/*.d $(BUILD)/*/*/*.d)
--- a/tests/test-input.c
+++ b/tests/test-input.c
@@ -12,10 +12,12 @@
 #include "codec.h"
 #include "control-state.h"
 #include "explain.h"
+#include "fuzz-input.h"
 #include "packet.h"
 #include "seal.h"
 #include "settings.h"
 
+#define CORPUS "tests/corpus"
 #define KEY "0000000000000000000000000000000000000000000000000000000000000000"
 #define SETTINGS(more)                                                        \
     "{\"name\":\"e\",\"role\":\"entry\",\"hall\":\"h\",\"address\":"          \
@@ -442,6 +444,30 @@
     g_rand_free(random);
 }
 
+/* Every input of the corpus is read or refused. */
+static void
+test_corpus(void)
+{
+    GDir *folder = g_dir_open(CORPUS, 0, NULL);
+    unsigned inputs = 0;
+    const char *name;
+
+    g_assert_nonnull(folder);
+    while ((name = g_dir_read_name(folder)) != NULL) {
+        char *path = g_build_filename(CORPUS, name, NULL);
+        char *bytes = NULL;
+        gsize size = 0;
+
+        g_assert_true(g_file_get_contents(path, &bytes, &size, NULL));
+        (void)LLVMFuzzerTestOneInput((const uint8_t *)bytes, size);
+        g_free(bytes);
+        g_free(path);
+        inputs++;
+    }
+    g_dir_close(folder);
+    g_assert_cmpuint(inputs, >, 0);
+}
+
 /* Mutated JSON never crashes, and whatever is accepted is whole. */
 static void
 test_fuzz_json(void)
@@ -624,6 +650,7 @@
     g_test_add_func("/input/rewrite", test_rewrite);
     g_test_add_func("/input/fuzz-packets", test_fuzz_packets);
     g_test_add_func("/input/fuzz-messages", test_fuzz_messages);
+    g_test_add_func("/input/corpus", test_corpus);
     g_test_add_func("/input/fuzz-json", test_fuzz_json);
     g_test_add_func("/input/seal", test_seal);
     g_test_add_func("/input/burn", test_burn);
