--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -40,10 +40,10 @@
 /** Says whether a hello shows the same inventory. */
 bool fleet_has_same_upstreams(const struct fleet *fleet,
                               const wire_hello *hello);
-/** Sends upstreams that the node of a hello lacks. */
+/** Sends upstreams that the node of a hello lacks, if `same` is false. */
 void fleet_send_lacking_upstreams(struct fleet *fleet, uint64_t now,
                                   const wire_hello *hello,
-                                  struct fleet_member *member);
+                                  struct fleet_member *member, bool same);
 /** Sends the members that the node of a hello lacks. */
 void fleet_send_lacking_members(struct fleet *fleet, const wire_hello *hello,
                                 struct fleet_member *member);
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -11,11 +11,6 @@
 /* Records of upstreams in one message: about 100 bytes each, so that it
  * stays well inside one datagram. */
 #define RECORDS_A_MESSAGE 200
-/* What changed is pushed to all at once; a node that lacks it so long after
- * has lost it (a datagram over the smallest links takes 0.1 s at most). */
-#define PUSHED_MS 300U
-/* What changed longer ago was compared several times since. */
-#define RECENT_MS 3000U
 #define TO_ALL 0 /* in place of an address: every member */
 
 /* Sends an encoded message, which is shared. */
@@ -43,9 +38,7 @@
 }
 
 /* Sends a message to all members; it is encoded once, and deflated unless it
- * holds a table, which is. What goes to one node is not deflated: the leader
- * would do little else at 300 nodes (0.36 instead of 0.14 of its processor).
- */
+ * holds a table, which is. */
 static void
 send_to_all(struct fleet *fleet, wire_msg *msg)
 {
@@ -170,37 +163,27 @@
     }
 }
 
-/* What another node lacks, as its hello shows. */
-struct lack {
-    uint32_t ours[WIRE_BUCKETS];
-    const uint32_t *theirs;
-    const struct fleet_member *member; /* its hello before this one */
-    bool settled;                      /* it holds nearly everything */
-};
-
-/* Says whether a node differs in a bucket in which nothing has changed on
- * either side since its hello before: then whatever it lacks is old. */
-static bool
-is_stuck(const struct lack *lack, uint32_t bucket)
+/* Sends the records of those buckets in which the other node differs. */
+static void
+send_differing(struct fleet *fleet, uint64_t now, uint32_t to,
+               const uint32_t theirs[WIRE_BUCKETS])
 {
-    return lack->theirs[bucket] == lack->member->theirs[bucket] &&
-           lack->ours[bucket] == lack->member->ours[bucket];
-}
+    struct upstream_set *set = fleet->upstreams;
+    wire_upstream *records = g_new0(wire_upstream, set->all->len);
+    uint32_t own[WIRE_BUCKETS];
+    guint count = 0;
 
-/* Says whether a record is sent to a node that differs in its bucket. While
- * changes are on their way everywhere, most buckets differ in a few records:
- * of these only what changed a while ago can have been lost. */
-static bool
-is_lacking(const struct lack *lack, uint64_t now, const struct upstream *u)
-{
-    uint32_t bucket = u->token % WIRE_BUCKETS;
+    upstream_digests(set, own);
+    for (guint i = 0; i < set->all->len; i++) {
+        const struct upstream *u = g_ptr_array_index(set->all, i);
+        uint32_t bucket = u->token % WIRE_BUCKETS;
 
-    if (lack->ours[bucket] == lack->theirs[bucket]) {
-        return false;
+        if (own[bucket] != theirs[bucket]) {
+            upstream_pack(set, now, u, &records[count++]);
+        }
     }
-    return !lack->settled || is_stuck(lack, bucket) ||
-           (now >= u->changed_at + PUSHED_MS &&
-            now <= u->changed_at + RECENT_MS);
+    send_upstreams(fleet, to, records, count);
+    g_free(records);
 }
 
 /* Says whether a hello shows the same inventory. */
@@ -213,35 +196,21 @@
     return memcmp(own, hello->upstreams, sizeof(own)) == 0;
 }
 
-/* Sends upstreams that the other lacks, as far as can be told. */
+/* Sends upstreams that the other lacks. What changed a moment ago is on its
+ * way to all already, so a settled node is sent them only when it still lacks
+ * them at its next hello. */
 void
 fleet_send_lacking_upstreams(struct fleet *fleet, uint64_t now,
                              const wire_hello *hello,
-                             struct fleet_member *member)
+                             struct fleet_member *member, bool same)
 {
-    struct upstream_set *set = fleet->upstreams;
-    struct lack lack = {.theirs = hello->upstreams,
-                        .member = member,
-                        .settled = hello->settled};
-    wire_upstream *records = g_new0(wire_upstream, set->all->len);
-    guint count = 0;
-
-    upstream_digests(set, lack.ours);
-    for (guint i = 0; i < set->all->len; i++) {
-        const struct upstream *u = g_ptr_array_index(set->all, i);
-
-        if (is_lacking(&lack, now, u)) {
-            upstream_pack(set, now, u, &records[count++]);
-        }
+    if (!same && (!hello->settled || member->lacks_upstreams)) {
+        send_differing(fleet, now, hello->self.address, hello->upstreams);
     }
-    send_upstreams(fleet, hello->self.address, records, count);
-    memcpy(member->theirs, hello->upstreams, sizeof(member->theirs));
-    memcpy(member->ours, lack.ours, sizeof(member->ours));
-    g_free(records);
+    member->lacks_upstreams = !same;
 }
 
-/* Sends the list of members: to a settled node only when it lacks it at its
- * next hello too, since what changed a moment ago is on its way. */
+/* Sends the list of members, by the same rule. */
 void
 fleet_send_lacking_members(struct fleet *fleet, const wire_hello *hello,
                            struct fleet_member *member)
--- a/fleet.c
+++ b/fleet.c
@@ -292,7 +292,7 @@
     if (hello->routes < fleet->routes.bundle_version) {
         fleet_send_routes(fleet, from);
     }
-    fleet_send_lacking_upstreams(fleet, now, hello, member);
+    fleet_send_lacking_upstreams(fleet, now, hello, member, same);
     if (is_settled(fleet, now, hello, same)) {
         fleet->settled = true;
     }
--- a/fleet.h
+++ b/fleet.h
@@ -52,11 +52,10 @@
 
 /** Another node. */
 struct fleet_member {
-    wire_node node;                /**< as it or the leader reported it */
-    uint64_t heard_at;             /**< last hello, or word of the leader */
-    bool lacks_members;            /**< its last hello showed another list */
-    uint32_t theirs[WIRE_BUCKETS]; /**< its inventory at its last hello */
-    uint32_t ours[WIRE_BUCKETS];   /**< the own one at that time */
+    wire_node node;       /**< as it or the leader reported it */
+    uint64_t heard_at;    /**< last hello, or word of the leader */
+    bool lacks_members;   /**< its last hello showed another list */
+    bool lacks_upstreams; /**< its last hello showed another inventory */
 };
 
 /** What one node knows of the fleet. */
--- a/upstream.c
+++ b/upstream.c
@@ -105,10 +105,9 @@
 
 /* Notes that a record must be spread. */
 static void
-note_change(struct upstream_set *set, uint64_t now, struct upstream *upstream)
+note_change(struct upstream_set *set, const struct upstream *upstream)
 {
     set->change_count++;
-    upstream->changed_at = now;
     g_array_append_val(set->changed, upstream->id);
 }
 
@@ -212,7 +211,7 @@
     upstream->heard = true;
     upstream->expire_at = next_expiry(set, now);
     if (differs) {
-        note_change(set, now, upstream);
+        note_change(set, upstream);
     }
 }
 
@@ -237,7 +236,7 @@
     }
     if (upstream->state != UPSTREAM_GONE) {
         mark_gone(upstream, now);
-        note_change(set, now, upstream);
+        note_change(set, upstream);
     }
 }
 
@@ -273,7 +272,6 @@
     }
     if (differs) {
         set->change_count++;
-        upstream->changed_at = now;
     }
     return differs;
 }
@@ -293,7 +291,7 @@
         else if (upstream->expire_at != 0 && now >= upstream->expire_at) {
             upstream->expire_at = 0;
             upstream->state = UPSTREAM_SILENT;
-            note_change(set, now, upstream);
+            note_change(set, upstream);
         }
     }
 }
--- a/upstream.h
+++ b/upstream.h
@@ -54,7 +54,6 @@
     uint32_t slots;                   /**< requests it runs at once */
     enum upstream_state state;        /**< what is believed */
     uint64_t sequence;                /**< of the registration believed */
-    uint64_t changed_at;              /**< last change of what is spread */
     uint32_t keeper;                  /**< node that hears it, by address */
     uint64_t warm_at;                 /**< deadline: slow until then */
     uint64_t expire_at;               /**< deadline: silent then; 0: another
