--- a/codec.c
+++ b/codec.c
@@ -3,14 +3,6 @@
 
 #include <string.h>
 
-#include "pack.h"
-
-/* A shorter encoding is sent as it is: a packet's head, and what deflating
- * costs, would outweigh what is saved. */
-#define PACK_MIN 512
-/* Longest encoding of a deflated message: sixteen datagrams' worth. */
-#define UNPACKED_MAX (1024 * 1024)
-
 /* Encodes any XDR type. */
 static GByteArray *
 encode(xdrproc_t proc, void *value)
@@ -57,74 +49,11 @@
     return encode((xdrproc_t)xdr_wire_msg, msg);
 }
 
-/* Messages, deflated when they are large. */
-GByteArray *
-codec_encode_small(wire_msg *msg)
-{
-    GByteArray *plain = codec_encode(msg);
-    GByteArray *deflated =
-        plain->len >= PACK_MIN ? pack_deflate(plain->data, plain->len) : NULL;
-    wire_msg outer = {.kind = WIRE_PACKED};
-    wire_packed *packed = &outer.wire_msg_u.packed;
-    GByteArray *out;
-
-    if (deflated == NULL) {
-        return plain;
-    }
-    packed->length = plain->len;
-    packed->bytes.bytes_val = (char *)deflated->data;
-    packed->bytes.bytes_len = deflated->len;
-    out = codec_encode(&outer);
-    g_byte_array_unref(deflated);
-    g_byte_array_unref(plain);
-    return out;
-}
-
-/* Decodes the message that was deflated; one that is deflated twice is
- * refused. */
-static bool
-decode_packed(const wire_packed *packed, wire_msg *out)
-{
-    size_t length = packed->length;
-    guint8 *plain;
-    bool ok;
-
-    if (length > UNPACKED_MAX) {
-        return false;
-    }
-    plain = g_malloc(length);
-    ok = pack_inflate(packed->bytes.bytes_val, packed->bytes.bytes_len, plain,
-                      length) &&
-         decode((xdrproc_t)xdr_wire_msg, plain, length, out, sizeof(*out));
-    g_free(plain);
-    if (ok && out->kind == WIRE_PACKED) {
-        codec_free(out);
-        memset(out, 0, sizeof(*out));
-        return false;
-    }
-    return ok;
-}
-
 /* Messages. */
 bool
 codec_decode(const void *bytes, size_t length, wire_msg *out)
 {
-    wire_msg outer;
-    bool ok;
-
-    if (!decode((xdrproc_t)xdr_wire_msg, bytes, length, out, sizeof(*out))) {
-        return false;
-    }
-    if (out->kind != WIRE_PACKED) {
-        return true;
-    }
-    outer = *out;
-    ok = decode_packed(&outer.wire_msg_u.packed, out);
-    if (!ok) {
-        memset(out, 0, sizeof(*out));
-    }
-    codec_free(&outer);
-    return ok;
+    return decode((xdrproc_t)xdr_wire_msg, bytes, length, out, sizeof(*out));
 }
 
 /* Messages. */
--- a/codec.h
+++ b/codec.h
@@ -15,12 +15,7 @@
 /** Encodes a message; free the array with g_byte_array_unref(). */
 GByteArray *codec_encode(wire_msg *msg);
 
-/** The same, deflated when the encoding is large; for messages that are sent
- * over small links. */
-GByteArray *codec_encode_small(wire_msg *msg);
-
-/** Decodes a message, deflated or not, all bytes or none; free with
- * codec_free(). It is never a WIRE_PACKED. */
+/** Decodes a message, all bytes or none; free with codec_free(). */
 bool codec_decode(const void *bytes, size_t length, wire_msg *out);
 
 /** Frees what codec_decode() allocated. */
--- a/cons.c
+++ b/cons.c
@@ -392,7 +392,6 @@
     case WIRE_UPSTREAMS:
     case WIRE_ROUTES:
     case WIRE_FOUND:
-    case WIRE_PACKED:
         return;
     }
 }
--- a/entry-core.c
+++ b/entry-core.c
@@ -250,7 +250,6 @@
     case WIRE_UPSTREAMS:
     case WIRE_ROUTES:
     case WIRE_FOUND:
-    case WIRE_PACKED:
         counter_add(core->counters, COUNTER_MSGS_MALFORMED, 1);
         return;
     }
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -37,13 +37,11 @@
     g_byte_array_unref(bytes);
 }
 
-/* Sends a message to all members; it is encoded once, and deflated unless it
- * holds a table, which is. */
+/* Sends a message to all members; it is encoded once. */
 static void
 send_to_all(struct fleet *fleet, wire_msg *msg)
 {
-    GByteArray *bytes =
-        msg->kind == WIRE_ROUTES ? codec_encode(msg) : codec_encode_small(msg);
+    GByteArray *bytes = codec_encode(msg);
     GHashTableIter iter;
     gpointer value;
 
