Trial: upstreams with a hung request get no new flows

Change: a request without an answer for 1 s, while later ones were answered elsewhere, makes its upstream a suspect, which new flows avoid.

--- a/evidence.h
+++ b/evidence.h
@@ -92,7 +92,8 @@
  * so for some seconds the silence of an upstream proves nothing. */
 void evidence_distrust(struct evidence *ev, uint64_t now);
 
-/** Forgets flows that ended or rested too long. */
+/** Forgets flows that ended or rested too long, and suspects upstreams that do
+ * not answer. */
 void evidence_tick(struct evidence *ev, uint64_t now);
 
 /** Hash of a flow, as logs name it. */
