--- a/evidence-internal.h
+++ b/evidence-internal.h
@@ -39,9 +39,6 @@
 bool evidence_is_lost(const struct evidence *ev, uint64_t now,
                       const struct evidence_flow *flow,
                       const struct upstream *upstream);
-/** Suspects the upstream of a flow that has waited long for its answer. */
-void evidence_suspect_hung(const struct evidence *ev, uint64_t now,
-                           const struct evidence_flow *flow);
 /** Ends a flow whose upstream is lost. */
 void evidence_give_up(struct evidence *ev, uint64_t now,
                       struct evidence_flow *flow, struct upstream *upstream);
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -26,13 +26,6 @@
  */
 #define TRUST_MS 4000U
 
-/* A request that has waited so long while later ones were answered elsewhere
- * hangs: work takes up to 0.12 s, and waits at upstreams are short of 1 s even
- * in bursts. */
-#define HUNG_MS 1000U
-/* Its upstream gets no new flow for so long; looked at every second. */
-#define HUNG_SUSPECT_MS 1500U
-
 /* Silence proves nothing for some seconds. */
 void
 evidence_distrust(struct evidence *ev, uint64_t now)
@@ -136,22 +129,6 @@
            upstream->stalled_flows >= LOST_FLOWS;
 }
 
-/* Suspects an upstream that took a request and does not answer it: it may be
- * ill though it looks well. Flows that are open there stay. */
-void
-evidence_suspect_hung(const struct evidence *ev, uint64_t now,
-                      const struct evidence_flow *flow)
-{
-    struct upstream *upstream = evidence_upstream_of(ev, flow);
-
-    if (upstream != NULL && flow->busy && flow->sent_at != 0 &&
-        now >= flow->sent_at + HUNG_MS && now >= ev->trust_at &&
-        ev->answered_sent_at > flow->sent_at) {
-        upstream->suspect_until =
-            MAX(upstream->suspect_until, now + HUNG_SUSPECT_MS);
-    }
-}
-
 /* Ends a flow whose upstream is lost. */
 void
 evidence_give_up(struct evidence *ev, uint64_t now, struct evidence_flow *flow,
--- a/evidence.c
+++ b/evidence.c
@@ -402,8 +402,7 @@
     }
 }
 
-/* Forgets flows that ended or rested too long, and looks for those whose
- * upstream hangs. */
+/* Forgets flows that ended or rested too long. */
 void
 evidence_tick(struct evidence *ev, uint64_t now)
 {
@@ -425,8 +424,5 @@
             detach(ev, flow);
             g_hash_table_iter_remove(&iter);
         }
-        else {
-            evidence_suspect_hung(ev, now, flow);
-        }
     }
 }
--- a/evidence.h
+++ b/evidence.h
@@ -92,8 +92,7 @@
  * so for some seconds the silence of an upstream proves nothing. */
 void evidence_distrust(struct evidence *ev, uint64_t now);
 
-/** Forgets flows that ended or rested too long, and suspects upstreams that do
- * not answer. */
+/** Forgets flows that ended or rested too long. */
 void evidence_tick(struct evidence *ev, uint64_t now);
 
 /** Hash of a flow, as logs name it. */
