evidence: copies prove a loss together only when they come together

Cause: found by reading: a flow that stalled and was given up counted until its upstream showed life, so on a quiet deployment one lost packet half a minute later would have reset a flow of a living upstream. Change: the count begins anew when 2 s passed since the last one. Before/after: /evidence/lost/one-copy-each-long-apart failed (reset), passes.

--- a/evidence-life.c
+++ b/evidence-life.c
@@ -17,6 +17,10 @@
 #define LOST_RESENDS 2
 /* So many flows prove it together, with a copy each, after 0.2 s. */
 #define LOST_FLOWS 2
+/* But only copies that come so near each other: on a quiet day two packets
+ * that were lost a while apart prove nothing. Ends wait 1.6 s between copies.
+ */
+#define TOGETHER_MS 2000U
 /* A lost upstream gets no new flow for so long, unless it shows life: by then
  * its registrations have stayed away too. */
 #define LOST_MS 3000U
@@ -66,6 +70,17 @@
     evidence_set_idle(ev, flow);
 }
 
+/* A flow's data was sent again for the first time. */
+static void
+note_stalled(uint64_t now, struct upstream *upstream)
+{
+    if (now > upstream->stalled_at + TOGETHER_MS) {
+        upstream->stalled_flows = 0;
+    }
+    upstream->stalled_at = now;
+    upstream->stalled_flows++;
+}
+
 /* The caller sends data, perhaps again. */
 static void
 note_data(uint64_t now, const struct evidence_packet *packet,
@@ -80,8 +95,9 @@
     else if (packet->sequence == flow->sequence &&
              now >= flow->resent_at + RESEND_MS) {
         flow->resent_at = now;
-        flow->resends++;
-        upstream->stalled_flows += flow->resends == 1;
+        if (flow->resends++ == 0) {
+            note_stalled(now, upstream);
+        }
     }
     if (!flow->busy) {
         flow->busy = true;
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -284,6 +284,7 @@
     {"one-copy-of-a-silent-one", "a0 s5 o10 O15 a20", "a20"},
     {"silent-but-answering", "a0 s5 o10 O15 A18 a20", ""},
     {"one-copy-each-of-two-flows", "a0 b1 o10 O15 a20 b21", "b21"},
+    {"one-copy-each-long-apart", "a0 a20 b400 o410 O415 b420", ""},
     {"then-the-first-flow-too", "a0 b1 o10 O15 a20 b21 a60", "b21 a60"},
     {"another-flow-is-answered", "a0 b1 o10 O15 B16 a20 a60", ""},
     {"answered-before-and-then-dead", "a0 A3 b4 o10 O15 b24 b64", "b64"},
