bench-flow: steer by evidence with the code of nodes

Change: tests/flow-evidence.c gives each entry of a load an inventory and a steering that follow its bundle; /flow/evidence plays all scenes of the table; bench-flow takes a way's name in place of "ours".

--- a/tests/flow-load.c
+++ b/tests/flow-load.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "flow-evidence.h"
 #include "hash.h"
 #include "median.h"
 
@@ -24,7 +25,7 @@
     uint64_t hash;
     enum flow_phase phase;
     uint32_t upstream; /* last byte of the address, 0: none yet */
-    uint32_t evidence; /* what its packets name */
+    uint32_t token;    /* what its packets name */
     bool is_short, silent;
     unsigned sent;
     uint64_t next_at;
@@ -42,6 +43,7 @@
     bool listed[SIM_ENTRIES_MAX];
     bool stopping[SIM_ENTRIES_MAX];
     GHashTable *private_records[SIM_ENTRIES_MAX];
+    struct flow_evidence *evidence[SIM_ENTRIES_MAX];
     char states[UPSTREAMS_MAX + 1];
     char weights[UPSTREAMS_MAX + 1];
     bool weighted;
@@ -193,7 +195,6 @@
         }
         f->phase = PHASE_OPEN;
         f->upstream = upstream;
-        f->evidence = upstream;
         r->open_at[upstream]++;
         r->out->established++;
         if (left != 0 && r->sim->now > left + 3000) {
@@ -260,6 +261,27 @@
     return u ? u->address : 0;
 }
 
+/* Steers by what packets name, with the code of nodes. */
+static void
+steer_evidence(struct run *r, int n, unsigned index,
+               const struct flow_packet *packet)
+{
+    int node = sim_entry(r->sim, n);
+    struct load_flow *f = &r->flows[index];
+    uint32_t token = f->token;
+    uint32_t address = flow_evidence_steer(r->evidence[n], r->sim->now,
+                                           r->sim->nodes[node].entry,
+                                           index + 1, packet->first, &token);
+
+    if (address == 0) {
+        return;
+    }
+    if (f->phase == PHASE_SYN) {
+        f->token = token;
+    }
+    on_forwarded(r, node, index, packet, address, 0);
+}
+
 /* Steers by a naive way: a private record, else the table of the way. */
 static void
 steer_naive(struct run *r, int n, unsigned index,
@@ -274,9 +296,8 @@
     if (!sim_node->up || r->sim->now < sim_node->frozen_until) {
         return;
     }
-    if (r->load->way == WAY_EVIDENCE && !packet->first && f->evidence != 0 &&
-        !r->scene->udp) {
-        on_forwarded(r, node, index, packet, f->evidence, 0);
+    if (r->load->way == WAY_EVIDENCE && !r->scene->udp) {
+        steer_evidence(r, n, index, packet);
         return;
     }
     address =
@@ -448,6 +469,8 @@
 {
     sim_start(r->sim, sim_entry(r->sim, n));
     g_hash_table_remove_all(r->private_records[n]);
+    flow_evidence_free(r->evidence[n]);
+    r->evidence[n] = flow_evidence_new((uint32_t)n + 1);
     r->stopping[n] = false;
     r->listed[n] = true;
 }
@@ -689,6 +712,7 @@
     for (int n = 0; n < r->load->entries; n++) {
         r->listed[n] = true;
         r->private_records[n] = g_hash_table_new(NULL, NULL);
+        r->evidence[n] = flow_evidence_new((uint32_t)n + 1);
     }
     memset(r->states, 's', (size_t)r->load->upstreams);
     if (r->load->states != NULL) {
@@ -702,6 +726,7 @@
 {
     for (int n = 0; n < r->load->entries; n++) {
         g_hash_table_destroy(r->private_records[n]);
+        flow_evidence_free(r->evidence[n]);
     }
     g_queue_clear(&r->wanted);
     g_array_free(r->timers, TRUE);
--- a/tests/flow-load.h
+++ b/tests/flow-load.h
@@ -15,7 +15,8 @@
     WAY_NO_PUSH,    /* ours, but records are never pushed to keepers */
     WAY_CONSISTENT, /* our table, private records, no keepers */
     WAY_MODULO,     /* hash modulo serving upstreams, private records */
-    WAY_EVIDENCE,   /* the caller's packets name the upstream (TCP only) */
+    WAY_EVIDENCE,   /* the caller's packets name the upstream, by the code of
+                       nodes (TCP only) */
     WAY_COUNT
 };
 
--- a/tests/test-flow.c
+++ b/tests/test-flow.c
@@ -192,6 +192,35 @@
     }
 }
 
+/* Where packets name their upstream, no flow breaks and nothing new comes to
+ * a leaving upstream, with the code of nodes. */
+static void
+test_evidence(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct flow_load load = {.way = WAY_EVIDENCE,
+                                 .seed = 1,
+                                 .upstreams = 14,
+                                 .entries = 11,
+                                 .halls = 3,
+                                 .delay_ms = 1,
+                                 .rtt_ms = 8,
+                                 .flows = 3000,
+                                 .new_per_s = 200};
+        struct flow_result r;
+
+        if (cases[i].scene.udp) {
+            continue;
+        }
+        flow_load_run(&load, &cases[i].scene, &r);
+        g_test_message("%s: broken %u of %u, late %u", cases[i].scene.name,
+                       r.broken, r.established, r.late_at_leaving);
+        g_assert_cmpuint(r.established, >, 3000);
+        g_assert_cmpuint(r.broken, ==, 0);
+        g_assert_cmpuint(r.late_at_leaving, ==, 0);
+    }
+}
+
 /* Each upstream owns its share of the table, and a change moves little. */
 static void
 test_table(void)
@@ -313,5 +342,6 @@
     g_test_add_data_func("/flow/mix-views-apart", GINT_TO_POINTER(1),
                          test_mix);
     g_test_add_func("/flow/parts-are-needed", test_parts);
+    g_test_add_func("/flow/evidence", test_evidence);
     return g_test_run();
 }
--- a/tools/bench-flow.c
+++ b/tools/bench-flow.c
@@ -2,7 +2,7 @@
  * Measures ways of steering flows on the same seeds and workload, in
  * simulated time over the core, and prints one table of medians.
  *
- * usage: bench-flow [SEEDS [argoat|meals [SCENE|all [ours]]]]
+ * usage: bench-flow [SEEDS [argoat|meals [SCENE|all [WAY|all]]]]
  */
 #include <glib.h>
 #include <stdio.h>
@@ -143,7 +143,7 @@
     bool meals = argc > 2 && strcmp(argv[2], "meals") == 0;
     const char *only = argc > 3 ? argv[3] : "all";
     const char *new_per_s = getenv("BENCH_NEW_PER_S");
-    bool ours = argc > 4 && strcmp(argv[4], "ours") == 0;
+    const char *only_way = argc > 4 ? argv[4] : "all";
     struct flow_load base = {.upstreams = 14,
                              .entries = 11,
                              .halls = meals ? 4 : 3,
@@ -167,8 +167,11 @@
         if (strcmp(only, "all") != 0 && strcmp(only, scenes[i].name) != 0) {
             continue;
         }
-        for (int way = 0; way < (ours ? 1 : WAY_COUNT); way++) {
-            run_row(&base, &scenes[i], (enum way)way, seeds);
+        for (int way = 0; way < WAY_COUNT; way++) {
+            if (strcmp(only_way, "all") == 0 ||
+                strcmp(only_way, flow_load_way((enum way)way)) == 0) {
+                run_row(&base, &scenes[i], (enum way)way, seeds);
+            }
         }
     }
     return 0;
