--- a/cmd-node-status.c
+++ b/cmd-node-status.c
@@ -1,9 +1,11 @@
 /* ridgeridge node-status: asks a node for its state, or about one flow. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "address.h"
 #include "cmd.h"
+#include "evidence-verify.h"
 #include "evidence.h"
 
 #define PATH_BYTES 64 /* of a page of a node */
@@ -39,6 +41,29 @@
     return STATUS_OK;
 }
 
+/* Says whether the node recomputed every decision that it could to the same
+ * result. */
+static enum status_kind
+check_decisions(json_object *doc, struct status *st)
+{
+    json_object *list = json_object_object_get(doc, "decisions");
+    size_t count = list != NULL ? json_object_array_length(list) : 0;
+
+    for (size_t i = 0; i < count; i++) {
+        const char *proof =
+            client_text(json_object_array_get_idx(list, i), "recomputed");
+
+        if (strcmp(proof, evidence_proof_name(EVIDENCE_DISPROVED)) == 0) {
+            return status_set(st, STATUS_REFUSED,
+                              "decision %zu was recomputed to something else; "
+                              "keep this output and the node's log, and "
+                              "report it",
+                              i + 1);
+        }
+    }
+    return STATUS_OK;
+}
+
 /* Asks a node for a page and prints it. */
 static enum status_kind
 run(const struct cmd_options *options, const char **args, struct status *st)
@@ -49,7 +74,6 @@
     char url[URL_BYTES];
     json_object *doc;
 
-    (void)options;
     if (args[1] != NULL &&
         flow_path(args, path, sizeof(path), st) != STATUS_OK) {
         return st->kind;
@@ -67,6 +91,9 @@
         (void)printf("%s\n", json_object_to_json_string_ext(
                                  doc, JSON_C_TO_STRING_PRETTY |
                                           JSON_C_TO_STRING_SPACED));
+        if (options->verify) {
+            (void)check_decisions(doc, st);
+        }
         json_object_put(doc);
     }
     client_free(&reply);
@@ -78,6 +105,7 @@
     .args = "ADDRESS:PORT [FLOW | CALLER ROUTE]",
     .min_args = 1,
     .max_args = 3,
+    .takes = CMD_VERIFY,
     .help = "Show a node's state, or why it decided about a flow.",
     .libraries = LIBRARY_CURL,
     .run = run,
--- a/node-status.c
+++ b/node-status.c
@@ -1,6 +1,7 @@
 /* A node's state and decisions as JSON. */
 #include "node-status.h"
 
+#include "evidence-verify.h"
 #include "hash.h"
 #include "loop.h"
 #include "page.h"
@@ -16,6 +17,8 @@
     struct ring_record record = {.at = loop_wall(),
                                  .subject = verdict->flow,
                                  .version = node->evidence.table->version,
+                                 .route_address = packet->destination,
+                                 .route_port = packet->destination_port,
                                  .kind = RING_FLOW,
                                  .rule = (uint8_t)verdict->rule,
                                  .first = packet->first};
@@ -86,7 +89,7 @@
 
 /* One decision. */
 static json_object *
-decision_page(const struct ring_record *record)
+decision_page(const struct node *node, const struct ring_record *record)
 {
     enum ring_rule rule = (enum ring_rule)record->rule;
     json_object *doc = json_object_new_object();
@@ -96,6 +99,9 @@
     page_add_text(doc, "because", ring_rule_help(rule));
     page_add_number(doc, "version", record->version);
     page_add_bool(doc, "first", record->first);
+    page_add_text(doc, "recomputed",
+                  evidence_proof_name(evidence_verify(
+                      node->evidence.table, &node->upstreams, record)));
     if (record->peer != 0) {
         page_add_hex(doc, "upstream", record->peer);
         page_add_endpoint(doc, "at_upstream", record->address, record->port);
@@ -116,7 +122,7 @@
     page_add_hex(doc, "flow", flow);
     page_add_number(doc, "kept_since", ring_since(&node->ring));
     for (size_t i = 0; i < count; i++) {
-        json_object_array_add(list, decision_page(&found[i]));
+        json_object_array_add(list, decision_page(node, &found[i]));
     }
     json_object_object_add(doc, "decisions", list);
     return doc;
--- a/ring.h
+++ b/ring.h
@@ -79,26 +79,28 @@
 
 /** One decision. */
 struct ring_record {
-    uint64_t sequence;     /**< from 1, set by ring_add() */
-    uint64_t at;           /**< wall clock, ms since 1970 */
-    uint64_t subject;      /**< flow hash, or hash of the request's key */
-    uint64_t service;      /**< hash of the service's name */
-    uint64_t version;      /**< bundle that the view was made from */
-    uint64_t epoch;        /**< membership */
-    uint64_t table_digest; /**< hash of the service's table, flow only */
-    uint64_t peer;         /**< entry it was handed to, or 0 */
-    uint32_t address;      /**< upstream chosen, or 0 */
-    uint32_t new_address;  /**< flow: owner of the bucket now */
-    uint32_t old_address;  /**< flow: owner before the last change */
-    uint16_t port;         /**< of the upstream chosen */
-    uint16_t new_port;     /**< of the owner now */
-    uint16_t old_port;     /**< of the owner before */
-    uint8_t kind;          /**< enum ring_kind */
-    uint8_t rule;          /**< enum ring_rule */
-    uint8_t step;          /**< step of the rollout */
-    uint8_t first;         /**< flow: carried the mark of a first packet */
-    uint32_t outstanding;  /**< request: busy slots seen at the gate */
-    uint32_t retry_ms;     /**< request: when to come back */
+    uint64_t sequence;      /**< from 1, set by ring_add() */
+    uint64_t at;            /**< wall clock, ms since 1970 */
+    uint64_t subject;       /**< flow hash, or hash of the request's key */
+    uint64_t service;       /**< hash of the service's name */
+    uint64_t version;       /**< bundle that the view was made from */
+    uint64_t epoch;         /**< membership */
+    uint64_t table_digest;  /**< hash of the service's table, flow only */
+    uint64_t peer;          /**< entry it was handed to, or 0 */
+    uint32_t address;       /**< upstream chosen, or 0 */
+    uint32_t new_address;   /**< flow: owner of the bucket now */
+    uint32_t old_address;   /**< flow: owner before the last change */
+    uint32_t route_address; /**< flow at a node: where its packets go */
+    uint16_t route_port;    /**< of the same */
+    uint16_t port;          /**< of the upstream chosen */
+    uint16_t new_port;      /**< of the owner now */
+    uint16_t old_port;      /**< of the owner before */
+    uint8_t kind;           /**< enum ring_kind */
+    uint8_t rule;           /**< enum ring_rule */
+    uint8_t step;           /**< step of the rollout */
+    uint8_t first;          /**< flow: carried the mark of a first packet */
+    uint32_t outstanding;   /**< request: busy slots seen at the gate */
+    uint32_t retry_ms;      /**< request: when to come back */
 };
 
 /** The ring. */
