--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -7,12 +7,15 @@
 #include "host.h"
 
 #include <arpa/inet.h>
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "ask.h"
 #include "loop.h"
 #include "platform/standin/standin.h"
+#include "soak.h"
 
 #define HOST_PORT 17110
 #define FLOWS 120           /* of all callers, open at once */
@@ -127,7 +130,7 @@
     g_strlcpy(registration.hall, "hall-0", sizeof(registration.hall));
     body = standin_registration(&registration);
     standin_upstream_path(id, path);
-    status = soak_call(
+    status = soak_ask_call(
         ends ? "DELETE" : "PUT", world.nodes + (uint32_t)host->keeper,
         world.control_port, path, ends ? NULL : body, answer, NULL);
     if (status != 200) {
@@ -429,7 +432,7 @@
                                  .flags = flags};
 
     platform_write_head(&head, out);
-    send_to(world.caller_fd, soak_route(flow->port * 2654435761U),
+    send_to(world.caller_fd, soak_ask_route(flow->port * 2654435761U),
             world.packet_port, out, PLATFORM_HEAD_BYTES + length);
 }
 
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -1,9 +1,10 @@
 /*
  * A fault soak of nodes as real processes on loopback. From one seed it kills,
  * stops, pauses and restarts them, loses disks or lets them refuse writes, and
- * delays, drops or cuts what they say to each other through a proxy of its
- * own; it plays the fabric, callers, upstreams and an operator, and checks
- * while it runs what these see.
+ * delays, drops or cuts what they say to each other; it plays the fabric,
+ * callers, upstreams and an operator, and checks while it runs what these see.
+ * Here are the processes and the faults; link.c passes what nodes say, ask.c
+ * plays fabric and operator, host.c callers and upstreams.
  *
  *   build/soak SECONDS SEED [NODES]
  *
@@ -12,7 +13,6 @@
  */
 #include <arpa/inet.h>
 #include <curl/curl.h>
-#include <errno.h>
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <poll.h>
@@ -27,17 +27,17 @@
 #include <unistd.h>
 
 #include "address.h"
-#include "loop.h"
+#include "ask.h"
 #include "host.h"
-#include "platform/standin/standin.h"
+#include "link.h"
+#include "loop.h"
+#include "soak.h"
 
-#define NODES_MAX 24
 #define DISKS 3
 #define PACKET_PORT 17100
 #define READY_PORT 17101
 #define CONTROL_PORT 17102
 #define PEER_PORT 17103
-#define CALM_MS 5000   /* without a fault, all that is timed must hold */
 #define SETTLE_MS 6000 /* from the start to the first fault */
 #define LEAVING_MS                                                            \
     6000               /* two upstreams leave while all is calm: no new       \
@@ -46,11 +46,6 @@
 #define STOP_MS 6000   /* a planned stop is done within it */
 #define RESTART_MS 200 /* from an end to the next start */
 #define WIPED_MS 300   /* the same, when the disk was lost */
-#define CALL_MS 1000   /* longest wait for an answer */
-#define OPERATE_MS 200 /* between an operator's calls */
-#define ASK_MS 500     /* between questions of the fabric */
-#define ASK_MISSES 2   /* without an answer: a node is left out */
-#define HOPS 3         /* redirects that an operator follows */
 #define POLL_MS 2      /* longest wait for a packet */
 #define EXIT_NOT_RUN 3 /* of a child that could not become a node */
 
@@ -67,7 +62,7 @@
     FAULT_COUNT
 };
 
-/* One node and its link to the others. */
+/* One node's process, and the ends of its faults. */
 struct node_process {
     pid_t pid;          /* 0: not running */
     bool disk;          /* holds the table */
@@ -76,41 +71,19 @@
     uint64_t thaw_at;   /* deadline: let it go on, 0: it is not paused */
     uint64_t heal_at;   /* deadline: its link is whole again */
     uint64_t write_at;  /* deadline: its disk takes writes again, 0: it does */
-    bool cut_in;        /* nothing arrives */
-    bool cut_out;       /* nothing leaves */
-    unsigned loss;      /* of 100 datagrams */
-    unsigned delay_ms;  /* of each */
-    int proxy;          /* socket that the others send to */
-    unsigned misses;    /* questions of the fabric without an answer */
-    bool ready;         /* the fabric sends packets here */
     uint64_t harmed_at; /* last moment of a fault on it */
 };
 
-/* A datagram that the proxy holds. */
-struct held {
-    uint64_t at; /* deadline: deliver it */
-    int to;      /* node */
-    GByteArray *bytes;
-};
-
 static struct {
     char folder[128];
     unsigned net; /* second octet of all addresses */
     int nodes;
-    struct node_process node[NODES_MAX];
-    GRand *rand;      /* of faults, so that a seed draws the same ones */
-    GRand *link_rand; /* of datagrams that are lost */
-    GArray *held;
+    struct node_process node[SOAK_NODES_MAX];
+    GRand *rand; /* of faults, so that a seed draws the same ones */
     uint64_t began_at;
     uint64_t fault_at;  /* deadline: the next fault */
     uint64_t harmed_at; /* last moment of any fault */
-    uint64_t version;   /* sent last */
-    uint64_t acked;     /* highest acknowledged */
-    uint64_t put_at;    /* last acknowledgement */
-    uint64_t read_at;   /* last read that was answered */
-    unsigned puts, reads, faults, broken;
-    bool over;   /* threads end */
-    GMutex lock; /* of `acked`, `puts` and `put_at` */
+    unsigned faults, broken;
 } soak;
 
 /* Set by a signal: the soak ends what it started, and itself. */
@@ -246,7 +219,7 @@
     g_free(log);
 }
 
-/* Says whether timed promises hold at a node: CALM_MS after the last fault. */
+/* Says whether timed promises hold at a node: long after the last fault. */
 bool
 soak_is_calm(uint32_t node_address)
 {
@@ -254,224 +227,8 @@
     uint64_t now = loop_now();
 
     return n >= 0 && n < soak.nodes &&
-           now > soak.node[n].harmed_at + CALM_MS &&
-           now > soak.harmed_at + CALM_MS;
-}
-
-/* A node that packets of a caller's port go to: ready, else any. */
-uint32_t
-soak_route(uint32_t hash)
-{
-    int ready = 0;
-    int best = (int)(hash % (unsigned)soak.nodes);
-    uint32_t best_rank = 0;
-
-    for (int n = 0; n < soak.nodes; n++) {
-        uint32_t rank = (hash + (uint32_t)n * 0x9e3779b9U) * 0x85ebca6bU;
-
-        if (soak.node[n].ready && (ready == 0 || rank > best_rank)) {
-            best = n;
-            best_rank = rank;
-        }
-        ready += soak.node[n].ready;
-    }
-    return address_of(ADDRESS_NODE, best);
-}
-
-/* Passes a datagram between nodes, or holds, or loses it. */
-static void
-pass(int from, int to, const uint8_t *bytes, size_t length)
-{
-    struct node_process *a = &soak.node[from];
-    struct node_process *b = &soak.node[to];
-    unsigned delay = a->delay_ms + b->delay_ms;
-    struct held held = {.at = loop_now() + delay, .to = to};
-
-    if (a->cut_out || b->cut_in ||
-        (unsigned)g_rand_int_range(soak.link_rand, 0, 100) <
-            a->loss + b->loss) {
-        return;
-    }
-    held.bytes = g_byte_array_sized_new((guint)length);
-    g_byte_array_append(held.bytes, bytes, (guint)length);
-    g_array_append_val(soak.held, held);
-}
-
-/* Takes what others sent to a node. */
-static void
-read_proxy(int to)
-{
-    static uint8_t bytes[65536];
-    struct sockaddr_in from = {0};
-    socklen_t size = sizeof(from);
-    ssize_t n;
-
-    while ((n = recvfrom(soak.node[to].proxy, bytes, sizeof(bytes), 0,
-                         (struct sockaddr *)&from, &size)) > 0) {
-        int sender = (int)(ntohl(from.sin_addr.s_addr) & 255) - 1;
-
-        if (sender >= 0 && sender < soak.nodes) {
-            pass(sender, to, bytes, (size_t)n);
-        }
-    }
-}
-
-/* Delivers datagrams whose delay is over. */
-static void
-deliver_held(uint64_t now)
-{
-    for (guint i = 0; i < soak.held->len;) {
-        struct held held = g_array_index(soak.held, struct held, i);
-        struct sockaddr_in at = {.sin_family = AF_INET,
-                                 .sin_port = htons(PEER_PORT),
-                                 .sin_addr.s_addr =
-                                     htonl(address_of(ADDRESS_NODE, held.to))};
-
-        if (held.at > now) {
-            i++;
-            continue;
-        }
-        (void)sendto(soak.node[held.to].proxy, held.bytes->data,
-                     held.bytes->len, 0, (struct sockaddr *)&at, sizeof(at));
-        g_byte_array_unref(held.bytes);
-        g_array_remove_index(soak.held, i);
-    }
-}
-
-/* Collects an answer. */
-static size_t
-on_body(char *bytes, size_t size, size_t count, void *data)
-{
-    g_string_append_len(data, bytes, (gssize)(size * count));
-    return size * count;
-}
-
-/* Calls a node; the status, 0 without an answer, or 307 with `where`. */
-long
-soak_call(const char *method, uint32_t address, uint16_t port,
-          const char *path, const char *body, GString *answer, uint32_t *where)
-{
-    char place[ADDRESS_TEXT];
-    char *url = g_strdup_printf("http://%s%s",
-                                address_format(address, port, place), path);
-    CURL *curl = curl_easy_init();
-    char *location = NULL;
-    long status = 0;
-
-    (void)curl_easy_setopt(curl, CURLOPT_URL, url);
-    (void)curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
-    (void)curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
-    (void)curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-    (void)curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
-    (void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
-    if (body != NULL) {
-        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
-    }
-    if (curl_easy_perform(curl) == CURLE_OK) {
-        (void)curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-        (void)curl_easy_getinfo(curl, CURLINFO_REDIRECT_URL, &location);
-        if (where != NULL && location != NULL) {
-            unsigned last = 0;
-
-            (void)sscanf(location, "http://127.%*u.2.%u", &last);
-            *where = address_of(ADDRESS_NODE, (int)last - 1);
-        }
-    }
-    curl_easy_cleanup(curl);
-    g_free(url);
-    return status;
-}
-
-/* An operator's call, sent on to the leader as told. */
-static long
-operate(const char *method, const char *body, GString *answer)
-{
-    uint32_t at =
-        address_of(ADDRESS_NODE, (int)(g_random_int() % (guint)soak.nodes));
-    long status = 0;
-
-    for (int hops = 0; hops < HOPS; hops++) {
-        uint32_t where = 0;
-
-        g_string_truncate(answer, 0);
-        status = soak_call(method, at, CONTROL_PORT, STANDIN_TABLE_PATH, body,
-                           answer, &where);
-        if (status != 307 || where == 0) {
-            break;
-        }
-        at = where;
-    }
-    return status;
-}
-
-/* Sends the version after the last one until it is acknowledged, or reads. */
-static void
-operate_once(void)
-{
-    GString *answer = g_string_new(NULL);
-    uint64_t acked;
-    char *body;
-
-    g_mutex_lock(&soak.lock);
-    acked = soak.acked;
-    g_mutex_unlock(&soak.lock);
-    if (g_random_int() % 2 == 0) {
-        body = soak_table(soak.version = MAX(soak.version, acked) + 1);
-        if (operate("PUT", body, answer) == 200) {
-            g_mutex_lock(&soak.lock);
-            soak.acked = MAX(soak.acked, soak.version);
-            soak.puts++;
-            soak.put_at = loop_now();
-            g_mutex_unlock(&soak.lock);
-        }
-        g_free(body);
-    }
-    else if (operate("GET", NULL, answer) == 200) {
-        unsigned long long read = 0;
-
-        (void)sscanf(answer->str, STANDIN_VERSION_FORMAT, &read);
-        soak.reads++;
-        soak.read_at = loop_now();
-        if (read < acked) {
-            soak_broken("read version %llu after %llu was acknowledged", read,
-                        (unsigned long long)acked);
-        }
-    }
-    g_string_free(answer, TRUE);
-}
-
-/* The operator's thread. */
-static gpointer
-run_operator(gpointer unused)
-{
-    (void)unused;
-    while (!soak.over) {
-        operate_once();
-        g_usleep(OPERATE_MS * 1000);
-    }
-    return NULL;
-}
-
-/* The fabric's thread: asks every node twice a second. */
-static gpointer
-run_fabric(gpointer data)
-{
-    int n = GPOINTER_TO_INT(data);
-    struct node_process *node = &soak.node[n];
-
-    while (!soak.over) {
-        GString *answer = g_string_new(NULL);
-        bool ok = soak_call("GET", address_of(ADDRESS_NODE, n), READY_PORT,
-                            STANDIN_READY_PATH, NULL, answer, NULL) == 200;
-
-        node->misses = ok ? 0 : node->misses + 1;
-        if (ok || node->misses >= ASK_MISSES) {
-            node->ready = ok;
-        }
-        g_string_free(answer, TRUE);
-        g_usleep(ASK_MS * 1000);
-    }
-    return NULL;
+           now > soak.node[n].harmed_at + SOAK_CALM_MS &&
+           now > soak.harmed_at + SOAK_CALM_MS;
 }
 
 /* Marks a node as harmed now, until a time. */
@@ -489,11 +246,11 @@
 {
     for (int i = 0; i < DISKS; i++) {
         if (i != n && (soak.node[i].pid == 0 || soak.node[i].thaw_at != 0 ||
-                       now < soak.node[i].harmed_at + CALM_MS)) {
+                       now < soak.node[i].harmed_at + SOAK_CALM_MS)) {
             return false;
         }
     }
-    return n < DISKS && now > soak.harmed_at + CALM_MS / 2;
+    return n < DISKS && now > soak.harmed_at + SOAK_CALM_MS / 2;
 }
 
 /* Removes a node's data folder. */
@@ -584,24 +341,24 @@
 static void
 harm_link(int n, enum fault fault, uint64_t now, uint64_t for_ms)
 {
-    struct node_process *node = &soak.node[n];
+    struct soak_link *link = soak_link_of(n);
 
     if (fault == FAULT_CUT) {
-        node->cut_in = below(3) != 0;
-        node->cut_out = !node->cut_in || below(2) != 0;
-        note("cut node %d in=%d out=%d for %llu ms", n, node->cut_in,
-             node->cut_out, (unsigned long long)for_ms);
+        link->cut_in = below(3) != 0;
+        link->cut_out = !link->cut_in || below(2) != 0;
+        note("cut node %d in=%d out=%d for %llu ms", n, link->cut_in,
+             link->cut_out, (unsigned long long)for_ms);
     }
     else if (fault == FAULT_LOSS) {
-        node->loss = 10 + (unsigned)below(40);
-        note("lose %u%% at node %d", node->loss, n);
+        link->loss = 10 + (unsigned)below(40);
+        note("lose %u%% at node %d", link->loss, n);
     }
     else {
-        node->delay_ms = 20 + (unsigned)below(300);
-        note("delay %u ms at node %d", node->delay_ms, n);
+        link->delay_ms = 20 + (unsigned)below(300);
+        note("delay %u ms at node %d", link->delay_ms, n);
     }
-    node->heal_at = now + for_ms;
-    harm(n, node->heal_at);
+    soak.node[n].heal_at = now + for_ms;
+    harm(n, soak.node[n].heal_at);
 }
 
 /* Lets one fault happen. */
@@ -661,8 +418,7 @@
         }
         if (node->heal_at != 0 && now >= node->heal_at) {
             node->heal_at = 0;
-            node->cut_in = node->cut_out = false;
-            node->loss = node->delay_ms = 0;
+            *soak_link_of(n) = (struct soak_link){0};
         }
         if (node->pid != 0 && waitpid(node->pid, &status, WNOHANG) > 0) {
             if (!node->stopping && node->start_at == 0) {
@@ -683,22 +439,16 @@
 static void
 run_until(uint64_t until, bool faults)
 {
-    struct pollfd fds[NODES_MAX + SOAK_HOSTS + 1];
+    struct pollfd fds[SOAK_NODES_MAX + SOAK_HOSTS + 1];
 
     while (loop_now() < until && !stop_asked) {
         uint64_t now = loop_now();
         nfds_t count = 0;
 
-        for (int n = 0; n < soak.nodes; n++) {
-            fds[count++] =
-                (struct pollfd){.fd = soak.node[n].proxy, .events = POLLIN};
-        }
+        count += soak_link_poll(fds);
         count += soak_host_poll(fds + count);
         (void)poll(fds, count, POLL_MS);
-        for (int n = 0; n < soak.nodes; n++) {
-            read_proxy(n);
-        }
-        deliver_held(loop_now());
+        soak_link_run();
         soak_host_run(loop_now());
         look_after(now);
         if (faults && now >= soak.fault_at) {
@@ -713,15 +463,13 @@
 {
     soak.net = 16 + seed % 200;
     soak.rand = g_rand_new_with_seed(seed);
-    soak.link_rand = g_rand_new_with_seed(seed + 1);
-    soak.held = g_array_new(FALSE, FALSE, sizeof(struct held));
     soak.began_at = loop_now();
     (void)snprintf(soak.folder, sizeof(soak.folder), "build/soak-%u", seed);
     (void)g_mkdir_with_parents(soak.folder, 0700);
+    soak_link_open(address_of(ADDRESS_PROXY, 0), address_of(ADDRESS_NODE, 0),
+                   soak.nodes, PEER_PORT, seed + 1);
     for (int n = 0; n < soak.nodes; n++) {
         soak.node[n].disk = n < DISKS;
-        soak.node[n].proxy =
-            soak_socket(address_of(ADDRESS_PROXY, n), PEER_PORT);
         if (soak.node[n].disk) {
             wipe(n);
         }
@@ -732,37 +480,15 @@
     soak_host_open(address_of(ADDRESS_HOST, 0), address_of(ADDRESS_CALLERS, 0),
                    address_of(ADDRESS_NODE, 0), soak.nodes, PACKET_PORT,
                    CONTROL_PORT, seed);
-    (void)g_thread_new("operator", run_operator, NULL);
-    for (int n = 0; n < soak.nodes; n++) {
-        (void)g_thread_new("fabric", run_fabric, GINT_TO_POINTER(n));
-    }
-}
-
-/* Checks what must hold once faults are over. The operator's thread has gone
- * on reading, so that a read of late is enough. */
-static void
-check_end(void)
-{
-    if (loop_now() > soak.read_at + CALM_MS) {
-        soak_broken("at the end: no read was answered for %llu ms",
-                    (unsigned long long)(loop_now() - soak.read_at));
-    }
-    if (loop_now() > soak.put_at + CALM_MS) {
-        soak_broken("at the end: no table was acknowledged for %llu ms",
-                    (unsigned long long)(loop_now() - soak.put_at));
-    }
-    for (int n = 0; n < soak.nodes; n++) {
-        if (!soak.node[n].ready) {
-            soak_broken("at the end node %d is not ready", n);
-        }
-    }
+    soak_ask_open(address_of(ADDRESS_NODE, 0), soak.nodes, READY_PORT,
+                  CONTROL_PORT);
 }
 
 /* Ends what was started. */
 static void
 tear_down(void)
 {
-    soak.over = true;
+    soak_ask_end();
     for (int n = 0; n < soak.nodes; n++) {
         if (soak.node[n].pid != 0) {
             (void)kill(soak.node[n].pid, SIGKILL);
@@ -786,7 +512,7 @@
     uint64_t seconds = argc > 1 ? strtoull(argv[1], NULL, 10) : 0;
     unsigned seed = argc > 2 ? (unsigned)strtoul(argv[2], NULL, 10) : 1;
 
-    soak.nodes = argc > 3 ? CLAMP(atoi(argv[3]), DISKS, NODES_MAX) : 7;
+    soak.nodes = argc > 3 ? CLAMP(atoi(argv[3]), DISKS, SOAK_NODES_MAX) : 7;
     if (seconds == 0) {
         (void)fprintf(stderr, "usage: soak SECONDS SEED [NODES]\n");
         return 2;
@@ -807,10 +533,10 @@
         printf("not ok soak %u: ended by a signal\n", seed);
         return 1;
     }
-    check_end();
+    soak_ask_check();
     tear_down();
-    printf("seed %u: %u faults, %u puts, %u reads, version %llu, ", seed,
-           soak.faults, soak.puts, soak.reads, (unsigned long long)soak.acked);
+    printf("seed %u: %u faults, ", seed, soak.faults);
+    soak_ask_report();
     soak_host_report();
     printf("%s soak %u: %u broken promises\n", soak.broken ? "not ok" : "ok",
            seed, soak.broken);
