evidence: what ends a flow is told in one place, comments say what holds now

Cause: "nothing was run" stood at EVIDENCE_REFUSE, though flows of lost upstreams are refused too; the choice between reset and silence stood twice; steer_open() had grown; evidence-life.c did not say what it owns. Change: end_flow() and follow() taken out of steer_open(); headers and comments. A caller's own reset of a flow whose upstream is lost is still answered by a reset, as before. No change of behaviour.

--- a/evidence-life.c
+++ b/evidence-life.c
@@ -1,7 +1,9 @@
 /*
  * What packets tell of the life of upstreams. An upstream that dies without a
  * word leaves its callers waiting, and answers go past this entry, so the only
- * signs are what callers acknowledge and what they send again.
+ * signs are what callers acknowledge and what they send again. Owns no record:
+ * it writes what a packet tells into the flow's and the upstream's, and leaves
+ * to evidence.c which packets go where.
  */
 #include "evidence-internal.h"
 
@@ -18,26 +20,25 @@
 /* So many flows prove it together, with a copy each, after 0.2 s. */
 #define LOST_FLOWS 2
 /* But only copies that come so near each other: on a quiet day two packets
- * that were lost a while apart prove nothing. Ends wait 1.6 s between copies.
- */
+ * that were lost a while apart prove nothing. Ends wait at most 1.6 s between
+ * copies. */
 #define TOGETHER_MS 2000U
 /* A lost upstream gets no new flow for so long, unless it shows life: by then
  * its registrations have stayed away too. */
 #define LOST_MS 3000U
-
-/* After a start or a standstill, flows whose packets were lost meanwhile go on
- * at their ends' pace: these wait up to 1.6 s between copies, on both sides.
- */
+/* So long after a start or a standstill silence proves nothing: flows whose
+ * packets were lost meanwhile go on at their ends' pace, and these wait up to
+ * 1.6 s between copies, on both sides. */
 #define TRUST_MS 4000U
 
-/* Silence proves nothing for some seconds. */
+/* Lets silence prove nothing for TRUST_MS. */
 void
 evidence_distrust(struct evidence *ev, uint64_t now)
 {
     ev->trust_at = now + TRUST_MS;
 }
 
-/* Upstream of a flow. */
+/* Upstream of a flow; NULL when its record is gone. */
 struct upstream *
 evidence_upstream_of(const struct evidence *ev,
                      const struct evidence_flow *flow)
@@ -105,7 +106,7 @@
     }
 }
 
-/* Notes what a packet tells. */
+/* Notes what a packet tells of the work and the life of its upstream. */
 void
 evidence_learn(struct evidence *ev, uint64_t now,
                const struct evidence_packet *packet,
@@ -126,9 +127,9 @@
     }
 }
 
-/* Says whether an upstream is lost. Its data must have been sent again without
- * any sign of life since, and what this entry sent later must have been
- * answered by another one: then neither this entry's links nor a moment's
+/* Says whether a flow's upstream is lost. Data must have been sent to it again
+ * without any sign of life since, and what this entry sent later must have
+ * been answered by another one: then neither this entry's links nor a moment's
  * congestion is the cause. */
 bool
 evidence_is_lost(const struct evidence *ev, uint64_t now,
--- a/evidence.c
+++ b/evidence.c
@@ -1,4 +1,7 @@
-/* Steering by evidence, and the choice of an upstream for a new flow. */
+/*
+ * Steering by evidence, and the choice of an upstream for a new flow. Owns the
+ * records of flows; what packets tell of upstreams is evidence-life.c's.
+ */
 #include "evidence-internal.h"
 
 #include <string.h>
@@ -328,20 +331,43 @@
     return flow;
 }
 
+/* Ends a flow that cannot go on, unless its caller has just done so. */
+static void
+end_flow(const struct evidence_packet *packet,
+         struct evidence_verdict *verdict, enum ring_rule rule)
+{
+    end_with(verdict, packet->reset ? EVIDENCE_DROP : EVIDENCE_REFUSE, rule);
+}
+
+/* Steers a packet to the upstream that it names, unless that one is lost. */
+static void
+follow(struct evidence *ev, uint64_t now, const struct evidence_packet *packet,
+       struct upstream *upstream, struct evidence_verdict *verdict)
+{
+    struct evidence_flow *flow =
+        flow_of(ev, now, packet, verdict->flow, upstream);
+
+    evidence_learn(ev, now, packet, flow, upstream);
+    if (evidence_is_lost(ev, now, flow, upstream)) {
+        evidence_give_up(ev, now, flow, upstream);
+        end_with(verdict, EVIDENCE_REFUSE, RULE_UPSTREAM_LOST);
+        return;
+    }
+    forward_to(verdict, upstream, RULE_EVIDENCE);
+}
+
 /* Steers a packet of a flow that is open, or thought to be. */
 static void
 steer_open(struct evidence *ev, uint64_t now,
            const struct evidence_packet *packet,
            struct evidence_verdict *verdict)
 {
-    struct evidence_flow *flow;
     struct upstream *upstream;
 
     if (g_hash_table_contains(
             ev->dropped,
             route_key(packet->destination, packet->destination_port))) {
-        end_with(verdict, packet->reset ? EVIDENCE_DROP : EVIDENCE_REFUSE,
-                 RULE_ROUTE_DROPPED);
+        end_flow(packet, verdict, RULE_ROUTE_DROPPED);
         return;
     }
     if (packet->token == 0) {
@@ -355,18 +381,10 @@
         return;
     }
     if (upstream->state == UPSTREAM_GONE) {
-        end_with(verdict, packet->reset ? EVIDENCE_DROP : EVIDENCE_REFUSE,
-                 RULE_UPSTREAM_GONE);
-        return;
-    }
-    flow = flow_of(ev, now, packet, verdict->flow, upstream);
-    evidence_learn(ev, now, packet, flow, upstream);
-    if (evidence_is_lost(ev, now, flow, upstream)) {
-        evidence_give_up(ev, now, flow, upstream);
-        end_with(verdict, EVIDENCE_REFUSE, RULE_UPSTREAM_LOST);
+        end_flow(packet, verdict, RULE_UPSTREAM_GONE);
         return;
     }
-    forward_to(verdict, upstream, RULE_EVIDENCE);
+    follow(ev, now, packet, upstream, verdict);
 }
 
 /* Decides about a packet. */
--- a/evidence.h
+++ b/evidence.h
@@ -3,9 +3,10 @@
  * Steering by evidence: each packet of a flow carries a token that an entry
  * wrote into its first packet and that both ends repeat; it names the
  * upstream's incarnation. So any entry can steer any packet without records,
- * keepers or steps. Only first packets are decided here. Owns the table in
- * force and what it remembers of flows; of an upstream it writes only what
- * packets tell (work, suspicion, signs of life). Does no I/O.
+ * keepers or steps. Only first packets are decided here, and whether a flow
+ * ends since its upstream is lost. Owns the table in force and what it
+ * remembers of flows; of an upstream it writes only what packets tell (work,
+ * suspicion, signs of life). Does no I/O.
  */
 #ifndef RIDGERIDGE_EVIDENCE_H
 #define RIDGERIDGE_EVIDENCE_H
@@ -38,7 +39,8 @@
 /** What to do with a packet. */
 enum evidence_action {
     EVIDENCE_FORWARD, /**< to `upstream`, with its token */
-    EVIDENCE_REFUSE,  /**< reset towards the caller: nothing was run */
+    EVIDENCE_REFUSE,  /**< reset towards the caller: nothing was run by a
+                           first packet; else the flow cannot go on */
     EVIDENCE_HOLD,    /**< steer it again once this entry knows more */
     EVIDENCE_DROP     /**< silently */
 };
