--- a/fleet-members.c
+++ b/fleet-members.c
@@ -30,9 +30,9 @@
     return digest;
 }
 
-/* A node that heard upstreams is lost, or began anew without what it knew. The
- * leader alone watches them from now on, and tells all when they are silent:
- * if every node did, all would tell all and fill small links. */
+/* LEADER: watches the upstreams of a node that is lost, or began anew without
+ * what it knew, and tells all when they are silent. Other nodes do not: all
+ * would tell all and fill small links. */
 static void
 lose_keeper(struct fleet *fleet, uint64_t now, uint32_t address)
 {
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -11,7 +11,8 @@
 /* Records of upstreams in one message: about 100 bytes each, so that it
  * stays well inside one datagram. */
 #define RECORDS_A_MESSAGE 200
-#define TO_ALL 0 /* in place of an address: every member */
+/* In place of a node's address, which is never 0: every member. */
+#define TO_ALL 0
 
 /* Sends an encoded message, which is shared. */
 static void
--- a/library.c
+++ b/library.c
@@ -1,19 +1,22 @@
-/* Libraries that are loaded on demand. */
+/*
+ * Libraries that are loaded on demand. Owns the tables of their functions;
+ * calls none of these.
+ */
 #include "library.h"
 
 #include <dlfcn.h>
 #include <stddef.h>
 #include <string.h>
 
-/* Names of the shared objects; the Makefile reads them off the libraries that
- * the program is compiled against. */
+/* Names of the shared objects. The Makefile reads them, with their versions,
+ * off the libraries that the program is compiled against; those here are for
+ * what compiles this file without the Makefile, such as a linter. */
 #ifndef LIBRARY_ULFIUS_OBJECT
 #define LIBRARY_ULFIUS_OBJECT "libulfius.so"
 #endif
 #ifndef LIBRARY_CURL_OBJECT
 #define LIBRARY_CURL_OBJECT "libcurl.so"
 #endif
-
 #ifndef LIBRARY_MICROHTTPD_OBJECT
 #define LIBRARY_MICROHTTPD_OBJECT "libmicrohttpd.so"
 #endif
--- a/node.c
+++ b/node.c
@@ -329,7 +329,8 @@
     static struct node node;
 
     (void)signal(SIGPIPE, SIG_IGN);
-    /* A file that may not grow is an error of the disk, not an end. */
+    /* A write past a file's size limit fails, as on a full disk, instead of
+     * ending the process. */
     (void)signal(SIGXFSZ, SIG_IGN);
     node.settings = *settings;
     node.settings_path = path;
