--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -1,11 +1,14 @@
 /*
- * Steering by evidence, and the inventory's merge rules. Tables of cases.
+ * Steering by evidence, the inventory's merge rules, and decisions that are
+ * recomputed. Tables of cases.
  */
 #include <glib.h>
-#include <stdio.h>
 #include <string.h>
 
+#include "cases.h"
+#include "evidence-verify.h"
 #include "evidence.h"
+#include "hash.h"
 
 #define NOW 1000000
 #define INTERVAL_MS 770
@@ -461,12 +464,73 @@
     g_assert_cmpint(merge_in_order(c, 1), ==, c->state_after);
 }
 
-/* Adds a table of cases. */
-#define ADD(prefix, cases, function)                                          \
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
-        (void)snprintf(path, sizeof(path), prefix "%s", (cases)[i].name);     \
-        g_test_add_data_func(path, &(cases)[i], function);                    \
+/* A decision about a flow, and what recomputing it shows. */
+struct proof_case {
+    const char *name;
+    enum ring_rule rule;
+    uint64_t version;    /* the table held is 7 */
+    uint16_t port;       /* a route is at 443 */
+    const char *service; /* that was recorded */
+    uint64_t upstream;   /* 1 serves "feed", 2 "copies", 3 is unknown */
+    enum evidence_proof proof;
+};
+
+static const struct proof_case proofs[] = {
+    {"placed", RULE_LEAST_WORK, 7, 443, "feed", 1, EVIDENCE_PROVED},
+    {"moved", RULE_MOVED_OFF, 7, 443, "feed", 1, EVIDENCE_PROVED},
+    {"upstream-forgotten", RULE_LEAST_WORK, 7, 443, "feed", 3,
+     EVIDENCE_PROVED},
+    {"other-service", RULE_LEAST_WORK, 7, 443, "copies", 2,
+     EVIDENCE_DISPROVED},
+    {"upstream-of-another-service", RULE_SAME_AGAIN, 7, 443, "feed", 2,
+     EVIDENCE_DISPROVED},
+    {"same-again-though-the-route-changed", RULE_SAME_AGAIN, 7, 443, "copies",
+     2, EVIDENCE_PROVED},
+    {"no-such-route", RULE_LEAST_WORK, 7, 80, "feed", 1, EVIDENCE_DISPROVED},
+    {"older-table", RULE_LEAST_WORK, 6, 443, "feed", 1, EVIDENCE_OTHER_TABLE},
+    {"refused", RULE_NO_ROUTE, 7, 80, "", 0, EVIDENCE_PROVED},
+    {"refused-though-routed", RULE_NO_ROUTE, 7, 443, "", 0,
+     EVIDENCE_DISPROVED},
+    {"lost", RULE_UPSTREAM_LOST, 7, 443, "feed", 1, EVIDENCE_NO_PROOF},
+};
+
+/* Recomputes one decision. */
+static void
+test_proof(const void *data)
+{
+    const struct proof_case *c = data;
+    struct route_table *table = route_new();
+    struct route route = {.name = "r",
+                          .address = 0xc6120001U,
+                          .port = 443,
+                          .target_count = 1,
+                          .targets = g_new0(struct route_target, 1)};
+    struct upstream_set upstreams;
+    struct ring_record record = {.rule = (uint8_t)c->rule,
+                                 .version = c->version,
+                                 .subject = 99,
+                                 .route_address = route.address,
+                                 .route_port = c->port,
+                                 .service = hash_name(c->service),
+                                 .peer = c->upstream};
+
+    g_strlcpy(route.targets[0].service, "feed", ROUTE_NAME_MAX);
+    route.targets[0].weight = 1;
+    g_assert_true(route_add(table, &route));
+    table->version = 7;
+    upstream_open(&upstreams, 1, 770);
+    for (uint64_t id = 1; id <= 2; id++) {
+        struct upstream_registration r = {.id = id, .slots = 1, .sequence = 1};
+
+        g_strlcpy(r.service, id == 1 ? "feed" : "copies", sizeof(r.service));
+        upstream_register(&upstreams, 1000, &r);
     }
+    g_assert_cmpstr(
+        evidence_proof_name(evidence_verify(table, &upstreams, &record)), ==,
+        evidence_proof_name(c->proof));
+    upstream_close(&upstreams);
+    route_free(table);
+}
 
 /* Lists the tests. */
 int
@@ -475,10 +539,11 @@
     char path[128];
 
     g_test_init(&argc, &argv, NULL);
-    ADD("/evidence/steer/", steers, test_steer)
-    ADD("/evidence/copy/", copies, test_copy)
-    ADD("/upstream/merge/", merges, test_merge)
-    ADD("/evidence/lost/", losts, test_lost)
+    CASES_ADD("/evidence/steer/", steers, test_steer)
+    CASES_ADD("/evidence/copy/", copies, test_copy)
+    CASES_ADD("/upstream/merge/", merges, test_merge)
+    CASES_ADD("/evidence/lost/", losts, test_lost)
+    CASES_ADD("/evidence/proof/", proofs, test_proof)
     g_test_add_func("/evidence/spread", test_spread);
     return g_test_run();
 }
--- a/tests/test-flow.c
+++ b/tests/test-flow.c
@@ -106,6 +106,21 @@
      3000},
 };
 
+/* The load of all scenes here. */
+static struct flow_load
+make_load(enum way way, uint64_t seed)
+{
+    return (struct flow_load){.way = way,
+                              .seed = seed,
+                              .upstreams = 14,
+                              .entries = 11,
+                              .halls = 3,
+                              .delay_ms = 1,
+                              .rtt_ms = 8,
+                              .flows = 5000,
+                              .new_per_s = 300};
+}
+
 /* Runs a case over some seeds. */
 static void
 test_case(gconstpointer data)
@@ -113,14 +128,7 @@
     const struct flow_case *c = data;
 
     for (uint64_t seed = 1; seed <= 3; seed++) {
-        struct flow_load load = {.seed = seed,
-                                 .upstreams = 14,
-                                 .entries = 11,
-                                 .halls = 3,
-                                 .delay_ms = 1,
-                                 .rtt_ms = 8,
-                                 .flows = 5000,
-                                 .new_per_s = 300};
+        struct flow_load load = make_load(WAY_KEEPERS, seed);
         struct flow_result r;
 
         flow_load_run(&load, &c->scene, &r);
@@ -146,19 +154,12 @@
     unsigned established = 0;
 
     for (uint64_t seed = 1; seed <= (g_test_slow() ? 200 : 6); seed++) {
-        struct flow_load load = {.seed = seed,
-                                 .upstreams = 14,
-                                 .entries = 11,
-                                 .halls = 3,
-                                 .delay_ms = 1,
-                                 .rtt_ms = 8,
-                                 .flows = 5000,
-                                 .new_per_s = 300,
-                                 .states = "ssssssssssssss--"};
+        struct flow_load load = make_load(WAY_KEEPERS, seed);
         char states[ACTS_MAX][UPSTREAMS_IN_MIX + 1];
         struct flow_scene mix;
         struct flow_result r;
 
+        load.states = "ssssssssssssss--";
         flow_load_mix(seed, 11, &mix, states, apart);
         flow_load_run(&load, &mix, &r);
         broken += r.broken;
@@ -175,15 +176,7 @@
     static const enum way ways[] = {WAY_NO_PUSH, WAY_CONSISTENT, WAY_MODULO};
 
     for (size_t i = 0; i < G_N_ELEMENTS(ways); i++) {
-        struct flow_load load = {.way = ways[i],
-                                 .seed = 1,
-                                 .upstreams = 14,
-                                 .entries = 11,
-                                 .halls = 3,
-                                 .delay_ms = 1,
-                                 .rtt_ms = 8,
-                                 .flows = 5000,
-                                 .new_per_s = 300};
+        struct flow_load load = make_load(ways[i], 1);
         struct flow_result r;
 
         flow_load_run(&load, &cases[1].scene, &r);
@@ -198,15 +191,7 @@
 test_evidence(void)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        struct flow_load load = {.way = WAY_EVIDENCE,
-                                 .seed = 1,
-                                 .upstreams = 14,
-                                 .entries = 11,
-                                 .halls = 3,
-                                 .delay_ms = 1,
-                                 .rtt_ms = 8,
-                                 .flows = 3000,
-                                 .new_per_s = 200};
+        struct flow_load load = make_load(WAY_EVIDENCE, 1);
         struct flow_result r;
 
         if (cases[i].scene.udp) {
@@ -215,7 +200,7 @@
         flow_load_run(&load, &cases[i].scene, &r);
         g_test_message("%s: broken %u of %u, late %u", cases[i].scene.name,
                        r.broken, r.established, r.late_at_leaving);
-        g_assert_cmpuint(r.established, >, 3000);
+        g_assert_cmpuint(r.established, >, 5000);
         g_assert_cmpuint(r.broken, ==, 0);
         g_assert_cmpuint(r.late_at_leaving, ==, 0);
     }
--- a/tests/test-input.c
+++ b/tests/test-input.c
@@ -11,10 +11,8 @@
 #include "burn.h"
 #include "codec.h"
 #include "control-state.h"
-#include "evidence-verify.h"
 #include "explain.h"
 #include "fuzz-input.h"
-#include "hash.h"
 #include "packet.h"
 #include "seal.h"
 #include "settings.h"
@@ -446,74 +444,6 @@
     g_rand_free(random);
 }
 
-/* A decision about a flow, and what recomputing it shows. */
-struct proof_case {
-    const char *name;
-    enum ring_rule rule;
-    uint64_t version;    /* the table held is 7 */
-    uint16_t port;       /* a route is at 443 */
-    const char *service; /* that was recorded */
-    uint64_t upstream;   /* 1 serves "feed", 2 "copies", 3 is unknown */
-    enum evidence_proof proof;
-};
-
-static const struct proof_case proofs[] = {
-    {"placed", RULE_LEAST_WORK, 7, 443, "feed", 1, EVIDENCE_PROVED},
-    {"moved", RULE_MOVED_OFF, 7, 443, "feed", 1, EVIDENCE_PROVED},
-    {"upstream-forgotten", RULE_LEAST_WORK, 7, 443, "feed", 3,
-     EVIDENCE_PROVED},
-    {"other-service", RULE_LEAST_WORK, 7, 443, "copies", 2,
-     EVIDENCE_DISPROVED},
-    {"upstream-of-another-service", RULE_SAME_AGAIN, 7, 443, "feed", 2,
-     EVIDENCE_DISPROVED},
-    {"same-again-though-the-route-changed", RULE_SAME_AGAIN, 7, 443, "copies",
-     2, EVIDENCE_PROVED},
-    {"no-such-route", RULE_LEAST_WORK, 7, 80, "feed", 1, EVIDENCE_DISPROVED},
-    {"older-table", RULE_LEAST_WORK, 6, 443, "feed", 1, EVIDENCE_OTHER_TABLE},
-    {"refused", RULE_NO_ROUTE, 7, 80, "", 0, EVIDENCE_PROVED},
-    {"refused-though-routed", RULE_NO_ROUTE, 7, 443, "", 0,
-     EVIDENCE_DISPROVED},
-    {"lost", RULE_UPSTREAM_LOST, 7, 443, "feed", 1, EVIDENCE_NO_PROOF},
-};
-
-/* Recomputes one decision. */
-static void
-test_proof(const void *data)
-{
-    const struct proof_case *c = data;
-    struct route_table *table = route_new();
-    struct route route = {.name = "r",
-                          .address = 0xc6120001U,
-                          .port = 443,
-                          .target_count = 1,
-                          .targets = g_new0(struct route_target, 1)};
-    struct upstream_set upstreams;
-    struct ring_record record = {.rule = (uint8_t)c->rule,
-                                 .version = c->version,
-                                 .subject = 99,
-                                 .route_address = route.address,
-                                 .route_port = c->port,
-                                 .service = hash_name(c->service),
-                                 .peer = c->upstream};
-
-    g_strlcpy(route.targets[0].service, "feed", ROUTE_NAME_MAX);
-    route.targets[0].weight = 1;
-    g_assert_true(route_add(table, &route));
-    table->version = 7;
-    upstream_open(&upstreams, 1, 770);
-    for (uint64_t id = 1; id <= 2; id++) {
-        struct upstream_registration r = {.id = id, .slots = 1, .sequence = 1};
-
-        g_strlcpy(r.service, id == 1 ? "feed" : "copies", sizeof(r.service));
-        upstream_register(&upstreams, 1000, &r);
-    }
-    g_assert_cmpstr(
-        evidence_proof_name(evidence_verify(table, &upstreams, &record)), ==,
-        evidence_proof_name(c->proof));
-    upstream_close(&upstreams);
-    route_free(table);
-}
-
 /* Every input of the corpus is read or refused. */
 static void
 test_corpus(void)
@@ -720,12 +650,6 @@
     g_test_add_func("/input/rewrite", test_rewrite);
     g_test_add_func("/input/fuzz-packets", test_fuzz_packets);
     g_test_add_func("/input/fuzz-messages", test_fuzz_messages);
-    for (size_t i = 0; i < G_N_ELEMENTS(proofs); i++) {
-        char name[64];
-
-        (void)snprintf(name, sizeof(name), "/input/proof/%s", proofs[i].name);
-        g_test_add_data_func(name, &proofs[i], test_proof);
-    }
     g_test_add_func("/input/corpus", test_corpus);
     g_test_add_func("/input/fuzz-json", test_fuzz_json);
     g_test_add_func("/input/seal", test_seal);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -2,9 +2,9 @@
  * What the platform's bytes and JSON are read as. Tables of cases.
  */
 #include <glib.h>
-#include <stdio.h>
 #include <string.h>
 
+#include "cases.h"
 #include "codec.h"
 #include "platform/platform.h"
 
@@ -205,13 +205,6 @@
     g_rand_free(rand);
 }
 
-/* Adds a table of cases. */
-#define ADD(prefix, cases, function)                                          \
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {                        \
-        (void)snprintf(path, sizeof(path), prefix "%s", (cases)[i].name);     \
-        g_test_add_data_func(path, &(cases)[i], function);                    \
-    }
-
 /* Lists the tests. */
 int
 main(int argc, char **argv)
@@ -219,8 +212,8 @@
     char path[128];
 
     g_test_init(&argc, &argv, NULL);
-    ADD("/platform/table/", tables, test_table)
-    ADD("/platform/registration/", registrations, test_registration)
+    CASES_ADD("/platform/table/", tables, test_table)
+    CASES_ADD("/platform/registration/", registrations, test_registration)
     g_test_add_func("/platform/packet", test_packet);
     g_test_add_func("/platform/fuzz", test_fuzz);
     return g_test_run();
