upstream: a late registration of an ended incarnation changes nothing

It was taken: the ended one counted as ready for two intervals and drew new flows, each of which lost 200 ms and more. Ruled out: its packets at the new one (the prefix names the incarnation, so no request of another service is run there). Change: such a registration is acknowledged, counted, logged and not taken. One that says it leaves is taken, since that draws nothing. An incarnation that has just begun marks the one believed to run at its address silent, up to two intervals earlier than its missing registrations would.

--- a/counter.h
+++ b/counter.h
@@ -64,6 +64,8 @@
     X(DEADLINES_MISSED, "deadlines_missed_total",                             \
       "deadlines that a wake-up left in the past: a fault of ours")           \
     X(REGISTRATIONS, "registrations_total", "taken from upstreams")           \
+    X(REGISTRATIONS_LATE, "registrations_late_total",                         \
+      "overtaken by a later one, or by another upstream at the address")      \
     X(REGISTRATIONS_REFUSED, "registrations_refused_total",                   \
       "unreadable registrations")                                             \
     X(TABLES_TAKEN, "tables_acknowledged_total",                              \
--- a/node-http.c
+++ b/node-http.c
@@ -181,7 +181,14 @@
     }
     counter_add(&node->counters, COUNTER_REGISTRATIONS, 1);
     call->registers = true;
-    upstream_register(&node->upstreams, loop_now(), &registration);
+    if (!upstream_register(&node->upstreams, loop_now(), &registration)) {
+        counter_add(&node->counters, COUNTER_REGISTRATIONS_LATE, 1);
+        log_event(LOG_INFO, "registration-late",
+                  "upstream=%llx sequence=%llu leaving=%d",
+                  (unsigned long long)registration.id,
+                  (unsigned long long)registration.sequence,
+                  registration.leaving);
+    }
     node_act(node);
     if (node->unready_at != 0) {
         return answer(call, MHD_HTTP_OK, "application/json", "{}", 2);
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -476,6 +476,111 @@
     g_assert_cmpint(merge_in_order(c, 1), ==, c->state_after);
 }
 
+/* Registrations of two incarnations at one address: 1 began there first, was
+ * heard up to `known`, and 2 registers there when 1 has crashed. Then one of
+ * them registers once more. */
+struct address_case {
+    const char *name;
+    uint64_t known;          /* last sequence of 1, 0: never heard of */
+    uint64_t second;         /* sequence of the first registration of 2 */
+    uint64_t after_ms;       /* of that, since the last of 1 */
+    uint64_t id;             /* who registers once more */
+    uint64_t sequence;       /* then */
+    bool leaving;            /* then */
+    enum upstream_state one; /* believed at the end; GONE: not known */
+    enum upstream_state two;
+};
+
+static const struct address_case addresses[] = {
+    {"new-one-replaces", 20, 1, 2500, 2, 2, false, UPSTREAM_SILENT,
+     UPSTREAM_READY},
+    {"late-word-of-the-old", 20, 1, 2500, 1, 21, false, UPSTREAM_SILENT,
+     UPSTREAM_READY},
+    {"late-word-of-an-old-one-never-heard", 0, 1, 2500, 1, 21, false,
+     UPSTREAM_GONE, UPSTREAM_READY},
+    {"late-word-that-it-leaves", 20, 1, 2500, 1, 21, true, UPSTREAM_LEAVING,
+     UPSTREAM_READY},
+    {"before-the-old-is-silent", 20, 1, 100, 2, 2, false, UPSTREAM_SILENT,
+     UPSTREAM_READY},
+    {"before-the-old-is-silent-and-late-word", 20, 1, 100, 1, 21, false,
+     UPSTREAM_SILENT, UPSTREAM_READY},
+    {"old-one-began-lately-too", 1, 1, 2500, 1, 2, false, UPSTREAM_SILENT,
+     UPSTREAM_READY},
+    {"first-word-of-the-new-was-lost", 20, 3, 2500, 1, 21, false,
+     UPSTREAM_SILENT, UPSTREAM_READY},
+};
+
+/* Registers an upstream at the address that all of them share. */
+static void
+register_there(struct upstream_set *set, uint64_t now, uint64_t id,
+               uint64_t sequence, bool leaving)
+{
+    struct upstream_registration r = {.id = id,
+                                      .service = "feed",
+                                      .hall = "hall",
+                                      .address = 0x0a800001U,
+                                      .port = 8080,
+                                      .slots = 2,
+                                      .leaving = leaving,
+                                      .sequence = sequence};
+
+    upstream_tick(set, now);
+    upstream_register(set, now, &r);
+}
+
+/* What is believed, GONE for what is not known. */
+static enum upstream_state
+state_of(const struct upstream_set *set, uint64_t id)
+{
+    const struct upstream *upstream = upstream_by_id(set, id);
+
+    return upstream != NULL ? upstream->state : UPSTREAM_GONE;
+}
+
+/* Plays one case. */
+static void
+test_address(const void *data)
+{
+    const struct address_case *c = data;
+    struct upstream_set set;
+    uint64_t now = NOW;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    if (c->known > 0) {
+        register_there(&set, now, 1, 1, false);
+        register_there(&set, now, 1, c->known, false);
+    }
+    now += c->after_ms;
+    register_there(&set, now, 2, c->second, false);
+    register_there(&set, now + 50, c->id, c->sequence, c->leaving);
+    g_assert_cmpint(state_of(&set, 1), ==, c->one);
+    g_assert_cmpint(state_of(&set, 2), ==, c->two);
+    upstream_close(&set);
+}
+
+/* What another node tells of a new incarnation replaces the old one too. */
+static void
+test_address_merged(void)
+{
+    struct upstream_set set;
+    wire_upstream record = {.id = 2,
+                            .sequence = 1,
+                            .state = UPSTREAM_READY,
+                            .address = 0x0a800001U,
+                            .port = 8080,
+                            .slots = 2,
+                            .keeper = 9,
+                            .service = "feed",
+                            .hall = "hall"};
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    register_there(&set, NOW, 1, 20, false);
+    g_assert_true(upstream_merge(&set, NOW + 100, &record));
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_SILENT);
+    g_assert_cmpint(state_of(&set, 2), ==, UPSTREAM_READY);
+    upstream_close(&set);
+}
+
 /* A decision about a flow, and what recomputing it shows. */
 struct proof_case {
     const char *name;
@@ -554,6 +659,8 @@
     CASES_ADD("/evidence/steer/", steers, test_steer)
     CASES_ADD("/evidence/copy/", copies, test_copy)
     CASES_ADD("/upstream/merge/", merges, test_merge)
+    CASES_ADD("/upstream/address/", addresses, test_address)
+    g_test_add_func("/upstream/address/merged", test_address_merged);
     CASES_ADD("/evidence/lost/", losts, test_lost)
     CASES_ADD("/evidence/proof/", proofs, test_proof)
     g_test_add_func("/evidence/spread", test_spread);
--- a/upstream.c
+++ b/upstream.c
@@ -13,6 +13,10 @@
  * false sign costs little: its flows go on, and the next one corrects it. */
 #define MISSED_INTERVALS 2
 
+/* An incarnation that is first heard of with no more registrations than this
+ * has just begun: two may be lost on their way. */
+#define FRESH_SEQUENCE 3
+
 /* Makes an empty inventory. */
 void
 upstream_open(struct upstream_set *set, uint32_t self, uint64_t interval_ms)
@@ -177,14 +181,75 @@
     upstream->warm_at = now + record->warm_ms;
 }
 
+/* Says whether an incarnation is believed to run. */
+static bool
+is_alive(const struct upstream *upstream)
+{
+    return upstream->state == UPSTREAM_READY ||
+           upstream->state == UPSTREAM_LEAVING;
+}
+
+/* The incarnation other than `id` that is believed to run at an address; NULL
+ * when there is none. */
+static struct upstream *
+holder_of(const struct upstream_set *set, uint64_t id, uint32_t address,
+          uint32_t port)
+{
+    for (guint i = 0; i < set->all->len; i++) {
+        struct upstream *upstream = g_ptr_array_index(set->all, i);
+
+        if (upstream->id != id && upstream->address == address &&
+            upstream->port == port && is_alive(upstream)) {
+            return upstream;
+        }
+    }
+    return NULL;
+}
+
+/* An incarnation that has just begun proves that the one before it at its
+ * address has ended, up to two intervals before its silence does. */
+static void
+replace_holder(struct upstream_set *set, const wire_upstream *began,
+               bool spread)
+{
+    struct upstream *holder =
+        began->state == UPSTREAM_READY && began->sequence <= FRESH_SEQUENCE
+            ? holder_of(set, began->id, began->address, began->port)
+            : NULL;
+
+    if (holder == NULL) {
+        return;
+    }
+    holder->state = UPSTREAM_SILENT;
+    holder->expire_at = 0;
+    if (spread) {
+        note_change(set, holder);
+    }
+}
+
+/* Says whether a registration is an ended incarnation's that was held up on
+ * its way: another one runs at its address now, and this one neither runs nor
+ * begins. Taken, it would draw new flows for two intervals. */
+static bool
+is_late(const struct upstream_set *set, const struct upstream *known,
+        const struct upstream_registration *r)
+{
+    bool may_run =
+        known != NULL ? is_alive(known) : r->sequence <= FRESH_SEQUENCE;
+
+    return !r->leaving && !may_run &&
+           holder_of(set, r->id, r->address, r->port) != NULL;
+}
+
 /* Takes a registration. */
-void
+bool
 upstream_register(struct upstream_set *set, uint64_t now,
                   const struct upstream_registration *r)
 {
     struct upstream *upstream = upstream_by_id(set, r->id);
     enum upstream_state state = r->leaving ? UPSTREAM_LEAVING : UPSTREAM_READY;
-    wire_upstream record = {.address = r->address,
+    wire_upstream record = {.id = r->id,
+                            .address = r->address,
                             .port = r->port,
                             .slots = r->slots,
                             .state = state,
@@ -196,12 +261,14 @@
     bool is_new = upstream == NULL;
     bool differs;
 
+    if ((!is_new && !is_newer(upstream, state, r->sequence)) ||
+        is_late(set, upstream, r)) {
+        return false;
+    }
     if (is_new) {
+        replace_holder(set, &record, true);
         upstream = add_upstream(set, r->id);
     }
-    else if (!is_newer(upstream, state, r->sequence)) {
-        return;
-    }
     /* What this process did not hear before is spread, though the record may
      * name this node: others watch what it heard before it was restarted. */
     differs = is_new || !upstream->heard || upstream->state != state ||
@@ -213,6 +280,7 @@
     if (differs) {
         note_change(set, upstream);
     }
+    return true;
 }
 
 /* Marks a record gone. */
@@ -255,6 +323,7 @@
         return false;
     }
     if (is_new) {
+        replace_holder(set, record, false);
         upstream = add_upstream(set, record->id);
     }
     differs = is_new || upstream->state != record->state ||
--- a/upstream.h
+++ b/upstream.h
@@ -98,9 +98,11 @@
 
 /**
  * Takes a registration heard by this node, which from now on watches the
- * incarnation. A late one, by its sequence, changes nothing.
+ * incarnation. A late one changes nothing: one that was overtaken, or that
+ * comes when another incarnation runs at its address.
+ * @return false when it was late
  */
-void upstream_register(struct upstream_set *set, uint64_t now,
+bool upstream_register(struct upstream_set *set, uint64_t now,
                        const struct upstream_registration *registration);
 
 /** Takes an upstream's word that it ends. */
