--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,10 @@
 $(BUILD)/%: $(BUILD)/tools/%.o $(LOAD) $(BUILD)/lib.a
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LOADED_LIBS) $(LDLIBS)
 
+# Ways of choosing that only trials have: fault.h.
+$(BUILD)/bench-steer: $(BUILD)/tools/bench-steer.o $(LOAD) $(FAULTY) $(BUILD)/lib.a
+	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LOADED_LIBS) $(LDLIBS)
+
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(LOAD) $(FAULTY) $(BUILD)/lib.a
 	@$(CC) $(OPTIMIZE) -pie -o $@ $^ $(LDLIBS)
 
--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -9,6 +9,8 @@
  */
 #include "evidence-internal.h"
 
+#include "fault.h"
+
 /* An open flow at rest weighs this share of a request that runs. */
 #define REST_SHARE 8U
 /* Work at an upstream that has just started takes this much longer, in
@@ -34,7 +36,7 @@
 static enum rank
 rank_of(const struct upstream *upstream, uint64_t now)
 {
-    if (upstream->state == UPSTREAM_SILENT) {
+    if (upstream->state == UPSTREAM_SILENT && !fault_is(FAULT_SILENT_EQUAL)) {
         return RANK_SILENT;
     }
     return now < upstream->suspect_until ? RANK_SUSPECT : RANK_GOOD;
@@ -51,8 +53,26 @@
     uint64_t work =
         (uint64_t)(upstream->busy + 1) * REST_SHARE + upstream->open;
 
+    if (fault_is(FAULT_NO_LEAST_WORK)) {
+        return 0;
+    }
     work = work * WORK_SCALE / upstream->slots;
-    return now < upstream->warm_at ? work * COLD_TENTHS / 10 : work;
+    return now < upstream->warm_at && !fault_is(FAULT_NO_COLD)
+               ? work * COLD_TENTHS / 10
+               : work;
+}
+
+/* The work that is compared. */
+static uint64_t
+weigh(const struct evidence *ev, const struct upstream *upstream, uint64_t now)
+{
+#if defined(FAULT_TRIALS) && !defined(FAULT_ALWAYS)
+    if (fault_work != NULL) {
+        return fault_work(ev, upstream);
+    }
+#endif
+    (void)ev;
+    return work_of(upstream, now);
 }
 
 /* How far a candidate lies behind this node's place, among all of its service
@@ -66,6 +86,9 @@
 {
     guint first = (guint)((uint64_t)ev->place * count >> 32);
 
+    if (fault_is(FAULT_NO_PLACE)) {
+        return index;
+    }
     return (index + count - first) % count;
 }
 
@@ -117,7 +140,7 @@
             continue;
         }
         rank = rank_of(u, now);
-        work = work_of(u, now);
+        work = weigh(ev, u, now);
         place = place_of(ev, index++, count);
         if (best == NULL || rank < best_rank ||
             (rank == best_rank &&
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -7,6 +7,8 @@
  */
 #include "evidence-internal.h"
 
+#include "fault.h"
+
 /* A flow that was closed is kept this long, since its last packets may be
  * sent again (the ends' longest wait is 1.6 s). */
 #define CLOSED_MS 2000U
@@ -111,8 +113,8 @@
     struct upstream_doubt doubt = {
         .id = upstream->id, .quiet_ms = (uint32_t)(now - flow->sent_at)};
 
-    if (now < ev->trust_at || now < upstream->doubt_at ||
-        upstream->state != UPSTREAM_READY ||
+    if (fault_is(FAULT_NO_DOUBT) || now < ev->trust_at ||
+        now < upstream->doubt_at || upstream->state != UPSTREAM_READY ||
         upstream->alive_at > flow->sent_at) {
         return;
     }
@@ -198,7 +200,7 @@
     bool others_say = upstream->keeper != ev->upstreams->self ||
                       upstream->doubts.decide_at != 0;
 
-    return upstream->state == UPSTREAM_SILENT && others_say &&
-           now >= ev->trust_at && flow->sent_at != 0 &&
+    return !fault_is(FAULT_NO_LOST) && upstream->state == UPSTREAM_SILENT &&
+           others_say && now >= ev->trust_at && flow->sent_at != 0 &&
            flow->proofs >= LOST_PROOFS && upstream->alive_at <= flow->sent_at;
 }
--- a/evidence.c
+++ b/evidence.c
@@ -7,6 +7,7 @@
 
 #include <string.h>
 
+#include "fault.h"
 #include "hash.h"
 
 /* Between two sweeps for flows that ended. */
@@ -176,7 +177,12 @@
         now < flow->opened_at + ANSWER_MS) {
         return true;
     }
-    upstream->suspect_until = now + SUSPECT_MS;
+    if (fault_is(FAULT_NO_MOVE)) {
+        return true;
+    }
+    if (!fault_is(FAULT_NO_SUSPICION)) {
+        upstream->suspect_until = now + SUSPECT_MS;
+    }
     return packet->acknowledged == 1 && now <= upstream->alive_at + ALIVE_MS;
 }
 
--- a/fault.h
+++ b/fault.h
@@ -1,14 +1,16 @@
 /**
  * @file fault.h
- * Safeguards that tests leave out one at a time, to show that each is needed
- * and that its loss is noticed. Only the tests are built with FAULT_TRIALS: in
- * the program fault_is() is false at compile time, so nothing can switch a
- * safeguard off there. Those marked "untested" no test leaves out yet.
+ * Safeguards, and mechanisms of choice, that tests and measurements leave out
+ * one at a time, to show that each is needed and what it is worth. Only the
+ * tests are built with FAULT_TRIALS: in the program fault_is() is false at
+ * compile time, so nothing can switch a safeguard off there. Those marked
+ * "untested" no test leaves out yet.
  */
 #ifndef RIDGERIDGE_FAULT_H
 #define RIDGERIDGE_FAULT_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 /** A safeguard that is left out. */
 enum fault {
@@ -25,14 +27,32 @@
     FAULT_NO_MAJORITY,     /**< one grant is enough */
     FAULT_NO_OLD_EPOCHS,   /**< replicas of earlier epochs are not read */
     FAULT_NO_LEASE,        /**< dispatch without a lease; untested */
+    FAULT_NO_LEAST_WORK,   /**< choose the first from the own place on */
+    FAULT_NO_PLACE,        /**< all nodes break ties alike */
+    FAULT_NO_COLD,         /**< an upstream that starts weighs as others */
+    FAULT_NO_SUSPICION, /**< a first packet without an answer says nothing */
+    FAULT_SILENT_EQUAL, /**< silent upstreams are chosen as others are */
+    FAULT_NO_MOVE,      /**< copies of a first packet go the same way */
+    FAULT_NO_DOUBT,     /**< nodes do not tell of unanswered data */
+    FAULT_NO_LOST,      /**< open flows of lost upstreams go on */
     FAULT_COUNT,
     FAULT_NONE = FAULT_COUNT
 };
 
-#ifdef FAULT_TRIALS
+#ifdef FAULT_ALWAYS
+/* One is left out of the whole program, to measure what it is worth:
+ * tools/ablate. */
+#define fault_is(which) ((which) == (FAULT_ALWAYS))
+#elif defined(FAULT_TRIALS)
 /** Which are left out now; of the tests, by enum fault. */
 extern bool fault_trials[FAULT_COUNT];
 #define fault_is(which) (fault_trials[which])
+struct evidence;
+struct upstream;
+/** Stands for the work at an upstream when it is set, so that other ways of
+ * choosing can be compared; of the tests. */
+extern uint64_t (*fault_work)(const struct evidence *ev,
+                              const struct upstream *upstream);
 #else
 #define fault_is(which) false
 #endif
--- /dev/null
+++ b/tools/bench-steer.c
@@ -0,0 +1,228 @@
+/*
+ * Compares ways of choosing an upstream in the model of tests/steer-load.h, on
+ * the same seeds, and prints one table of medians.
+ *
+ * usage: bench-steer [--seeds N] [--scene NAME] [--way NAME] [--csv]
+ *                    [--scenes FILE] [--nodes N]
+ *
+ * FILE is JSON with comments: a list of scenes whose keys are the members of
+ * struct steer_scene; what is left out is as in the scene "calm".
+ */
+#include <glib.h>
+#include <json-c/json.h>
+#include <popt.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "median.h"
+#include "steer-load.h"
+
+#define SCENES_MAX 32
+
+/* X(member): the numbers of a scene, by their names in a file. */
+#define SCENE_NUMBERS(X)                                                      \
+    X(nodes)                                                                  \
+    X(upstreams)                                                              \
+    X(slots)                                                                  \
+    X(queue)                                                                  \
+    X(callers)                                                                \
+    X(per_s)                                                                  \
+    X(short_share)                                                            \
+    X(work_ms)                                                                \
+    X(aim_ms)                                                                 \
+    X(budget_ms)                                                              \
+    X(length_ms)                                                              \
+    X(loss)                                                                   \
+    X(slow_at)                                                                \
+    X(slow_for)                                                               \
+    X(slow_share)                                                             \
+    X(slow_times)                                                             \
+    X(die_at)                                                                 \
+    X(die_share)                                                              \
+    X(renew_at)                                                               \
+    X(renew_share)
+
+/* Today's load of the smaller deployments: 14 upstreams behind 12 nodes. */
+#define TODAY                                                                 \
+    .nodes = 12, .upstreams = 14, .slots = 2, .queue = 8, .callers = 300,     \
+    .per_s = 400, .short_share = 20, .work_ms = 17, .aim_ms = 100,            \
+    .budget_ms = 1000, .length_ms = 30000
+/* Of the larger: 120 behind 64. */
+#define GROWN                                                                 \
+    .nodes = 64, .upstreams = 120, .slots = 2, .queue = 8, .callers = 900,    \
+    .per_s = 1200, .short_share = 20, .work_ms = 17, .aim_ms = 400,           \
+    .budget_ms = 2500, .length_ms = 20000
+
+static struct steer_scene scenes[SCENES_MAX] = {
+    {.name = "calm", TODAY},
+    {.name = "lossy", TODAY, .loss = 25},
+    {.name = "renew", TODAY, .renew_at = 5000, .renew_share = 50},
+    {.name = "die", TODAY, .die_at = 10000, .die_share = 25},
+    {.name = "slow",
+     TODAY,
+     .slow_at = 10000,
+     .slow_for = 10000,
+     .slow_share = 30,
+     .slow_times = 4},
+    {.name = "slow-high",
+     .nodes = 12,
+     .upstreams = 14,
+     .slots = 2,
+     .queue = 8,
+     .callers = 660,
+     .per_s = 880,
+     .short_share = 20,
+     .work_ms = 17,
+     .aim_ms = 100,
+     .budget_ms = 1000,
+     .length_ms = 30000,
+     .slow_at = 10000,
+     .slow_for = 10000,
+     .slow_share = 30,
+     .slow_times = 4},
+    {.name = "grown", GROWN},
+    {.name = "grown-die", GROWN, .die_at = 8000, .die_share = 20},
+    {.name = "grown-slow",
+     GROWN,
+     .slow_at = 6000,
+     .slow_for = 8000,
+     .slow_share = 30,
+     .slow_times = 4},
+};
+static size_t scene_count = 9;
+
+/* Figures of a row. */
+enum figure {
+    IN_AIM,
+    LATE,
+    FAILED,
+    AWAY,
+    RESETS,
+    FALSE_SILENT,
+    IMBALANCE,
+    NS,
+    BYTES,
+    FIGURES
+};
+
+/* Reads scenes from a file; false with a message when it cannot. */
+static gboolean
+read_scenes(const char *path)
+{
+    json_object *list = json_object_from_file(path);
+    size_t count = 0;
+
+    if (!json_object_is_type(list, json_type_array)) {
+        (void)fprintf(stderr, "%s: no list of scenes: %s\n", path,
+                      json_util_get_last_err());
+        return FALSE;
+    }
+    count = json_object_array_length(list);
+    for (scene_count = 0; scene_count < MIN(count, SCENES_MAX);
+         scene_count++) {
+        json_object *doc = json_object_array_get_idx(list, scene_count);
+        struct steer_scene *scene = &scenes[scene_count];
+        json_object *value;
+
+        *scene = (struct steer_scene){.name = "own", TODAY};
+        if (json_object_object_get_ex(doc, "name", &value)) {
+            g_strlcpy(scene->name, json_object_get_string(value),
+                      sizeof(scene->name));
+        }
+#define X(member)                                                             \
+    if (json_object_object_get_ex(doc, #member, &value)) {                    \
+        scene->member = (unsigned)json_object_get_int(value);                 \
+    }
+        SCENE_NUMBERS(X)
+#undef X
+    }
+    json_object_put(list);
+    return TRUE;
+}
+
+/* Runs a scene in one way over the seeds, and prints a row. */
+static void
+run_row(const struct steer_scene *scene, enum steer_way way, int seeds,
+        int csv)
+{
+    double *values = g_new0(double, (gsize)(FIGURES * seeds));
+    double median[FIGURES];
+
+    for (int seed = 0; seed < seeds; seed++) {
+        struct steer_result r;
+        double asked;
+
+        steer_load_run(scene, way, (uint64_t)seed + 1, &r);
+        asked = MAX(1, r.asked);
+        values[IN_AIM * seeds + seed] = 100.0 * r.in_aim / asked;
+        values[LATE * seeds + seed] = 100.0 * r.late / asked;
+        values[FAILED * seeds + seed] = 100.0 * r.failed / asked;
+        values[AWAY * seeds + seed] = 100.0 * r.turned_away / asked;
+        values[RESETS * seeds + seed] = r.reset_alive;
+        values[FALSE_SILENT * seeds + seed] = r.silent_alive;
+        values[IMBALANCE * seeds + seed] = r.imbalance;
+        values[NS * seeds + seed] = r.ns_a_decision;
+        values[BYTES * seeds + seed] = r.bytes_a_node_s;
+    }
+    for (int f = 0; f < FIGURES; f++) {
+        median[f] = median_of(values + f * seeds, (size_t)seeds);
+    }
+    (void)printf(csv ? "%s,%s,%.3f,%.3f,%.3f,%.3f,%.0f,%.0f,%.3f,%.0f,%.0f\n"
+                     : "%-12s %-9s %7.2f %6.2f %6.2f %6.2f %6.0f %6.0f %6.2f "
+                       "%7.0f %6.0f\n",
+                 scene->name, steer_way_name(way), median[IN_AIM],
+                 median[LATE], median[FAILED], median[AWAY], median[RESETS],
+                 median[FALSE_SILENT], median[IMBALANCE], median[NS],
+                 median[BYTES]);
+    (void)fflush(stdout);
+    g_free(values);
+}
+
+/* Reads the command line, runs all rows. */
+int
+main(int argc, const char **argv)
+{
+    int seeds = 5;
+    int nodes = 0;
+    int csv = 0;
+    char *only = NULL;
+    char *only_way = NULL;
+    char *file = NULL;
+    struct poptOption options[] = {
+        {"seeds", 's', POPT_ARG_INT, &seeds, 0, "seeds of each row", "N"},
+        {"nodes", 'n', POPT_ARG_INT, &nodes, 0, "nodes of each scene", "N"},
+        {"scene", 0, POPT_ARG_STRING, &only, 0, "this scene alone", "NAME"},
+        {"way", 0, POPT_ARG_STRING, &only_way, 0, "this way alone", "NAME"},
+        {"scenes", 0, POPT_ARG_STRING, &file, 0, "scenes of a file", "FILE"},
+        {"csv", 0, POPT_ARG_NONE, &csv, 0, "comma-separated values", NULL},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context =
+        poptGetContext("bench-steer", argc, argv, options, 0);
+    int bad = poptGetNextOpt(context);
+
+    if (bad < -1 || seeds < 1 || (file != NULL && !read_scenes(file))) {
+        poptPrintUsage(context, stderr, 0);
+        return 2;
+    }
+    (void)printf(
+        csv ? "scene,way,in_aim,late,failed,turned_away,reset_alive,"
+              "silent_alive,imbalance,ns,bytes_s\n"
+            : "scene        way       in aim%%  late%%  fail%%  away%% "
+              "resets  false   imb  ns/dec B/s/node\n");
+    for (size_t i = 0; i < scene_count; i++) {
+        if (only != NULL && strcmp(only, scenes[i].name) != 0) {
+            continue;
+        }
+        if (nodes > 0) {
+            scenes[i].nodes = (unsigned)nodes;
+        }
+        for (int way = 0; way < STEER_WAYS; way++) {
+            if (only_way == NULL ||
+                strcmp(only_way, steer_way_name((enum steer_way)way)) == 0) {
+                run_row(&scenes[i], (enum steer_way)way, seeds, csv);
+            }
+        }
+    }
+    (void)poptFreeContext(context);
+    return 0;
+}
