--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -27,7 +27,8 @@
 evidence_takes_new(const struct evidence *ev, const struct upstream *upstream)
 {
     return (upstream->state == UPSTREAM_READY ||
-            upstream->state == UPSTREAM_SILENT) &&
+            (upstream->state == UPSTREAM_SILENT &&
+             !fault_is(FAULT_NO_LAST_RESORT))) &&
            upstream_by_token(ev->upstreams, upstream->token) == upstream;
 }
 
@@ -48,7 +49,7 @@
  * work cost 0.012 of worth where flows are long and short, a score of five
  * days with trouble. That the work is multiplied by how slow an upstream has
  * been lately serves 1% more of a day's requests within their aim where 30% of
- * the upstreams took five times as long for 10 of 34 s (0.912 -> 0.927 of
+ * the upstreams took five times as long for 10 of 34 s (0.912 -> 0.928 of
  * worth, two seeds), and costs nothing where none is slow. */
 static uint64_t
 work_of(const struct evidence *ev, const struct upstream *upstream,
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "fault.h"
 
 /* Records of upstreams in one message: about 100 bytes each, so that it
  * stays well inside one datagram. */
@@ -77,7 +78,7 @@
 void
 fleet_send_hello(struct fleet *fleet, uint32_t to, bool reply)
 {
-    send_hello(fleet, to, reply, fleet->settled);
+    send_hello(fleet, to, reply, fleet->settled || fault_is(FAULT_NO_ASK));
 }
 
 /* Asks another node for what this one lacks. */
--- a/node-packets.c
+++ b/node-packets.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "address.h"
+#include "fault.h"
 #include "log.h"
 #include "loop.h"
 #include "node-status.h"
@@ -201,6 +202,10 @@
 {
     struct held *place;
 
+    if (fault_is(FAULT_NO_HOLD)) {
+        counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
+        return;
+    }
     if (held == NULL) {
         held = g_new0(struct held, HELD_MAX);
     }
@@ -232,7 +237,7 @@
         counter_add(&node->counters, COUNTER_PACKETS_MALFORMED, 1);
         return;
     }
-    if (packet.first && node->stale) {
+    if (packet.first && node->stale && !fault_is(FAULT_NO_STALE)) {
         counter_add(&node->counters, COUNTER_PACKETS_STALE, 1);
         return;
     }
--- a/node.c
+++ b/node.c
@@ -5,6 +5,7 @@
 #include <sodium.h>
 #include <sys/stat.h>
 
+#include "fault.h"
 #include "log.h"
 #include "loop.h"
 #include "platform/platform.h"
@@ -132,7 +133,7 @@
 static void
 keep_upstreams(struct node *node, uint64_t now)
 {
-    if (!node->voter.running ||
+    if (!node->voter.running || fault_is(FAULT_NO_KEPT) ||
         node->kept_changes == node->upstreams.change_count ||
         now < node->keep_at || !node->fleet.settled) {
         return;
--- a/upstream.c
+++ b/upstream.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "fault.h"
 #include "hash.h"
 
 /* Registrations that may stay away before an upstream counts as silent. A
@@ -245,7 +246,7 @@
 fall_silent(struct upstream_set *set, struct upstream *upstream, bool spread)
 {
     upstream->expire_at = 0;
-    if (upstream->state != UPSTREAM_READY) {
+    if (upstream->state != UPSTREAM_READY || fault_is(FAULT_NO_SILENCE)) {
         return;
     }
     upstream->state = UPSTREAM_SILENT;
@@ -265,7 +266,7 @@
             ? holder_of(set, began->id, began->address, began->port)
             : NULL;
 
-    if (holder == NULL) {
+    if (holder == NULL || fault_is(FAULT_NO_REPLACE)) {
         return;
     }
     fall_silent(set, holder, spread);
@@ -281,7 +282,7 @@
     bool may_run =
         known != NULL ? is_alive(known) : r->sequence <= FRESH_SEQUENCE;
 
-    return !r->leaving && !may_run &&
+    return !fault_is(FAULT_NO_REPLACE) && !r->leaving && !may_run &&
            holder_of(set, r->id, r->address, r->port) != NULL;
 }
 
@@ -489,6 +490,9 @@
 void
 upstream_excuse(struct upstream_set *set, uint64_t now, uint64_t gap)
 {
+    if (fault_is(FAULT_NO_EXCUSE)) {
+        return;
+    }
     for (guint i = 0; i < set->all->len; i++) {
         struct upstream *upstream = g_ptr_array_index(set->all, i);
 
