fleet: records of upstreams are asked for by their marks

Cause: where two nodes differed in one record of a sixteenth of the inventory, all of that sixteenth was sent, in both directions and by every pair that compared itself. With 3,000 upstreams that is 276 KB a comparison; while all register at a start nothing agrees, and on links of 3.3 Mbit/s what was lost made more of it. Ruled out: pushes of changes (35 MB of 270 in the first two seconds, which is what 3,000 records at 300 nodes need), hellos (12 MB). Change: a node sends marks (8 bytes) of what it holds in the sixteenths that differ, the other asks for the records (92 bytes) that it needs. Where it has none at all there, or the inventory has 40 records or fewer, records are sent at once as before. Test first: /fleet/upstream/repair failed (70,200 bytes where 16 of 640 records are lacking, of which 50 KB are calm; bound 60,000).

--- a/cons.c
+++ b/cons.c
@@ -393,6 +393,8 @@
     case WIRE_ROUTES:
     case WIRE_FOUND:
     case WIRE_DOUBT:
+    case WIRE_SUMMARY:
+    case WIRE_NEED:
         return;
     }
 }
--- a/entry-core.c
+++ b/entry-core.c
@@ -251,6 +251,8 @@
     case WIRE_ROUTES:
     case WIRE_FOUND:
     case WIRE_DOUBT:
+    case WIRE_SUMMARY:
+    case WIRE_NEED:
         counter_add(core->counters, COUNTER_MSGS_MALFORMED, 1);
         return;
     }
--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -48,6 +48,10 @@
 void fleet_send_lacking_upstreams(struct fleet *fleet, uint64_t now,
                                   const wire_hello *hello,
                                   struct fleet_member *member, bool same);
+/** Asks for the records that differ from what another node holds. */
+void fleet_take_summary(struct fleet *fleet, const wire_summary *summary);
+/** Sends the records that another node asks for. */
+void fleet_take_need(struct fleet *fleet, uint64_t now, const wire_need *need);
 /** Sends the members that the node of a hello lacks. */
 void fleet_send_lacking_members(struct fleet *fleet, const wire_hello *hello,
                                 struct fleet_member *member);
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -12,6 +12,9 @@
 /* Records of upstreams in one message: about 100 bytes each, so that it
  * stays well inside one datagram. */
 #define RECORDS_A_MESSAGE 200
+/* An inventory of no more records than this is sent without asking: all of it
+ * is no larger than the messages about it on a calm second. */
+#define RECORDS_FEW 40
 /* In place of a node's address, which is never 0: every member. */
 #define TO_ALL 0
 
@@ -179,26 +182,100 @@
     }
 }
 
-/* Sends the records of those buckets in which the other node differs. */
+/* Sends what this node holds in short, in as many messages as it needs. */
+static void
+send_marks(struct fleet *fleet, uint32_t to, wire_mark *marks, guint count)
+{
+    for (guint at = 0; at < count; at += WIRE_MARKS_MAX) {
+        wire_msg msg = {.kind = WIRE_SUMMARY};
+
+        msg.wire_msg_u.summary.node = fleet->self.address;
+        msg.wire_msg_u.summary.list.list_val = marks + at;
+        msg.wire_msg_u.summary.list.list_len = MIN(count - at, WIRE_MARKS_MAX);
+        fleet_send(fleet, to, &msg);
+    }
+}
+
+/* Sends what the other node may lack, of the buckets in which it differs: the
+ * records where these are few or it has none at all there, else their marks,
+ * and it asks for what it needs. A record has 92 bytes, a mark 8: a node that
+ * lacks 16 of 640 records is sent 6 KB for them instead of 20. */
 static void
 send_differing(struct fleet *fleet, uint64_t now, uint32_t to,
                const uint32_t theirs[WIRE_BUCKETS])
 {
     struct upstream_set *set = fleet->upstreams;
     wire_upstream *records = g_new0(wire_upstream, set->all->len);
+    wire_mark *marks = g_new0(wire_mark, set->all->len);
     uint32_t own[WIRE_BUCKETS];
-    guint count = 0;
+    guint record_count = 0;
+    guint mark_count = 0;
 
     upstream_digests(set, own);
     for (guint i = 0; i < set->all->len; i++) {
         const struct upstream *u = g_ptr_array_index(set->all, i);
         uint32_t bucket = u->token % WIRE_BUCKETS;
 
-        if (own[bucket] != theirs[bucket]) {
+        if (own[bucket] == theirs[bucket]) {
+            continue;
+        }
+        if (theirs[bucket] == 0 || set->all->len <= RECORDS_FEW) {
+            upstream_pack(set, now, u, &records[record_count++]);
+        }
+        else {
+            marks[mark_count++] = (wire_mark){u->token, upstream_mark(u)};
+        }
+    }
+    send_upstreams(fleet, to, records, record_count);
+    send_marks(fleet, to, marks, mark_count);
+    g_free(records);
+    g_free(marks);
+}
+
+/* Asks for the records that differ from what another node holds. */
+void
+fleet_take_summary(struct fleet *fleet, const wire_summary *summary)
+{
+    u_int *tokens = g_new0(u_int, summary->list.list_len);
+    wire_msg msg = {.kind = WIRE_NEED};
+    wire_need *need = &msg.wire_msg_u.need;
+
+    need->node = fleet->self.address;
+    need->tokens.tokens_val = tokens;
+    for (u_int i = 0; i < summary->list.list_len; i++) {
+        const wire_mark *mark = &summary->list.list_val[i];
+        const struct upstream *u =
+            upstream_by_token(fleet->upstreams, mark->token);
+
+        if (u == NULL || upstream_mark(u) != mark->about) {
+            tokens[need->tokens.tokens_len++] = mark->token;
+        }
+    }
+    if (need->tokens.tokens_len > 0) {
+        fleet_send(fleet, summary->node, &msg);
+    }
+    g_free(tokens);
+}
+
+/* Sends the records that another node asks for. */
+void
+fleet_take_need(struct fleet *fleet, uint64_t now, const wire_need *need)
+{
+    struct upstream_set *set = fleet->upstreams;
+    wire_upstream *records = g_new0(wire_upstream, need->tokens.tokens_len);
+    guint count = 0;
+
+    for (u_int i = 0; i < need->tokens.tokens_len; i++) {
+        const struct upstream *u =
+            upstream_by_token(set, need->tokens.tokens_val[i]);
+
+        if (u != NULL) {
             upstream_pack(set, now, u, &records[count++]);
         }
     }
-    send_upstreams(fleet, to, records, count);
+    if (need->node != TO_ALL) {
+        send_upstreams(fleet, need->node, records, count);
+    }
     g_free(records);
 }
 
--- a/fleet.c
+++ b/fleet.c
@@ -365,6 +365,12 @@
     case WIRE_ROUTES:
         (void)fleet_set_routes(fleet, now, &msg->wire_msg_u.routes);
         return;
+    case WIRE_SUMMARY:
+        fleet_take_summary(fleet, &msg->wire_msg_u.summary);
+        return;
+    case WIRE_NEED:
+        fleet_take_need(fleet, now, &msg->wire_msg_u.need);
+        return;
     case WIRE_DOUBT:
         upstream_take_doubt(fleet->upstreams, now, msg->wire_msg_u.doubt.id,
                             msg->wire_msg_u.doubt.node,
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -13,7 +13,7 @@
 #include "sim-disk.h"
 
 #define FLEET_SIM_NODES 32        /* most, with those that replace others */
-#define FLEET_SIM_UPSTREAMS 64    /* most */
+#define FLEET_SIM_UPSTREAMS 640   /* most */
 #define FLEET_SIM_INTERVAL_MS 770 /* between registrations of an upstream */
 
 /* One node. */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -18,6 +18,11 @@
 #define HEAL_MS 8000    /* after the last event */
 #define FREEZE_MS 3000  /* of a frozen leader */
 #define KNOWN_UPSTREAMS 18
+#define MANY_UPSTREAMS 64
+#define FORGOTTEN 16   /* records that a node loses */
+#define REPAIR_MS 3000 /* it has them again within it */
+#define REPAIR_BYTES                                                          \
+    60000U /* most that all nodes send meanwhile, of which 50 KB are calm */
 #define LOOK_MS 100       /* between two looks at what nodes believe */
 #define LOST_UPSTREAMS 16 /* that are lost with their node */
 #define DROP_MS 1500      /* after that all know that a node is dropped */
@@ -427,7 +432,7 @@
 {
     struct fleet_sim_options options = {.nodes = FLEET_SIM_NODES / 2,
                                         .disks = 3,
-                                        .upstreams = FLEET_SIM_UPSTREAMS,
+                                        .upstreams = MANY_UPSTREAMS,
                                         .seed = 5};
     struct fleet_sim *sim = fleet_sim_new(&options);
     int lost = sim->count - 1;
@@ -461,7 +466,7 @@
 {
     struct fleet_sim_options options = {.nodes = FLEET_SIM_NODES - JOINERS,
                                         .disks = 3,
-                                        .upstreams = FLEET_SIM_UPSTREAMS,
+                                        .upstreams = MANY_UPSTREAMS,
                                         .seed = 7};
     struct fleet_sim *sim = fleet_sim_new(&options);
 
@@ -485,6 +490,39 @@
     fleet_sim_free(sim);
 }
 
+/* A node that lacks a few records of many is sent these, not all. */
+static void
+test_repair(void)
+{
+    struct fleet_sim_options options = {
+        .nodes = 16, .disks = 3, .upstreams = FLEET_SIM_UPSTREAMS, .seed = 11};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    int n = sim->count - 1;
+    struct upstream_set *set = &sim->nodes[n].upstreams;
+    uint64_t bytes = 0;
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    g_assert_cmpuint(set->all->len, ==, FLEET_SIM_UPSTREAMS);
+    for (guint i = 0; i < FORGOTTEN; i++) {
+        struct upstream *u = g_ptr_array_index(set->all, 37 * i);
+
+        g_hash_table_remove(set->by_id, &u->id);
+        g_hash_table_remove(set->by_token, GUINT_TO_POINTER(u->token));
+        g_ptr_array_remove_index(set->all, 37 * i);
+    }
+    for (int i = 0; i < sim->count; i++) {
+        sim->nodes[i].bytes_sent = 0;
+    }
+    fleet_sim_run(sim, sim->now + REPAIR_MS);
+    for (int i = 0; i < sim->count; i++) {
+        bytes += sim->nodes[i].bytes_sent;
+    }
+    g_assert_cmpuint(set->all->len, ==, FLEET_SIM_UPSTREAMS);
+    g_test_message("bytes %lu", (unsigned long)bytes);
+    g_assert_cmpuint(bytes, <, REPAIR_BYTES);
+    fleet_sim_free(sim);
+}
+
 /* Three nodes that get no answer of an upstream tell the one that hears it,
  * and all believe it silent long before its registrations are missed. */
 static void
@@ -569,6 +607,7 @@
     }
     g_test_add_func("/fleet/upstream/keeper-restarts", test_keeper_restarts);
     g_test_add_func("/fleet/upstream/lost-together", test_lost_together);
+    g_test_add_func("/fleet/upstream/repair", test_repair);
     g_test_add_func("/fleet/upstream/doubted", test_doubted);
     g_test_add_func("/fleet/join-together", test_join_together);
     g_test_add_func("/fleet/unanswered", test_unanswered);
--- a/upstream.c
+++ b/upstream.c
@@ -517,20 +517,25 @@
     }
 }
 
-/* Digests by bucket: who, what state, heard by whom. The sequence is left
- * out, since it rises all the time. */
+/* Hash of a record. */
+uint32_t
+upstream_mark(const struct upstream *upstream)
+{
+    uint64_t keeper = upstream->state == UPSTREAM_GONE ? 0 : upstream->keeper;
+
+    return (uint32_t)hash_pair(HASH_UPSTREAM, upstream->id,
+                               (uint64_t)upstream->state << 32 | keeper);
+}
+
+/* Digests by bucket. */
 void
 upstream_digests(const struct upstream_set *set, uint32_t out[WIRE_BUCKETS])
 {
     memset(out, 0, WIRE_BUCKETS * sizeof(*out));
     for (guint i = 0; i < set->all->len; i++) {
         const struct upstream *upstream = g_ptr_array_index(set->all, i);
-        uint64_t about =
-            (uint64_t)upstream->state << 32 |
-            (upstream->state == UPSTREAM_GONE ? 0 : upstream->keeper);
 
-        out[upstream->token % WIRE_BUCKETS] +=
-            (uint32_t)hash_pair(HASH_UPSTREAM, upstream->id, about);
+        out[upstream->token % WIRE_BUCKETS] += upstream_mark(upstream);
     }
 }
 
--- a/upstream.h
+++ b/upstream.h
@@ -182,6 +182,10 @@
 /** Name of a state in logs and pages. */
 const char *upstream_state_name(enum upstream_state state);
 
+/** Hash of a record: who, what state, heard by whom. The sequence is left out,
+ * since it rises all the time. */
+uint32_t upstream_mark(const struct upstream *upstream);
+
 /** Digests of the records, by bucket, so that two nodes can compare. */
 void upstream_digests(const struct upstream_set *set,
                       uint32_t out[WIRE_BUCKETS]);
