fleet: nodes with a disk greet the nodes that they stored

Cause: after a loss of power nodes without a disk know nothing but the seeds of their settings. Ruled out: the start itself (0.01 to 0.2 s); packets that were held (150 ms, then the copy is); elections (nodes serve without a leader). Test first: /fleet/recall failed (nodes not settled) without the greeting.

--- a/cons.c
+++ b/cons.c
@@ -395,6 +395,7 @@
     case WIRE_DOUBT:
     case WIRE_SUMMARY:
     case WIRE_NEED:
+    case WIRE_KEPT:
         return;
     }
 }
--- a/entry-core.c
+++ b/entry-core.c
@@ -253,6 +253,7 @@
     case WIRE_DOUBT:
     case WIRE_SUMMARY:
     case WIRE_NEED:
+    case WIRE_KEPT:
         counter_add(core->counters, COUNTER_MSGS_MALFORMED, 1);
         return;
     }
--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -13,8 +13,6 @@
                                enum fleet_action_kind kind);
 
 /* fleet-members.c */
-/** Digest of the members: who, and which start of it. */
-uint64_t fleet_members_digest(const struct fleet *fleet);
 /** Notes a member; `heard` says that the word is its own or the leader's. */
 void fleet_note_member(struct fleet *fleet, uint64_t now,
                        const wire_node *node, bool heard);
@@ -26,6 +24,10 @@
 void fleet_take_members(struct fleet *fleet, uint64_t now,
                         const wire_members *members);
 
+/* fleet-kept.c */
+/** Greets the stored nodes that were not heard yet. */
+void fleet_greet_unheard(struct fleet *fleet, uint64_t now);
+
 /* fleet-spread.c */
 /** Sends a message; to address 0 or to this node itself, nothing. */
 void fleet_send(struct fleet *fleet, uint32_t to, wire_msg *msg);
--- a/fleet.c
+++ b/fleet.c
@@ -36,6 +36,7 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     fleet->actions = g_array_new(FALSE, TRUE, sizeof(struct fleet_action));
     fleet->joined = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    fleet->unheard = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 }
 
 /* Frees it. */
@@ -46,6 +47,7 @@
     g_hash_table_destroy(fleet->members);
     g_array_free(fleet->actions, TRUE);
     g_array_free(fleet->joined, TRUE);
+    g_array_free(fleet->unheard, TRUE);
     g_free(fleet->routes.packed.packed_val);
 }
 
@@ -229,6 +231,7 @@
         fleet_send_hello(fleet, fleet->leader, false);
     }
     fleet_send_hello(fleet, fleet_random_member(fleet), false);
+    fleet_greet_unheard(fleet, now);
     fleet->hello_at =
         now + (lost || !fleet->settled ? FLEET_SEEK_MS : FLEET_HELLO_MS);
 }
--- a/fleet.h
+++ b/fleet.h
@@ -82,6 +82,8 @@
     uint64_t met_at;                 /**< first hello of a peer, 0: none */
     uint64_t asked_until;            /**< deadline: until then the node that
                                           was asked may still send */
+    GArray *unheard;                 /**< uint32_t: nodes that were stored and
+                                          are greeted until they are heard */
     GArray *joined;                  /**< uint32_t: LEADER: nodes that are
                                           new, to be told to all */
     wire_routes routes;              /**< newest table; packed is owned */
@@ -139,9 +141,18 @@
 /** Earliest time at which fleet_tick() has something to do. */
 uint64_t fleet_deadline(const struct fleet *fleet);
 
+/** Digest of the members: who, and which start of it. */
+uint64_t fleet_members_digest(const struct fleet *fleet);
+
 /** Place of this node among all by address, in parts of 2^32. */
 uint32_t fleet_place(const struct fleet *fleet);
 
+/** Encodes what a node with a disk stores of its fleet. */
+GByteArray *fleet_save(const struct fleet *fleet, uint64_t now);
+
+/** Takes what was stored, before a start; false when it cannot be read. */
+bool fleet_load(struct fleet *fleet, uint64_t now, const GByteArray *bytes);
+
 /** Takes the actions. */
 struct fleet_action *fleet_actions(struct fleet *fleet, size_t *count);
 
--- a/node-voter.c
+++ b/node-voter.c
@@ -10,22 +10,16 @@
 static struct voter_start start;
 static GThread *thread;
 
-/* Merges the inventory that was stored, as if a peer had sent it. */
+/* Takes what was stored of the fleet. */
 static void
-merge_kept(struct node *node, const GByteArray *kept, uint64_t now)
+load_kept(struct node *node, const GByteArray *kept, uint64_t now)
 {
-    wire_msg msg;
-
-    if (!codec_decode(kept->data, kept->len, &msg)) {
+    if (!fleet_load(&node->fleet, now, kept)) {
         log_event(LOG_WARN, "inventory-unreadable", "bytes=%u", kept->len);
         return;
     }
-    if (msg.kind == WIRE_UPSTREAMS) {
-        fleet_receive(&node->fleet, now, &msg);
-        log_event(LOG_INFO, "inventory-loaded", "upstreams=%u",
-                  msg.wire_msg_u.upstreams.list.list_len);
-    }
-    codec_free(&msg);
+    log_event(LOG_INFO, "inventory-loaded", "upstreams=%u nodes=%u",
+              node->upstreams.all->len, node->fleet.unheard->len);
 }
 
 /* Takes news on the loop's thread. */
@@ -45,7 +39,7 @@
         }
     }
     if (news->kept != NULL) {
-        merge_kept(node, news->kept, now);
+        load_kept(node, news->kept, now);
         g_byte_array_unref(news->kept);
     }
     if (news->has_leader) {
--- a/node.c
+++ b/node.c
@@ -128,19 +128,22 @@
     }
 }
 
-/* Stores the inventory when it changed, so that a start after a loss of power
- * need not wait until every upstream registered again. */
+/* Stores the inventory and the members when they changed, so that a start
+ * after a loss of power need not wait until every upstream registered again.
+ */
 static void
 keep_upstreams(struct node *node, uint64_t now)
 {
     if (!node->voter.running || fault_is(FAULT_NO_KEPT) ||
-        node->kept_changes == node->upstreams.change_count ||
+        (node->kept_changes == node->upstreams.change_count &&
+         node->kept_members == fleet_members_digest(&node->fleet)) ||
         now < node->keep_at || !node->fleet.settled) {
         return;
     }
     node->kept_changes = node->upstreams.change_count;
+    node->kept_members = fleet_members_digest(&node->fleet);
     node->keep_at = now + KEEP_MS;
-    node_voter_keep(node, upstream_save(&node->upstreams, now));
+    node_voter_keep(node, fleet_save(&node->fleet, now));
 }
 
 /* What the loop waits for. */
--- a/node.h
+++ b/node.h
@@ -53,6 +53,7 @@
     GHashTable *calls;     /**< token to a suspended struct call */
     uint64_t last_token;   /**< of the call suspended last */
     uint64_t kept_changes; /**< of the inventory, that are stored */
+    uint64_t kept_members; /**< digest of the members that are stored */
     uint64_t keep_at;      /**< deadline: the inventory may be stored */
     bool stale;            /**< packets are those that waited while
                                 it stood still */
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -312,6 +312,9 @@
         const wire_config *config;
 
         start_order(sim, n);
+        if (node->kept != NULL) {
+            g_assert_true(fleet_load(&node->fleet, sim->now, node->kept));
+        }
         config = cons_config(&node->order.cons);
         for (u_int i = 0; i < config->voters.voters_len; i++) {
             fleet_add_contact(&node->fleet,
@@ -320,6 +323,16 @@
     }
 }
 
+/* Loses what is stored of the fleet. */
+static void
+forget_kept(struct fleet_sim_node *node)
+{
+    if (node->kept != NULL) {
+        g_byte_array_unref(node->kept);
+        node->kept = NULL;
+    }
+}
+
 /* Kills a node; its disk stays. */
 void
 fleet_sim_kill(struct fleet_sim *sim, int n)
@@ -333,6 +346,8 @@
     node->frozen_until = 0;
     if (node->has_disk) {
         order_close(&node->order);
+        forget_kept(node);
+        node->kept = fleet_save(&node->fleet, sim->now);
     }
     fleet_close(&node->fleet);
     evidence_close(&node->evidence);
@@ -354,6 +369,7 @@
 {
     fleet_sim_kill(sim, n);
     sim_disk_wipe(&sim->nodes[n].disk);
+    forget_kept(&sim->nodes[n]);
     sim->nodes[n].disk.identity = fleet_sim_random(sim, 0) | IDENTITY_BIT;
 }
 
@@ -695,6 +711,7 @@
     for (int i = 0; i < sim->count; i++) {
         fleet_sim_kill(sim, i);
         sim_disk_wipe(&sim->nodes[i].disk);
+        forget_kept(&sim->nodes[i]);
         g_free(sim->nodes[i].disk.snapshot.config.voters.voters_val);
         g_array_free(sim->nodes[i].disk.log, TRUE);
     }
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -24,6 +24,7 @@
     uint64_t frozen_until;
     uint32_t address;
     struct sim_disk disk;
+    GByteArray *kept; /* of the fleet, on the disk; NULL: none */
     struct counters counters;
     struct upstream_set upstreams;
     struct evidence evidence;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -18,6 +18,7 @@
 #define HEAL_MS 8000    /* after the last event */
 #define FREEZE_MS 3000  /* of a frozen leader */
 #define KNOWN_UPSTREAMS 18
+#define RECALL_MS 300 /* from a start without seeds until all can serve */
 #define MANY_UPSTREAMS 64
 #define FORGOTTEN 16   /* records that a node loses */
 #define REPAIR_MS 3000 /* it has them again within it */
@@ -523,6 +524,34 @@
     fleet_sim_free(sim);
 }
 
+/* After a loss of power the seeds may be the last to come back: a node with a
+ * disk greets those that it knew, so that they can serve. */
+static void
+test_recall(void)
+{
+    struct fleet_sim_options options = {
+        .nodes = 12, .disks = 4, .upstreams = KNOWN_UPSTREAMS, .seed = 13};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    g_assert_true(fleet_sim_put(sim, 1, OPERATE_MS));
+    fleet_sim_run(sim, sim->now + EVENT_MS);
+    for (int n = 0; n < sim->count; n++) {
+        fleet_sim_kill(sim, n);
+    }
+    for (int n = 3; n < sim->count; n++) {
+        fleet_sim_start(sim, n);
+    }
+    fleet_sim_run(sim, sim->now + RECALL_MS);
+    for (int n = 3; n < sim->count; n++) {
+        g_assert_true(sim->nodes[n].fleet.settled);
+        g_assert_cmpuint(sim->nodes[n].fleet.routes.bundle_version, ==, 1);
+        g_assert_cmpuint(sim->nodes[n].upstreams.all->len, ==,
+                         KNOWN_UPSTREAMS);
+    }
+    fleet_sim_free(sim);
+}
+
 /* Three nodes that get no answer of an upstream tell the one that hears it,
  * and all believe it silent long before its registrations are missed. */
 static void
@@ -608,6 +637,7 @@
     g_test_add_func("/fleet/upstream/keeper-restarts", test_keeper_restarts);
     g_test_add_func("/fleet/upstream/lost-together", test_lost_together);
     g_test_add_func("/fleet/upstream/repair", test_repair);
+    g_test_add_func("/fleet/recall", test_recall);
     g_test_add_func("/fleet/upstream/doubted", test_doubted);
     g_test_add_func("/fleet/join-together", test_join_together);
     g_test_add_func("/fleet/unanswered", test_unanswered);
--- a/upstream.c
+++ b/upstream.c
@@ -6,7 +6,6 @@
 
 #include <string.h>
 
-#include "codec.h"
 #include "fault.h"
 #include "hash.h"
 
@@ -557,26 +556,3 @@
         .service = (char *)upstream_service_name(set, upstream->service),
         .hall = (char *)upstream->hall};
 }
-
-/* Encodes all records that are alive. */
-GByteArray *
-upstream_save(const struct upstream_set *set, uint64_t now)
-{
-    wire_upstream *records = g_new0(wire_upstream, set->all->len);
-    wire_msg msg = {.kind = WIRE_UPSTREAMS};
-    wire_upstreams *list = &msg.wire_msg_u.upstreams;
-    GByteArray *bytes;
-
-    list->list.list_val = records;
-    for (guint i = 0; i < set->all->len; i++) {
-        const struct upstream *u = g_ptr_array_index(set->all, i);
-
-        if (u->state < UPSTREAM_SILENT &&
-            list->list.list_len < WIRE_UPSTREAMS_MAX) {
-            upstream_pack(set, now, u, &records[list->list.list_len++]);
-        }
-    }
-    bytes = codec_encode(&msg);
-    g_free(records);
-    return bytes;
-}
--- a/upstream.h
+++ b/upstream.h
@@ -190,9 +190,6 @@
 void upstream_digests(const struct upstream_set *set,
                       uint32_t out[WIRE_BUCKETS]);
 
-/** Encodes all records that are alive, to be stored; a WIRE_UPSTREAMS. */
-GByteArray *upstream_save(const struct upstream_set *set, uint64_t now);
-
 /** Fills a record for the wire; its strings are borrowed. */
 void upstream_pack(const struct upstream_set *set, uint64_t now,
                    const struct upstream *upstream, wire_upstream *out);
