--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,7 @@
 	@mkdir -p $(dir $@)
 	@$(CC) $(CFLAGS) $(GENERATED_CFLAGS) -I. -Itests -MMD -c -o $@ $<
 
-$(BUILD)/tests/%.o: CFLAGS += -DFAULT_TRIALS
+$(BUILD)/tests/%.o $(BUILD)/tools/bench-steer.o: CFLAGS += -DFAULT_TRIALS
 
 $(BUILD)/faulty/%.o: %.c
 	@mkdir -p $(dir $@)
--- a/tests/steer-load.c
+++ b/tests/steer-load.c
@@ -995,7 +995,7 @@
     model = &m;
     fault_work =
         way == STEER_TODAY || way == STEER_NO_PLACE ? NULL : trial_work;
-    fault_trials[FAULT_NO_PLACE] = way == STEER_NO_PLACE;
+    fault_trials[FAULT_NO_PLACE] |= way == STEER_NO_PLACE;
     start(&m);
     while (m.now < BEGIN_MS + scene->length_ms) {
         struct event event = next_event(&m);
@@ -1006,6 +1006,8 @@
     conclude(&m);
     stop(&m);
     fault_work = NULL;
-    fault_trials[FAULT_NO_PLACE] = false;
+    if (way == STEER_NO_PLACE) {
+        fault_trials[FAULT_NO_PLACE] = false;
+    }
     model = NULL;
 }
--- a/tools/bench-steer.c
+++ b/tools/bench-steer.c
@@ -3,7 +3,7 @@
  * the same seeds, and prints one table of medians.
  *
  * usage: bench-steer [--seeds N] [--scene NAME] [--way NAME] [--csv]
- *                    [--scenes FILE] [--nodes N]
+ *                    [--scenes FILE] [--nodes N] [--without MECHANISM]
  *
  * FILE is JSON with comments: a list of scenes whose keys are the members of
  * struct steer_scene; what is left out is as in the scene "calm".
@@ -14,6 +14,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "fault.h"
 #include "median.h"
 #include "steer-load.h"
 
@@ -91,6 +92,37 @@
 };
 static size_t scene_count = 9;
 
+/* What may be left out. */
+static const struct mechanism {
+    const char *name;
+    enum fault fault;
+} mechanisms[] = {
+    {"least-work", FAULT_NO_LEAST_WORK},
+    {"place", FAULT_NO_PLACE},
+    {"cold", FAULT_NO_COLD},
+    {"took", FAULT_NO_TOOK},
+    {"suspicion", FAULT_NO_SUSPICION},
+    {"move", FAULT_NO_MOVE},
+    {"silence", FAULT_NO_SILENCE},
+    {"silent-last", FAULT_SILENT_EQUAL},
+    {"doubt", FAULT_NO_DOUBT},
+    {"lost", FAULT_NO_LOST},
+};
+
+/* Leaves a mechanism out; false when there is none of that name. */
+static gboolean
+leave_out(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(mechanisms); i++) {
+        if (strcmp(name, mechanisms[i].name) == 0) {
+            fault_trials[mechanisms[i].fault] = true;
+            return TRUE;
+        }
+    }
+    (void)fprintf(stderr, "%s: no such mechanism; see fault.h\n", name);
+    return FALSE;
+}
+
 /* Figures of a row. */
 enum figure {
     IN_AIM,
@@ -188,19 +220,22 @@
     char *only = NULL;
     char *only_way = NULL;
     char *file = NULL;
+    char *without = NULL;
     struct poptOption options[] = {
         {"seeds", 's', POPT_ARG_INT, &seeds, 0, "seeds of each row", "N"},
         {"nodes", 'n', POPT_ARG_INT, &nodes, 0, "nodes of each scene", "N"},
         {"scene", 0, POPT_ARG_STRING, &only, 0, "this scene alone", "NAME"},
         {"way", 0, POPT_ARG_STRING, &only_way, 0, "this way alone", "NAME"},
         {"scenes", 0, POPT_ARG_STRING, &file, 0, "scenes of a file", "FILE"},
+        {"without", 0, POPT_ARG_STRING, &without, 0, "leave this out", "NAME"},
         {"csv", 0, POPT_ARG_NONE, &csv, 0, "comma-separated values", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context =
         poptGetContext("bench-steer", argc, argv, options, 0);
     int bad = poptGetNextOpt(context);
 
-    if (bad < -1 || seeds < 1 || (file != NULL && !read_scenes(file))) {
+    if (bad < -1 || seeds < 1 || (file != NULL && !read_scenes(file)) ||
+        (without != NULL && !leave_out(without))) {
         poptPrintUsage(context, stderr, 0);
         return 2;
     }
