tests: each mechanism of choice left out fails a test that is named

/evidence/mutation/ runs a test in a process of its own with and without the mechanism: it must pass with it and fail without. /upstream/excuse is new: a standstill had no test without processes.

--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -7,6 +7,7 @@
 
 #include "cases.h"
 #include "evidence-verify.h"
+#include "fault.h"
 #include "evidence-internal.h"
 #include "hash.h"
 
@@ -965,6 +966,64 @@
     upstream_close(&set);
 }
 
+/* Registrations that a node missed while it stood still prove nothing. */
+static void
+test_excuse(void)
+{
+    uint64_t gap = 3 * INTERVAL_MS;
+    struct upstream_set set;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    register_there(&set, NOW, 1, 1, false);
+    upstream_excuse(&set, NOW + gap, gap);
+    upstream_tick(&set, NOW + gap);
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_READY);
+    upstream_tick(&set, NOW + 2 * gap);
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_SILENT);
+    upstream_close(&set);
+}
+
+/* A mechanism that is left out, and a test above that must fail then. */
+struct mutation {
+    const char *name;
+    enum fault fault;
+    const char *test;
+};
+
+static const struct mutation mutations[] = {
+    {"least-work", FAULT_NO_LEAST_WORK, "/evidence/choose/open"},
+    {"place", FAULT_NO_PLACE, "/evidence/spread/together"},
+    {"cold", FAULT_NO_COLD, "/evidence/choose/cold"},
+    {"took", FAULT_NO_TOOK, "/evidence/took/slow"},
+    {"silent-last", FAULT_SILENT_EQUAL, "/evidence/choose/silent"},
+    {"last-resort", FAULT_NO_LAST_RESORT, "/evidence/steer/first-all-silent"},
+    {"silence", FAULT_NO_SILENCE, "/upstream/excuse"},
+    {"excuse", FAULT_NO_EXCUSE, "/upstream/excuse"},
+    {"replace", FAULT_NO_REPLACE, "/upstream/address/late-word-of-the-old"},
+    {"move", FAULT_NO_MOVE, "/evidence/copy/first-copy"},
+    {"doubt", FAULT_NO_DOUBT, "/evidence/doubt/proved"},
+    {"lost", FAULT_NO_LOST, "/evidence/lost/proved-twice"},
+};
+
+/* Names the mutation to the process that runs its test. */
+#define LEFT_OUT "RIDGERIDGE_TEST_LEFT_OUT"
+
+/* Runs the test of a mutation with and without it. */
+static void
+test_mutation(const void *data)
+{
+    const struct mutation *m = data;
+    gchar *number = g_strdup_printf("%d", (int)m->fault);
+
+    g_test_trap_subprocess(m->test, 0, G_TEST_SUBPROCESS_DEFAULT);
+    g_test_trap_assert_passed();
+    g_assert_true(g_setenv(LEFT_OUT, number, TRUE));
+    g_test_trap_subprocess(m->test, 0, G_TEST_SUBPROCESS_DEFAULT);
+    g_unsetenv(LEFT_OUT);
+    g_test_trap_assert_failed();
+    g_free(number);
+}
+
 /* A decision about a flow, and what recomputing it shows. */
 struct proof_case {
     const char *name;
@@ -1038,13 +1097,18 @@
 main(int argc, char **argv)
 {
     char path[128];
+    const char *left_out = g_getenv(LEFT_OUT);
 
+    if (left_out != NULL) {
+        fault_trials[g_ascii_strtoull(left_out, NULL, 10)] = true;
+    }
     g_test_init(&argc, &argv, NULL);
     CASES_ADD("/evidence/steer/", steers, test_steer)
     CASES_ADD("/evidence/copy/", copies, test_copy)
     CASES_ADD("/upstream/merge/", merges, test_merge)
     CASES_ADD("/upstream/address/", addresses, test_address)
     g_test_add_func("/upstream/address/merged", test_address_merged);
+    g_test_add_func("/upstream/excuse", test_excuse);
     CASES_ADD("/upstream/doubt/", words, test_word)
     CASES_ADD("/evidence/doubt/", doubts, test_doubt)
     g_test_add_func("/evidence/doubt/itself", test_doubt_itself);
@@ -1055,5 +1119,6 @@
     g_test_add_func("/evidence/spread/together", test_spread_together);
     g_test_add_func("/evidence/spread/short", test_spread_short);
     g_test_add_func("/evidence/spread/one-node", test_spread);
+    CASES_ADD("/evidence/mutation/", mutations, test_mutation)
     return g_test_run();
 }
