--- /dev/null
+++ b/tests/test-upstream.c
@@ -0,0 +1,276 @@
+/*
+ * The inventory of upstreams: merging, addresses that are used again, doubts
+ * and standstills. Tables of cases.
+ */
+#include <glib.h>
+
+#include "cases.h"
+#include "fixture.h"
+#include "mutation.h"
+
+/* Records of one incarnation, in both orders of arrival. */
+struct merge_case {
+    const char *name;
+    uint64_t sequence[2];
+    uint32_t state[2];
+    enum upstream_state state_after;
+};
+
+static const struct merge_case merges[] = {
+    {"later-wins",
+     {4, 5},
+     {UPSTREAM_READY, UPSTREAM_LEAVING},
+     UPSTREAM_LEAVING},
+    {"late-one-loses",
+     {5, 4},
+     {UPSTREAM_READY, UPSTREAM_LEAVING},
+     UPSTREAM_READY},
+    {"silent-at-the-same",
+     {4, 4},
+     {UPSTREAM_READY, UPSTREAM_SILENT},
+     UPSTREAM_SILENT},
+    {"heard-again", {4, 5}, {UPSTREAM_SILENT, UPSTREAM_READY}, UPSTREAM_READY},
+    {"gone-for-good", {4, 9}, {UPSTREAM_GONE, UPSTREAM_READY}, UPSTREAM_GONE},
+};
+
+/* Merges the records of a case in one order. */
+static enum upstream_state
+merge_in_order(const struct merge_case *c, int first)
+{
+    struct upstream_set set;
+    enum upstream_state state;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    for (int i = 0; i < 2; i++) {
+        int n = (first + i) % 2;
+        wire_upstream record = {.id = 7,
+                                .sequence = c->sequence[n],
+                                .state = c->state[n],
+                                .slots = 1,
+                                .keeper = 9,
+                                .service = "feed",
+                                .hall = "hall"};
+
+        (void)upstream_merge(&set, NOW, &record);
+    }
+    state = upstream_by_id(&set, 7)->state;
+    upstream_close(&set);
+    return state;
+}
+
+/* The order of arrival makes no difference. */
+static void
+test_merge(const void *data)
+{
+    const struct merge_case *c = data;
+
+    g_assert_cmpint(merge_in_order(c, 0), ==, c->state_after);
+    g_assert_cmpint(merge_in_order(c, 1), ==, c->state_after);
+}
+
+/* Registrations of two incarnations at one address: 1 began there first, was
+ * heard up to `known`, and 2 registers there when 1 has crashed. Then one of
+ * them registers once more. */
+struct address_case {
+    const char *name;
+    uint64_t known;          /* last sequence of 1, 0: never heard of */
+    uint64_t second;         /* sequence of the first registration of 2 */
+    uint64_t after_ms;       /* of that, since the last of 1 */
+    uint64_t id;             /* who registers once more */
+    uint64_t sequence;       /* then */
+    bool leaving;            /* then */
+    enum upstream_state one; /* believed at the end; GONE: not known */
+    enum upstream_state two;
+};
+
+static const struct address_case addresses[] = {
+    {"new-one-replaces", 20, 1, 2500, 2, 2, false, UPSTREAM_SILENT,
+     UPSTREAM_READY},
+    {"late-word-of-the-old", 20, 1, 2500, 1, 21, false, UPSTREAM_SILENT,
+     UPSTREAM_READY},
+    {"late-word-of-an-old-one-never-heard", 0, 1, 2500, 1, 21, false,
+     UPSTREAM_GONE, UPSTREAM_READY},
+    {"late-word-that-it-leaves", 20, 1, 2500, 1, 21, true, UPSTREAM_LEAVING,
+     UPSTREAM_READY},
+    {"before-the-old-is-silent", 20, 1, 100, 2, 2, false, UPSTREAM_SILENT,
+     UPSTREAM_READY},
+    {"before-the-old-is-silent-and-late-word", 20, 1, 100, 1, 21, false,
+     UPSTREAM_SILENT, UPSTREAM_READY},
+    {"old-one-began-lately-too", 1, 1, 2500, 1, 2, false, UPSTREAM_SILENT,
+     UPSTREAM_READY},
+    {"first-word-of-the-new-was-lost", 20, 3, 2500, 1, 21, false,
+     UPSTREAM_SILENT, UPSTREAM_READY},
+};
+
+/* Registers an upstream at the address that all of them share. */
+static void
+register_there(struct upstream_set *set, uint64_t now, uint64_t id,
+               uint64_t sequence, bool leaving)
+{
+    struct upstream_registration r = {.id = id,
+                                      .service = "feed",
+                                      .hall = "hall",
+                                      .address = 0x0a800001U,
+                                      .port = 8080,
+                                      .slots = 2,
+                                      .leaving = leaving,
+                                      .sequence = sequence};
+
+    upstream_tick(set, now);
+    upstream_register(set, now, &r);
+}
+
+/* What is believed, GONE for what is not known. */
+static enum upstream_state
+state_of(const struct upstream_set *set, uint64_t id)
+{
+    const struct upstream *upstream = upstream_by_id(set, id);
+
+    return upstream != NULL ? upstream->state : UPSTREAM_GONE;
+}
+
+/* Plays one case. */
+static void
+test_address(const void *data)
+{
+    const struct address_case *c = data;
+    struct upstream_set set;
+    uint64_t now = NOW;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    if (c->known > 0) {
+        register_there(&set, now, 1, 1, false);
+        register_there(&set, now, 1, c->known, false);
+    }
+    now += c->after_ms;
+    register_there(&set, now, 2, c->second, false);
+    register_there(&set, now + 50, c->id, c->sequence, c->leaving);
+    g_assert_cmpint(state_of(&set, 1), ==, c->one);
+    g_assert_cmpint(state_of(&set, 2), ==, c->two);
+    upstream_close(&set);
+}
+
+/* What another node tells of a new incarnation replaces the old one too. */
+static void
+test_address_merged(void)
+{
+    struct upstream_set set;
+    wire_upstream record = {.id = 2,
+                            .sequence = 1,
+                            .state = UPSTREAM_READY,
+                            .address = 0x0a800001U,
+                            .port = 8080,
+                            .slots = 2,
+                            .keeper = 9,
+                            .service = "feed",
+                            .hall = "hall"};
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    register_there(&set, NOW, 1, 20, false);
+    g_assert_true(upstream_merge(&set, NOW + 100, &record));
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_SILENT);
+    g_assert_cmpint(state_of(&set, 2), ==, UPSTREAM_READY);
+    upstream_close(&set);
+}
+
+/* What the node that hears upstream 1 believes of it. Each step is a letter
+ * and the time since its last registration, in 10 ms:
+ *   a b c  that node says that data was unanswered for 200 ms
+ *   A      a says that it answered after all
+ *   r      it registers again; l the same, and that it leaves
+ *   k      another node hears it from now on */
+struct word_case {
+    const char *name;
+    const char *steps;
+    enum upstream_state state; /* 110 ms after the last step */
+};
+
+static const struct word_case words[] = {
+    {"three", "a40 b41 c42", UPSTREAM_SILENT},
+    {"two", "a40 b41", UPSTREAM_READY},
+    {"one-thrice", "a40 a41 a42", UPSTREAM_READY},
+    {"long-apart", "a40 b41 c142", UPSTREAM_READY},
+    {"answered-after-all", "a40 b41 c42 A44", UPSTREAM_READY},
+    {"answered-before-the-third", "a40 b41 A42 c43", UPSTREAM_READY},
+    {"registered-since", "a40 b41 r41 c42", UPSTREAM_READY},
+    {"registered-after-the-data", "r39 a40 b41 c42", UPSTREAM_READY},
+    {"registers-again-later", "a40 b41 c42 r60", UPSTREAM_READY},
+    {"leaves", "l1 a40 b41 c42", UPSTREAM_LEAVING},
+    {"heard-by-another-node", "k1 a40 b41 c42", UPSTREAM_READY},
+};
+
+/* Plays one case. */
+static void
+test_word(const void *data)
+{
+    const struct word_case *c = data;
+    gchar **steps = g_strsplit(c->steps, " ", -1);
+    uint64_t now = NOW;
+    uint64_t sequence = 1;
+    struct upstream_set set;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    register_there(&set, now, 1, sequence, false);
+    for (gchar **at = steps; *at != NULL; at++) {
+        char letter = (*at)[0];
+
+        now = NOW + 10 * g_ascii_strtoull(*at + 1, NULL, 10);
+        upstream_tick(&set, now);
+        if (letter == 'r' || letter == 'l') {
+            register_there(&set, now, 1, ++sequence, letter == 'l');
+        }
+        else if (letter == 'k') {
+            upstream_by_id(&set, 1)->keeper = SELF + 1;
+        }
+        else {
+            upstream_take_doubt(&set, now, 1,
+                                (uint32_t)g_ascii_tolower(letter),
+                                letter == 'A' ? 0 : 200);
+        }
+    }
+    upstream_tick(&set, now + 110);
+    g_assert_cmpint(state_of(&set, 1), ==, c->state);
+    g_strfreev(steps);
+    upstream_close(&set);
+}
+
+/* Registrations that a node missed while it stood still prove nothing. */
+static void
+test_excuse(void)
+{
+    uint64_t gap = 3 * INTERVAL_MS;
+    struct upstream_set set;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    register_there(&set, NOW, 1, 1, false);
+    upstream_excuse(&set, NOW + gap, gap);
+    upstream_tick(&set, NOW + gap);
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_READY);
+    upstream_tick(&set, NOW + 2 * gap);
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_SILENT);
+    upstream_close(&set);
+}
+
+/* What is left out, and a test above that must fail then. */
+static const struct mutation mutations[] = {
+    {"silence", FAULT_NO_SILENCE, "/upstream/excuse"},
+    {"excuse", FAULT_NO_EXCUSE, "/upstream/excuse"},
+    {"replace", FAULT_NO_REPLACE, "/upstream/address/late-word-of-the-old"},
+};
+
+/* Lists the tests. */
+int
+main(int argc, char **argv)
+{
+    char path[128];
+
+    mutation_begin();
+    g_test_init(&argc, &argv, NULL);
+    CASES_ADD("/upstream/merge/", merges, test_merge)
+    CASES_ADD("/upstream/address/", addresses, test_address)
+    g_test_add_func("/upstream/address/merged", test_address_merged);
+    CASES_ADD("/upstream/doubt/", words, test_word)
+    g_test_add_func("/upstream/excuse", test_excuse);
+    CASES_ADD("/upstream/mutation/", mutations, mutation_test)
+    return g_test_run();
+}
