--- a/tests/steer-load.c
+++ b/tests/steer-load.c
@@ -1,126 +1,26 @@
-/* The model of callers, nodes and upstreams; time passes by events. */
-#include "steer-load.h"
+/* The model: callers, nodes, ways of choosing, and what came of it. */
+#include "steer-model.h"
 
 #include <math.h>
 #include <string.h>
 #include <time.h>
 
-#include "evidence.h"
 #include "fault.h"
 #include "hash.h"
 #include "random.h"
 
-#define CLIENT_MS 3U       /* one way between a caller and nodes, upstreams */
-#define INSIDE_MS 1U       /* one way between a node and an upstream */
 #define TICK_MS 100U       /* between two ticks of a node */
-#define BEAT_MS 1200U      /* between registrations of an upstream */
 #define OPEN_MS 1400U      /* a caller waits so long for a flow to open */
 #define SNAPSHOT_MS 500U   /* age of shared counts */
-#define COLD_MS 2000U      /* an upstream that starts is slow for so long */
-#define COLD_TIMES 1.6     /* as slow */
-#define DRAIN_MS 4000U     /* from leaving to gone */
 #define TRIES 3            /* of a request, with the first */
 #define IDLE_MS 15000U     /* a flow at rest is forgotten */
-#define BEGIN_MS 100000U   /* time at which the model starts */
-#define RECORD_BYTES 120U  /* of a record of an upstream in a message */
-#define DOUBT_BYTES 60U    /* of a doubt */
 #define ANSWER_BYTES 4000U /* of an answer */
 #define ROUTE_ADDRESS 0xc6120001U
 #define ROUTE_PORT 443
-#define NONE UINT32_MAX
 
 /* Waits between copies of a first packet and of data. */
 static const unsigned copies_ms[] = {200, 400, 800, 1600};
 
-/* What happens. */
-enum event_kind {
-    EV_REQUEST, /* caller: wants something */
-    EV_FIRST,   /* caller, copy: a first packet is at the node */
-    EV_OPENED,  /* caller, upstream: the flow opened */
-    EV_UNOPENED,
-    EV_DATA,   /* caller, copy: data is at the node */
-    EV_ARRIVE, /* caller, upstream: data is at the upstream */
-    EV_TAKEN,  /* caller: the upstream has the data */
-    EV_DONE,   /* caller, upstream: its request has run */
-    EV_ANSWER, /* caller, upstream */
-    EV_SHED,   /* caller: turned away */
-    EV_ACK,    /* caller: its acknowledgement is at the node */
-    EV_RESET,  /* caller */
-    EV_BUDGET, /* caller: gives up */
-    EV_BEAT,   /* upstream: registers */
-    EV_TICK,   /* node */
-    EV_DIE,    /* upstream */
-    EV_RENEW,  /* upstream: a cold one takes its place */
-    EV_GONE    /* upstream */
-};
-
-struct event {
-    uint64_t at;
-    uint64_t order;
-    enum event_kind kind;
-    unsigned who;
-    unsigned other; /* upstream or copy */
-    unsigned turn;  /* of the caller's request; others are over */
-};
-
-struct caller {
-    bool is_short;
-    bool pending;
-    bool taken; /* the upstream has the data */
-    bool opening;
-    unsigned turn;
-    unsigned tries;
-    unsigned up; /* of the open flow, NONE */
-    uint32_t token;
-    uint16_t port;
-    uint32_t acknowledged;
-    uint32_t sequence;
-    uint64_t began_at;
-    uint64_t sent_at; /* first data at the node */
-};
-
-struct server {
-    uint64_t id;
-    unsigned keeper;
-    uint64_t sequence;
-    bool alive;
-    bool leaving;
-    bool from_start;
-    uint64_t cold_until;
-    uint64_t died_at;
-    unsigned running;
-    unsigned open; /* flows */
-    unsigned arrivals;
-    bool slow;
-    GArray *waiting; /* unsigned: callers; their turn follows each */
-};
-
-struct model {
-    const struct steer_scene *scene;
-    enum steer_way way;
-    struct steer_result *result;
-    uint64_t now;
-    uint64_t random;
-    uint64_t orders;
-    GArray *heap; /* struct event */
-    struct caller *callers;
-    GPtrArray *servers; /* struct server */
-    struct counters *counters;
-    struct upstream_set *sets;
-    struct evidence *nodes;
-    unsigned asking;     /* node that decides now */
-    uint64_t decisions;  /* so far */
-    uint64_t decided_ns; /* processor time of all */
-    uint64_t snapshot_at;
-    GHashTable *by_id; /* id to struct server */
-    double *took;      /* by node and server: ms lately, 0: unknown */
-    unsigned *placed;  /* by node and server */
-    unsigned *shared;  /* by server: open flows at the snapshot */
-    unsigned stride;   /* servers at most */
-    unsigned drawn[2]; /* servers of this decision */
-    uint64_t bytes;
-};
-
 static struct model *model; /* that fault_work() looks at */
 
 /* Name of a way. */
@@ -134,89 +34,6 @@
     return names[way];
 }
 
-/* A number from 0 to 1. */
-static double
-draw(struct model *m)
-{
-    return (double)(random_next(&m->random) >> 11) / (double)(1ULL << 53);
-}
-
-/* Says whether an event comes before another one. */
-static bool
-is_before(const struct event *a, const struct event *b)
-{
-    return a->at != b->at ? a->at < b->at : a->order < b->order;
-}
-
-/* Lets something happen later. */
-static void
-plan(struct model *m, uint64_t at, enum event_kind kind, unsigned who,
-     unsigned other, unsigned turn)
-{
-    struct event event = {at, m->orders++, kind, who, other, turn};
-    struct event *heap;
-    guint i = m->heap->len;
-
-    g_array_append_val(m->heap, event);
-    heap = (struct event *)(void *)m->heap->data;
-    while (i > 0 && is_before(&event, &heap[(i - 1) / 2])) {
-        heap[i] = heap[(i - 1) / 2];
-        i = (i - 1) / 2;
-    }
-    heap[i] = event;
-}
-
-/* Takes what happens next. */
-static struct event
-next_event(struct model *m)
-{
-    struct event *heap = (struct event *)(void *)m->heap->data;
-    struct event first = heap[0];
-    guint count = m->heap->len - 1;
-    struct event last = heap[count];
-    guint i = 0;
-
-    for (guint child = 1; child < count; child = 2 * i + 1) {
-        if (child + 1 < count && is_before(&heap[child + 1], &heap[child])) {
-            child++;
-        }
-        if (!is_before(&heap[child], &last)) {
-            break;
-        }
-        heap[i] = heap[child];
-        i = child;
-    }
-    heap[i] = last;
-    g_array_set_size(m->heap, count);
-    return first;
-}
-
-/* Says whether a packet is lost. */
-static bool
-is_lost(struct model *m)
-{
-    return m->scene->loss > 0 &&
-           random_next(&m->random) % 1000 < m->scene->loss;
-}
-
-static struct server *
-server_at(const struct model *m, unsigned index)
-{
-    return g_ptr_array_index(m->servers, index);
-}
-
-/* Index of a server by id. */
-static unsigned
-index_of(const struct model *m, uint64_t id)
-{
-    for (guint i = 0; i < m->servers->len; i++) {
-        if (server_at(m, i)->id == id) {
-            return i;
-        }
-    }
-    return NONE;
-}
-
 /* Node of a caller's flow: the fabric's hash. */
 static unsigned
 node_of(const struct model *m, unsigned caller)
@@ -225,168 +42,6 @@
                       m->scene->nodes);
 }
 
-/* Passes on what a node believes anew, and its doubts. */
-static void
-spread(struct model *m, unsigned n)
-{
-    struct upstream_set *set = &m->sets[n];
-
-    for (guint i = 0; i < set->doubted->len; i++) {
-        struct upstream_doubt doubt =
-            g_array_index(set->doubted, struct upstream_doubt, i);
-        unsigned s = index_of(m, doubt.id);
-
-        m->bytes += DOUBT_BYTES;
-        upstream_take_doubt(&m->sets[server_at(m, s)->keeper], m->now,
-                            doubt.id, n + 1, doubt.quiet_ms);
-    }
-    g_array_set_size(set->doubted, 0);
-    for (guint i = 0; i < set->changed->len; i++) {
-        uint64_t id = g_array_index(set->changed, uint64_t, i);
-        const struct upstream *u = upstream_by_id(set, id);
-        unsigned s = index_of(m, id);
-        wire_upstream record;
-
-        if (u == NULL) {
-            continue;
-        }
-        if (u->state == UPSTREAM_SILENT && s != NONE &&
-            server_at(m, s)->alive) {
-            m->result->silent_alive++;
-        }
-        upstream_pack(set, m->now, u, &record);
-        for (unsigned other = 0; other < m->scene->nodes; other++) {
-            if (other != n) {
-                (void)upstream_merge(&m->sets[other], m->now, &record);
-                m->bytes += RECORD_BYTES;
-            }
-        }
-    }
-    g_array_set_size(set->changed, 0);
-}
-
-/* Lets a server register. */
-static void
-beat(struct model *m, unsigned s)
-{
-    struct server *server = server_at(m, s);
-    struct upstream_registration r = {
-        .id = server->id,
-        .service = "feed",
-        .hall = "hall",
-        .address = 0x0a800000U + s,
-        .port = 8080,
-        .slots = m->scene->slots,
-        .leaving = server->leaving,
-        .warm_ms = server->cold_until > m->now
-                       ? (uint32_t)(server->cold_until - m->now)
-                       : 0,
-        .sequence = ++server->sequence};
-
-    if (!server->alive) {
-        return;
-    }
-    (void)upstream_register(&m->sets[server->keeper], m->now, &r);
-    spread(m, server->keeper);
-}
-
-/* Adds a server, which registers from now on. */
-static unsigned
-add_server(struct model *m, bool cold)
-{
-    struct server *server = g_new0(struct server, 1);
-    unsigned s = m->servers->len;
-
-    server->id = (random_next(&m->random) >> 24) | 1;
-    server->keeper = s % m->scene->nodes;
-    server->alive = true;
-    server->from_start = !cold;
-    server->cold_until = cold ? m->now + COLD_MS : 0;
-    server->waiting = g_array_new(FALSE, FALSE, sizeof(unsigned));
-    g_ptr_array_add(m->servers, server);
-    g_hash_table_insert(m->by_id, &server->id, server);
-    beat(m, s);
-    plan(m, m->now + BEAT_MS, EV_BEAT, s, 0, 0);
-    return s;
-}
-
-/* Time that a request takes at a server. */
-static uint64_t
-work_time(struct model *m, const struct server *server)
-{
-    const struct steer_scene *c = m->scene;
-    double ms = c->work_ms * (0.4 - 0.6 * log(1.0 - draw(m)));
-
-    if (m->now < server->cold_until) {
-        ms *= COLD_TIMES;
-    }
-    if (server->slow && m->now >= BEGIN_MS + c->slow_at &&
-        m->now < BEGIN_MS + c->slow_at + c->slow_for) {
-        ms *= c->slow_times;
-    }
-    return (uint64_t)ms + 1;
-}
-
-/* Starts a request at a server that has a free slot. */
-static void
-run_request(struct model *m, unsigned s, unsigned caller, unsigned turn)
-{
-    struct server *server = server_at(m, s);
-
-    server->running++;
-    plan(m, m->now + work_time(m, server), EV_DONE, caller, s, turn);
-}
-
-/* Data arrives at a server. */
-static void
-arrive(struct model *m, unsigned s, unsigned caller, unsigned turn)
-{
-    struct server *server = server_at(m, s);
-    struct caller *c = &m->callers[caller];
-
-    if (!server->alive) {
-        return;
-    }
-    if (!is_lost(m)) {
-        plan(m, m->now + CLIENT_MS, EV_TAKEN, caller, 0, turn);
-    }
-    if (c->turn != turn || c->taken) {
-        return;
-    }
-    c->taken = true;
-    server->arrivals++;
-    if (server->running < m->scene->slots) {
-        run_request(m, s, caller, turn);
-    }
-    else if (server->waiting->len / 2 < m->scene->queue) {
-        g_array_append_val(server->waiting, caller);
-        g_array_append_val(server->waiting, turn);
-    }
-    else {
-        plan(m, m->now + CLIENT_MS, EV_SHED, caller, 0, turn);
-    }
-}
-
-/* A request has run: the next one begins. */
-static void
-finish(struct model *m, unsigned s, unsigned caller, unsigned turn)
-{
-    struct server *server = server_at(m, s);
-
-    if (!server->alive) {
-        return;
-    }
-    server->running--;
-    plan(m, m->now + CLIENT_MS, EV_ANSWER, caller, s, turn);
-    if (server->waiting->len > 0) {
-        unsigned next = g_array_index(server->waiting, unsigned, 0);
-        unsigned its_turn = g_array_index(server->waiting, unsigned, 1);
-
-        g_array_remove_range(server->waiting, 0, 2);
-        run_request(m, s, next, its_turn);
-    }
-}
-
 /* A packet of a caller. */
 static struct evidence_packet
 packet_of(const struct model *m, unsigned caller)
@@ -421,7 +76,7 @@
             (uint64_t)(after.tv_sec - before.tv_sec) * 1000000000U +
             (uint64_t)after.tv_nsec - (uint64_t)before.tv_nsec;
     }
-    spread(m, n);
+    server_spread(m, n);
     return verdict;
 }
 
@@ -431,8 +86,8 @@
 {
     struct caller *c = &m->callers[caller];
 
-    if (!is_lost(m)) {
-        plan(m, m->now + CLIENT_MS, EV_FIRST, caller, copy, c->turn);
+    if (!model_is_lost(m)) {
+        model_plan(m, m->now + CLIENT_MS, EV_FIRST, caller, copy, c->turn);
     }
 }
 
@@ -452,7 +107,7 @@
     c->opening = true;
     c->taken = false;
     send_first(m, caller, 0);
-    plan(m, m->now + copies_ms[0], EV_UNOPENED, caller, 1, c->turn);
+    model_plan(m, m->now + copies_ms[0], EV_UNOPENED, caller, 1, c->turn);
 }
 
 /* A caller sends its request, or a copy of it, on its open flow. */
@@ -461,12 +116,12 @@
 {
     struct caller *c = &m->callers[caller];
 
-    if (!is_lost(m)) {
-        plan(m, m->now + CLIENT_MS, EV_DATA, caller, copy, c->turn);
+    if (!model_is_lost(m)) {
+        model_plan(m, m->now + CLIENT_MS, EV_DATA, caller, copy, c->turn);
     }
     if (copy < G_N_ELEMENTS(copies_ms)) {
-        plan(m, m->now + copies_ms[copy], EV_UNOPENED, caller, copy + 1,
-             c->turn);
+        model_plan(m, m->now + copies_ms[copy], EV_UNOPENED, caller, copy + 1,
+                   c->turn);
     }
 }
 
@@ -476,8 +131,8 @@
 {
     struct caller *c = &m->callers[caller];
 
-    if (c->up != NONE && server_at(m, c->up)->open > 0) {
-        server_at(m, c->up)->open--;
+    if (c->up != NONE && model_server(m, c->up)->open > 0) {
+        model_server(m, c->up)->open--;
     }
     c->up = NONE;
 }
@@ -521,7 +176,8 @@
     if (copy < 3) {
         send_first(m, caller, copy);
     }
-    plan(m, m->now + copies_ms[copy], EV_UNOPENED, caller, copy + 1, turn);
+    model_plan(m, m->now + copies_ms[copy], EV_UNOPENED, caller, copy + 1,
+               turn);
 }
 
 /* Takes shared counts, when they are due. */
@@ -533,7 +189,7 @@
     }
     m->snapshot_at = m->now + SNAPSHOT_MS;
     for (guint i = 0; i < m->servers->len; i++) {
-        m->shared[i] = server_at(m, i)->open;
+        m->shared[i] = model_server(m, i)->open;
     }
 }
 
@@ -554,23 +210,24 @@
         do {
             m->drawn[i] =
                 (unsigned)(random_next(&m->random) % m->servers->len);
-        } while (server_at(m, m->drawn[i])->leaving);
+        } while (model_server(m, m->drawn[i])->leaving);
     }
     packet.first = true;
     packet.token = 0;
     packet.acknowledged = copy;
     verdict = steer(m, caller, &packet);
     if (verdict.action == EVIDENCE_REFUSE) {
-        plan(m, m->now + CLIENT_MS, EV_RESET, caller, 0, turn);
+        model_plan(m, m->now + CLIENT_MS, EV_RESET, caller, 0, turn);
         return;
     }
     if (verdict.action != EVIDENCE_FORWARD) {
         return;
     }
-    s = index_of(m, verdict.upstream->id);
+    s = model_index_of(m, verdict.upstream->id);
     m->placed[m->asking * m->stride + s]++;
-    if (server_at(m, s)->alive && !is_lost(m)) {
-        plan(m, m->now + INSIDE_MS + CLIENT_MS, EV_OPENED, caller, s, turn);
+    if (model_server(m, s)->alive && !model_is_lost(m)) {
+        model_plan(m, m->now + INSIDE_MS + CLIENT_MS, EV_OPENED, caller, s,
+                   turn);
     }
 }
 
@@ -585,9 +242,9 @@
     }
     c->opening = false;
     c->up = s;
-    c->token = upstream_token(server_at(m, s)->id);
+    c->token = upstream_token(model_server(m, s)->id);
     c->acknowledged = 1;
-    server_at(m, s)->open++;
+    model_server(m, s)->open++;
     send_data(m, caller, 0);
 }
 
@@ -608,11 +265,11 @@
     packet.length = 900;
     verdict = steer(m, caller, &packet);
     if (verdict.action == EVIDENCE_REFUSE) {
-        m->result->reset_alive += server_at(m, c->up)->alive;
-        plan(m, m->now + CLIENT_MS, EV_RESET, caller, 0, turn);
+        m->result->reset_alive += model_server(m, c->up)->alive;
+        model_plan(m, m->now + CLIENT_MS, EV_RESET, caller, 0, turn);
     }
-    else if (verdict.action == EVIDENCE_FORWARD && !is_lost(m)) {
-        plan(m, m->now + INSIDE_MS, EV_ARRIVE, caller, c->up, turn);
+    else if (verdict.action == EVIDENCE_FORWARD && !model_is_lost(m)) {
+        model_plan(m, m->now + INSIDE_MS, EV_ARRIVE, caller, c->up, turn);
     }
 }
 
@@ -643,8 +300,8 @@
     }
     c->acknowledged += ANSWER_BYTES;
     c->sequence += 900;
-    plan(m, m->now + CLIENT_MS, EV_ACK, caller, s, turn);
-    if (c->is_short || server_at(m, s)->leaving) {
+    model_plan(m, m->now + CLIENT_MS, EV_ACK, caller, s, turn);
+    if (c->is_short || model_server(m, s)->leaving) {
         drop_flow(m, caller);
     }
 }
@@ -671,8 +328,8 @@
     struct caller *c = &m->callers[caller];
     double mean = 1000.0 * m->scene->callers / m->scene->per_s;
 
-    plan(m, m->now + 1 + (uint64_t)(-mean * log(1.0 - draw(m))), EV_REQUEST,
-         caller, 0, 0);
+    model_plan(m, m->now + 1 + (uint64_t)(-mean * log(1.0 - model_draw(m))),
+               EV_REQUEST, caller, 0, 0);
     if (c->pending) {
         return;
     }
@@ -689,8 +346,8 @@
         c->taken = false;
         send_data(m, caller, 0);
     }
-    plan(m, m->now + m->scene->budget_ms, EV_BUDGET, caller, 0,
-         (unsigned)m->result->asked);
+    model_plan(m, m->now + m->scene->budget_ms, EV_BUDGET, caller, 0,
+               (unsigned)m->result->asked);
 }
 
 /* The time budget of a request ends. */
@@ -709,41 +366,14 @@
     drop_flow(m, caller);
 }
 
-/* An upstream is replaced by a cold one. */
-static void
-renew(struct model *m, unsigned s)
-{
-    struct server *server = server_at(m, s);
-
-    if (!server->alive) {
-        return;
-    }
-    (void)add_server(m, true);
-    server->leaving = true;
-    server->from_start = false;
-    beat(m, s);
-    plan(m, m->now + DRAIN_MS, EV_GONE, s, 0, 0);
-}
-
-/* An upstream that left has ended. */
-static void
-go(struct model *m, unsigned s)
-{
-    struct server *server = server_at(m, s);
-
-    server->alive = false;
-    upstream_deregister(&m->sets[server->keeper], m->now, server->id);
-    spread(m, server->keeper);
-}
-
 /* Lets time pass at a node. */
 static void
 tick(struct model *m, unsigned n)
 {
     upstream_tick(&m->sets[n], m->now);
     evidence_tick(&m->nodes[n], m->now);
-    spread(m, n);
-    plan(m, m->now + TICK_MS, EV_TICK, n, 0, 0);
+    server_spread(m, n);
+    model_plan(m, m->now + TICK_MS, EV_TICK, n, 0, 0);
 }
 
 /* Lets something happen. */
@@ -767,12 +397,12 @@
         data_at_node(m, e->who, e->other, e->turn);
         return;
     case EV_ARRIVE:
-        arrive(m, e->other, e->who, e->turn);
+        server_arrive(m, e->other, e->who, e->turn);
         return;
     case EV_TAKEN:
         return;
     case EV_DONE:
-        finish(m, e->other, e->who, e->turn);
+        server_finish(m, e->other, e->who, e->turn);
         return;
     case EV_ANSWER:
         answered(m, e->who, e->other, e->turn);
@@ -795,22 +425,22 @@
         end_budget(m, e->who);
         return;
     case EV_BEAT:
-        beat(m, e->who);
-        plan(m, m->now + BEAT_MS, EV_BEAT, e->who, 0, 0);
+        server_beat(m, e->who);
+        model_plan(m, m->now + BEAT_MS, EV_BEAT, e->who, 0, 0);
         return;
     case EV_TICK:
         tick(m, e->who);
         return;
     case EV_DIE:
-        server_at(m, e->who)->alive = false;
-        server_at(m, e->who)->died_at = m->now;
-        server_at(m, e->who)->from_start = false;
+        model_server(m, e->who)->alive = false;
+        model_server(m, e->who)->died_at = m->now;
+        model_server(m, e->who)->from_start = false;
         return;
     case EV_RENEW:
-        renew(m, e->who);
+        server_renew(m, e->who);
         return;
     case EV_GONE:
-        go(m, e->who);
+        server_go(m, e->who);
         return;
     }
 }
@@ -819,8 +449,8 @@
 static uint64_t
 trial_work(const struct evidence *ev, const struct upstream *u)
 {
-    unsigned s = index_of(model, u->id);
-    const struct server *server = server_at(model, s);
+    unsigned s = model_index_of(model, u->id);
+    const struct server *server = model_server(model, s);
     unsigned at = model->asking * model->stride + s;
     bool is_drawn = s == model->drawn[0] || s == model->drawn[1];
     uint64_t own = (uint64_t)(u->busy + 1) * 8 + u->open;
@@ -844,12 +474,7 @@
                    ? UINT64_MAX / 2
                    : ((uint64_t)server->open +
                       8 * (server->running + server->waiting->len / 2)) *
-                         (server->slow &&
-                                  model->now >=
-                                      BEGIN_MS + model->scene->slow_at &&
-                                  model->now < BEGIN_MS +
-                                                   model->scene->slow_at +
-                                                   model->scene->slow_for
+                         (server_is_slow(model, server)
                               ? model->scene->slow_times
                               : 1);
     case STEER_TODAY:
@@ -890,17 +515,18 @@
         m->nodes[n].settled = true;
         m->nodes[n].place = (uint32_t)(((uint64_t)n << 32) / c->nodes);
         g_assert_true(evidence_apply(&m->nodes[n], make_table()));
-        plan(m, m->now + 1 + n % TICK_MS, EV_TICK, n, 0, 0);
+        model_plan(m, m->now + 1 + n % TICK_MS, EV_TICK, n, 0, 0);
     }
     for (unsigned s = 0; s < c->upstreams; s++) {
-        (void)add_server(m, false);
-        server_at(m, s)->slow =
+        (void)server_add(m, false);
+        model_server(m, s)->slow =
             c->slow_at != 0 && s * 100 < c->slow_share * c->upstreams;
         if (c->die_at != 0 && s * 100 < c->die_share * c->upstreams) {
-            plan(m, BEGIN_MS + c->die_at, EV_DIE, s, 0, 0);
+            model_plan(m, BEGIN_MS + c->die_at, EV_DIE, s, 0, 0);
         }
         if (c->renew_at != 0 && s * 100 < c->renew_share * c->upstreams) {
-            plan(m, BEGIN_MS + c->renew_at + 1000ULL * s, EV_RENEW, s, 0, 0);
+            model_plan(m, BEGIN_MS + c->renew_at + 1000ULL * s, EV_RENEW, s, 0,
+                       0);
         }
     }
     for (unsigned i = 0; i < c->callers; i++) {
@@ -909,8 +535,8 @@
         caller->up = NONE;
         caller->port = 1024;
         caller->is_short = i * 100 < c->short_share * c->callers;
-        plan(m, m->now + 1 + random_next(&m->random) % 1000, EV_REQUEST, i, 0,
-             0);
+        model_plan(m, m->now + 1 + random_next(&m->random) % 1000, EV_REQUEST,
+                   i, 0, 0);
     }
 }
 
@@ -924,7 +550,7 @@
     unsigned count = 0;
 
     for (guint i = 0; i < m->servers->len; i++) {
-        const struct server *server = server_at(m, i);
+        const struct server *server = model_server(m, i);
 
         if (server->from_start) {
             sum += server->arrivals;
@@ -939,16 +565,6 @@
         (double)m->bytes * 1000.0 / m->scene->nodes / m->scene->length_ms;
 }
 
-/* Frees a server. */
-static void
-free_server(gpointer data)
-{
-    struct server *server = data;
-
-    g_array_free(server->waiting, TRUE);
-    g_free(server);
-}
-
 /* Frees what start() made. */
 static void
 stop(struct model *m)
@@ -983,7 +599,7 @@
 
     memset(result, 0, sizeof(*result));
     m.heap = g_array_new(FALSE, FALSE, sizeof(struct event));
-    m.servers = g_ptr_array_new_with_free_func(free_server);
+    m.servers = g_ptr_array_new_with_free_func(server_free);
     m.by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
     m.callers = g_new0(struct caller, scene->callers);
     m.counters = g_new0(struct counters, 1);
@@ -998,7 +614,7 @@
     fault_trials[FAULT_NO_PLACE] |= way == STEER_NO_PLACE;
     start(&m);
     while (m.now < BEGIN_MS + scene->length_ms) {
-        struct event event = next_event(&m);
+        struct event event = model_next(&m);
 
         m.now = event.at;
         happen(&m, &event);
