--- a/evidence-life.c
+++ b/evidence-life.c
@@ -265,7 +265,7 @@
  * have missed its registrations, and this one must have seen LOST_PROOFS
  * copies go unanswered while others answered, with no sign of life since.
  * Buys the callers of a dead upstream an end before their time budget: with
- * the doubts below, 0.15% of a day's requests failed instead of 0.6% where a
+ * the doubts above, 0.15% of a day's requests failed instead of 0.6% where a
  * quarter of a service's upstreams died without a word, and 0.003 of worth
  * (three seeds); none of 1,948 such ends was at an upstream that registered
  * again. */
