--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -198,8 +198,9 @@
 
 /* Sends what the other node may lack, of the buckets in which it differs: the
  * records where these are few or it has none at all there, else their marks,
- * and it asks for what it needs. A record has 92 bytes, a mark 8: a node that
- * lacks 16 of 640 records costs 8 KB instead of 20 (simulated time). */
+ * and it asks for what it needs. A record has 40 bytes and two names, a mark
+ * has 8: a node that lacks 16 of 640 records costs 8 KB instead of 20
+ * (simulated time). */
 static void
 send_differing(struct fleet *fleet, uint64_t now, uint32_t to,
                const uint32_t theirs[WIRE_BUCKETS])
