--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -33,8 +33,9 @@
 }
 
 /* How much is wrong with an upstream. A silent one is the last resort, though
- * it may be that its registrations alone do not arrive: without that 0.054 of
- * worth was lost on argoat-lb and 0.009 on bayou-lock (a score each). */
+ * it may be that its registrations alone do not arrive. Taken as the others,
+ * silent ones cost 0.054 and 0.009 of worth, in the mean of five days with
+ * trouble on two loads (one play each). */
 static enum rank
 rank_of(const struct upstream *upstream, uint64_t now)
 {
@@ -47,7 +48,7 @@
 /* Work at an upstream for each of its slots, in a scale that only compares:
  * running requests, then open flows; more while it is slow. A flow that was
  * closed still counts for 2 s, so short ones go round. In turn instead of by
- * work cost 0.012 of worth where flows are long and short, a score of five
+ * work cost 0.012 of worth where flows are long and short, the mean of five
  * days with trouble. That the work is multiplied by how slow an upstream has
  * been lately serves 1% more of a day's requests within their aim where 30% of
  * the upstreams took five times as long for 10 of 34 s (0.912 -> 0.928 of
--- a/fleet-kept.c
+++ b/fleet-kept.c
@@ -55,16 +55,17 @@
     if (!codec_decode(bytes->data, bytes->len, &msg)) {
         return false;
     }
+    if (msg.kind != WIRE_KEPT) {
+        codec_free(&msg);
+        return false;
+    }
     kept = &msg.wire_msg_u.kept;
-    if (msg.kind == WIRE_KEPT) {
-        for (u_int i = 0; i < kept->list.list_len; i++) {
-            (void)upstream_merge(fleet->upstreams, now,
-                                 &kept->list.list_val[i]);
-        }
-        g_array_append_vals(fleet->unheard, kept->nodes.nodes_val,
-                            kept->nodes.nodes_len);
-        fleet->hello_at = now;
+    for (u_int i = 0; i < kept->list.list_len; i++) {
+        (void)upstream_merge(fleet->upstreams, now, &kept->list.list_val[i]);
     }
+    g_array_append_vals(fleet->unheard, kept->nodes.nodes_val,
+                        kept->nodes.nodes_len);
+    fleet->hello_at = now;
     codec_free(&msg);
     return true;
 }
--- a/node.c
+++ b/node.c
@@ -28,8 +28,8 @@
  * stat), and the fabric asks twice a second. */
 #define HTTP_LATEST_MS 300U
 /* Where a deadline stays in the past, the loop rests so long between two
- * wake-ups: a hundred a second are as many as a busy VM has anyway (58 to 132
- * on a sweep's days). */
+ * wake-ups: a hundred a second are as many as a busy VM has anyway (58 to 132,
+ * 30 nodes). */
 #define MISSED_PAUSE_MS 10U
 /* A tick later than this by its deadline means that the process stood still,
  * and what it did not hear meanwhile proves nothing. */
--- a/tests/steer-load.c
+++ b/tests/steer-load.c
@@ -1,17 +1,16 @@
-/* The model: callers, nodes, ways of choosing, and what came of it. */
+/* The model: callers, nodes, and what came of it. */
 #include "steer-model.h"
 
 #include <math.h>
 #include <string.h>
 #include <time.h>
 
-#include "fault.h"
 #include "hash.h"
 #include "random.h"
 
 #define TICK_MS 100U       /* between two ticks of a node */
 #define OPEN_MS 1400U      /* a caller waits so long for a flow to open */
-#define SNAPSHOT_MS 500U   /* age of shared counts */
+#define TOOK_PART 0.3      /* of the newest answer in an estimate of time */
 #define TRIES 3            /* of a request, with the first */
 #define IDLE_MS 15000U     /* a flow at rest is forgotten */
 #define ANSWER_BYTES 4000U /* of an answer */
@@ -21,19 +20,6 @@
 /* Waits between copies of a first packet and of data. */
 static const unsigned copies_ms[] = {200, 400, 800, 1600};
 
-static struct model *model; /* that fault_work() looks at */
-
-/* Name of a way. */
-const char *
-steer_way_name(enum steer_way way)
-{
-    static const char *const names[STEER_WAYS] = {"today",    "random", "turn",
-                                                  "no-place", "two",    "wait",
-                                                  "shared",   "oracle"};
-
-    return names[way];
-}
-
 /* Node of a caller's flow: the fabric's hash. */
 static unsigned
 node_of(const struct model *m, unsigned caller)
@@ -180,19 +166,6 @@
                turn);
 }
 
-/* Takes shared counts, when they are due. */
-static void
-take_snapshot(struct model *m)
-{
-    if (m->now < m->snapshot_at) {
-        return;
-    }
-    m->snapshot_at = m->now + SNAPSHOT_MS;
-    for (guint i = 0; i < m->servers->len; i++) {
-        m->shared[i] = model_server(m, i)->open;
-    }
-}
-
 /* A first packet is at the node. */
 static void
 first_at_node(struct model *m, unsigned caller, unsigned copy, unsigned turn)
@@ -205,7 +178,7 @@
     if (c->turn != turn) {
         return;
     }
-    take_snapshot(m);
+    way_take_snapshot(m);
     for (int i = 0; i < 2; i++) {
         do {
             m->drawn[i] =
@@ -279,7 +252,8 @@
 {
     double *took = &m->took[n * m->stride + s];
 
-    *took = *took > 0 ? *took * 0.7 + (double)ms * 0.3 : (double)ms + 1;
+    *took =
+        *took > 0 ? *took + ((double)ms - *took) * TOOK_PART : (double)ms + 1;
 }
 
 /* A caller has its whole answer. */
@@ -445,46 +419,6 @@
     }
 }
 
-/* Work as one of the ways sees it. */
-static uint64_t
-trial_work(const struct evidence *ev, const struct upstream *u)
-{
-    unsigned s = model_index_of(model, u->id);
-    const struct server *server = model_server(model, s);
-    unsigned at = model->asking * model->stride + s;
-    bool is_drawn = s == model->drawn[0] || s == model->drawn[1];
-    uint64_t own = (uint64_t)(u->busy + 1) * 8 + u->open;
-    double took = model->took[at];
-
-    (void)ev;
-    switch (model->way) {
-    case STEER_RANDOM:
-        return random_next(&model->random) >> 1;
-    case STEER_TURN:
-        return model->placed[at];
-    case STEER_TWO:
-        return is_drawn ? own : UINT64_MAX / 2;
-    case STEER_WAIT:
-        return (uint64_t)((double)own *
-                          (took > 0 ? took : model->scene->work_ms));
-    case STEER_SHARED:
-        return is_drawn ? model->shared[s] : UINT64_MAX / 2;
-    case STEER_ORACLE:
-        return !server->alive
-                   ? UINT64_MAX / 2
-                   : ((uint64_t)server->open +
-                      8 * (server->running + server->waiting->len / 2)) *
-                         (server_is_slow(model, server)
-                              ? model->scene->slow_times
-                              : 1);
-    case STEER_TODAY:
-    case STEER_NO_PLACE:
-    case STEER_WAYS:
-        break;
-    }
-    return own;
-}
-
 /* A table with the one route of the model. */
 static struct route_table *
 make_table(void)
@@ -608,10 +542,7 @@
     m.took = g_new0(double, (gsize)scene->nodes *m.stride);
     m.placed = g_new0(unsigned, (gsize)scene->nodes *m.stride);
     m.shared = g_new0(unsigned, m.stride);
-    model = &m;
-    fault_work =
-        way == STEER_TODAY || way == STEER_NO_PLACE ? NULL : trial_work;
-    fault_trials[FAULT_NO_PLACE] |= way == STEER_NO_PLACE;
+    way_begin(&m);
     start(&m);
     while (m.now < BEGIN_MS + scene->length_ms) {
         struct event event = model_next(&m);
@@ -621,9 +552,5 @@
     }
     conclude(&m);
     stop(&m);
-    fault_work = NULL;
-    if (way == STEER_NO_PLACE) {
-        fault_trials[FAULT_NO_PLACE] = false;
-    }
-    model = NULL;
+    way_end(&m);
 }
--- a/tests/steer-load.h
+++ b/tests/steer-load.h
@@ -51,6 +51,13 @@
     unsigned renew_share; /**< percent of them */
 };
 
+/** The load of a small deployment, but for its length: 14 upstreams behind 12
+ * nodes, a quarter of their slots in use. */
+#define STEER_SMALL_LOAD                                                      \
+    .nodes = 12, .upstreams = 14, .slots = 2, .queue = 8, .callers = 300,     \
+    .per_s = 400, .short_share = 20, .work_ms = 17, .aim_ms = 100,            \
+    .budget_ms = 1000
+
 /** What came of it. */
 struct steer_result {
     unsigned asked;        /**< requests */
--- a/tests/steer-model.h
+++ b/tests/steer-model.h
@@ -119,6 +119,14 @@
 /* Index of an upstream by id, NONE when there is none. */
 unsigned model_index_of(const struct model *m, uint64_t id);
 
+/* steer-ways.c */
+/* Makes nodes choose by the way of a model. */
+void way_begin(struct model *m);
+/* Lets them choose as the program does. */
+void way_end(const struct model *m);
+/* Takes shared counts, when they are due. */
+void way_take_snapshot(struct model *m);
+
 /* steer-servers.c */
 /* Passes on what a node believes anew, and its doubts. */
 void server_spread(struct model *m, unsigned n);
--- a/tests/steer-servers.c
+++ b/tests/steer-servers.c
@@ -7,9 +7,10 @@
 
 #define COLD_MS 2000U     /* an upstream that starts is slow for so long */
 #define COLD_TIMES 1.6    /* as slow */
+#define WORK_LEAST 0.4    /* of the mean; the rest is drawn exponentially */
 #define DRAIN_MS 4000U    /* from leaving to gone */
-#define RECORD_BYTES 120U /* of a record of an upstream in a message */
-#define DOUBT_BYTES 60U   /* of a doubt */
+#define RECORD_BYTES 120U /* a record alone, with UDP and IP */
+#define DOUBT_BYTES 60U   /* a doubt, with UDP and IP */
 
 /* Passes on what a node believes anew, and its doubts. */
 void
@@ -111,7 +112,8 @@
 work_time(struct model *m, const struct server *server)
 {
     const struct steer_scene *c = m->scene;
-    double ms = c->work_ms * (0.4 - 0.6 * log(1.0 - model_draw(m)));
+    double ms = c->work_ms *
+                (WORK_LEAST - (1.0 - WORK_LEAST) * log(1.0 - model_draw(m)));
 
     if (m->now < server->cold_until) {
         ms *= COLD_TIMES;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "codec.h"
 #include "fault.h"
 #include "fleet-sim.h"
 
@@ -591,6 +592,25 @@
     fleet_sim_free(sim);
 }
 
+/* A file of another kind than what is stored of a fleet is not taken. */
+static void
+test_kept_of_another_kind(void)
+{
+    struct fleet_sim_options options = {
+        .nodes = 1, .disks = 1, .upstreams = 1, .seed = 1};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    struct fleet *fleet = &sim->nodes[0].fleet;
+    wire_msg msg = {.kind = WIRE_UPSTREAMS};
+    GByteArray *bytes = codec_encode(&msg);
+
+    g_assert_false(fleet_load(fleet, sim->now, bytes));
+    g_byte_array_unref(bytes);
+    bytes = fleet_save(fleet, sim->now);
+    g_assert_true(fleet_load(fleet, sim->now, bytes));
+    g_byte_array_unref(bytes);
+    fleet_sim_free(sim);
+}
+
 /* When a disk refuses, every operator who waits is owed an answer: those who
  * wait for a quorum, and those whose answer was not given yet. */
 static void
@@ -643,6 +663,7 @@
     g_test_add_func("/fleet/upstream/keeper-restarts", test_keeper_restarts);
     g_test_add_func("/fleet/upstream/lost-together", test_lost_together);
     g_test_add_func("/fleet/upstream/repair", test_repair);
+    g_test_add_func("/fleet/kept-of-another-kind", test_kept_of_another_kind);
     g_test_add_func("/fleet/recall", test_recall);
     g_test_add_func("/fleet/upstream/doubted", test_doubted);
     g_test_add_func("/fleet/join-together", test_join_together);
--- a/tests/test-steer.c
+++ b/tests/test-steer.c
@@ -10,11 +10,7 @@
 
 #define SEEDS 3
 
-/* Upstreams behind nodes, as on the smaller deployments. */
-#define LOAD                                                                  \
-    .nodes = 12, .upstreams = 14, .slots = 2, .queue = 8, .callers = 300,     \
-    .per_s = 400, .short_share = 20, .work_ms = 17, .aim_ms = 100,            \
-    .budget_ms = 1000, .length_ms = 20000
+#define LOAD STEER_SMALL_LOAD, .length_ms = 20000
 #define DYING .die_at = 6000, .die_share = 25
 #define SLOWING                                                               \
     .slow_at = 6000, .slow_for = 8000, .slow_share = 30, .slow_times = 4
@@ -66,9 +62,16 @@
     fault_trials[c->fault] = true;
     play(&c->scene, &without);
     fault_trials[c->fault] = false;
-    g_assert_cmpuint(without.failed, >=, c->failed_times * with.failed);
-    g_assert_cmpfloat(without.late, >=, c->late_times * with.late);
-    g_assert_cmpfloat(without.imbalance, >=, c->spread_times * with.imbalance);
+    if (c->failed_times != 0) {
+        g_assert_cmpuint(without.failed, >, c->failed_times * with.failed);
+    }
+    if (c->late_times > 0) {
+        g_assert_cmpfloat(without.late, >, c->late_times * with.late);
+    }
+    if (c->spread_times > 0) {
+        g_assert_cmpfloat(without.imbalance, >,
+                          c->spread_times * with.imbalance);
+    }
 }
 
 /* One seed gives one result. */
--- a/tools/bench-steer.c
+++ b/tools/bench-steer.c
@@ -43,12 +43,9 @@
     X(renew_at)                                                               \
     X(renew_share)
 
-/* Today's load of the smaller deployments: 14 upstreams behind 12 nodes. */
-#define TODAY                                                                 \
-    .nodes = 12, .upstreams = 14, .slots = 2, .queue = 8, .callers = 300,     \
-    .per_s = 400, .short_share = 20, .work_ms = 17, .aim_ms = 100,            \
-    .budget_ms = 1000, .length_ms = 30000
-/* Of the larger: 120 behind 64. */
+/* The load of a small deployment. */
+#define TODAY STEER_SMALL_LOAD, .length_ms = 30000
+/* Of a larger one: 120 upstreams behind 64 nodes. */
 #define GROWN                                                                 \
     .nodes = 64, .upstreams = 120, .slots = 2, .queue = 8, .callers = 900,    \
     .per_s = 1200, .short_share = 20, .work_ms = 17, .aim_ms = 400,           \
