node-peers: bytes to other nodes are counted by what they are for

Cause: the incident's logs show full links and messages that fit no datagram, but not what filled the links, nor for whom a message was. No logic changed.

--- a/codec.c
+++ b/codec.c
@@ -56,6 +56,19 @@
     return decode((xdrproc_t)xdr_wire_msg, bytes, length, out, sizeof(*out));
 }
 
+/* Kind of an encoded message: XDR writes it first, in network order. */
+uint32_t
+codec_kind(const void *bytes, size_t length)
+{
+    uint32_t kind;
+
+    if (length < sizeof(kind)) {
+        return 0;
+    }
+    memcpy(&kind, bytes, sizeof(kind));
+    return g_ntohl(kind);
+}
+
 /* Messages. */
 void
 codec_free(wire_msg *msg)
--- a/codec.h
+++ b/codec.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "generated/wire.h"
 
@@ -18,6 +19,9 @@
 /** Decodes a message, all bytes or none; free with codec_free(). */
 bool codec_decode(const void *bytes, size_t length, wire_msg *out);
 
+/** Kind of an encoded message; 0 when there is none. */
+uint32_t codec_kind(const void *bytes, size_t length);
+
 /** Frees what codec_decode() allocated. */
 void codec_free(wire_msg *msg);
 
--- a/counter.h
+++ b/counter.h
@@ -31,6 +31,16 @@
     X(MSGS_STALE, "messages_stale_total", "dropped: old term or version")     \
     X(CONTROL_BYTES_OUT, "control_bytes_out_total", "control bytes sent")     \
     X(CONTROL_BYTES_IN, "control_bytes_in_total", "control bytes received")   \
+    X(CONSENSUS_BYTES_OUT, "consensus_bytes_out_total",                       \
+      "of those, between voters: rounds, entries, snapshots, votes")          \
+    X(TABLE_BYTES_OUT, "table_bytes_out_total",                               \
+      "of those, copies of the routing table")                                \
+    X(INVENTORY_BYTES_OUT, "inventory_bytes_out_total",                       \
+      "of those, records of upstreams, their marks, and doubts")              \
+    X(MEMBER_BYTES_OUT, "member_bytes_out_total",                             \
+      "of those, hellos and lists of members")                                \
+    X(MSGS_TOO_LARGE, "messages_too_large_total",                             \
+      "not sent: no datagram holds them, a fault of ours")                    \
     X(REQUEST_BYTES_OUT, "request_bytes_out_total",                           \
       "bytes between entries on behalf of requests")                          \
     X(REQUESTS, "requests_total", "requests received")                        \
--- a/node-peers.c
+++ b/node-peers.c
@@ -16,6 +16,35 @@
 #define DATAGRAM_MAX 65507
 #define DATAGRAMS_A_TURN 64 /* then other events have their turn */
 
+/* Says whether a message is for the voter. */
+static bool
+is_for_voter(uint32_t kind)
+{
+    return kind == WIRE_VOTE_ASK || kind == WIRE_VOTE_REPLY ||
+           kind == WIRE_APPEND || kind == WIRE_APPEND_REPLY ||
+           kind == WIRE_SNAPSHOT;
+}
+
+/* Counts bytes by what they are for, so that a full link can be explained. */
+static void
+count_bytes(struct node *node, uint32_t kind, size_t length)
+{
+    enum counter_id id = COUNTER_INVENTORY_BYTES_OUT;
+
+    if (is_for_voter(kind)) {
+        id = COUNTER_CONSENSUS_BYTES_OUT;
+    }
+    else if (kind == WIRE_ROUTES) {
+        id = COUNTER_TABLE_BYTES_OUT;
+    }
+    else if (kind == WIRE_HELLO || kind == WIRE_MEMBERS ||
+             kind == WIRE_FOUND) {
+        id = COUNTER_MEMBER_BYTES_OUT;
+    }
+    counter_add(&node->counters, id, length);
+    counter_add(&node->counters, COUNTER_CONTROL_BYTES_OUT, length);
+}
+
 /* Sends an encoded message. Safe from the voter's thread. */
 void
 node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
@@ -26,6 +55,7 @@
                                  htons((uint16_t)node->settings.peer_port),
                              .sin_addr.s_addr = htonl(to)};
     uint64_t sum = hash_checksum(bytes, length);
+    uint32_t kind = codec_kind(bytes, length);
     struct iovec parts[2] = {{.iov_base = &sum, .iov_len = sizeof(sum)},
                              {.iov_base = (void *)bytes, .iov_len = length}};
     struct msghdr msg = {.msg_name = &at,
@@ -34,11 +64,12 @@
                          .msg_iovlen = 2};
 
     if (length + sizeof(sum) > DATAGRAM_MAX) {
-        log_event(LOG_ERROR, "message-too-large", "bytes=%zu", length);
+        counter_add(&node->counters, COUNTER_MSGS_TOO_LARGE, 1);
+        log_event(LOG_ERROR, "message-too-large", "to=%08x kind=%u bytes=%zu",
+                  to, kind, length);
         return;
     }
-    counter_add(&node->counters, COUNTER_CONTROL_BYTES_OUT,
-                length + sizeof(sum));
+    count_bytes(node, kind, length + sizeof(sum));
     if (sendmsg(node->peers_fd, &msg, MSG_DONTWAIT) < 0) {
         log_event(LOG_WARN, "peer-send-failed",
                   "to=%08x bytes=%zu error=\"%s\"", to, length,
@@ -46,15 +77,6 @@
     }
 }
 
-/* Says whether a message is for the voter. */
-static bool
-is_for_voter(wire_kind kind)
-{
-    return kind == WIRE_VOTE_ASK || kind == WIRE_VOTE_REPLY ||
-           kind == WIRE_APPEND || kind == WIRE_APPEND_REPLY ||
-           kind == WIRE_SNAPSHOT;
-}
-
 /* Takes one message. */
 static void
 take_message(struct node *node, const guint8 *bytes, size_t length)
