cons: a message holds as many entries as fit a datagram

Cause: a message was filled until it exceeded 64 KB, so it held up to one entry more; over 65,507 bytes it was dropped and made again for the next round. A replica that lacked two tables of 36.8 KB was never brought up to date, nor was an empty disk. Ruled out: links (the test's are wide) and elections (the term did not change). Change: entries are added only while they stay within 48 KB; one alone may be larger. A single entry over 65 KB still fits no datagram: next.

--- a/cons-replicate.c
+++ b/cons-replicate.c
@@ -9,9 +9,15 @@
 #include "fault.h"
 
 #define BATCH_ENTRIES 16
-#define BATCH_BYTES 65536
+/* Entries in one message, which must fit a datagram of 65,507 bytes with its
+ * head and 12 bytes an entry. A message that does not fit is made again for
+ * the next round, so a replica that lacks it would never be brought up to
+ * date: seen with two tables of 36.8 KB. One entry alone may be larger; it is
+ * carried in parts. */
+#define BATCH_BYTES 49152U
 
-/* Fills a message with entries from an index on; their bytes are borrowed. */
+/* Fills a message with entries from an index on, at least one; their bytes are
+ * borrowed. */
 static void
 fill_entries(const struct cons *cons, uint64_t from, wire_append *append)
 {
@@ -19,18 +25,22 @@
     size_t bytes = 0;
     u_int count = 0;
 
-    while (count < BATCH_ENTRIES && bytes < BATCH_BYTES) {
+    while (count < BATCH_ENTRIES) {
         const struct cons_entry *entry = cons_entry_at(cons, from + count);
         gsize length = 0;
+        const void *data;
 
         if (entry == NULL) {
             break;
         }
+        data = g_bytes_get_data(entry->command, &length);
+        bytes += length;
+        if (count > 0 && bytes > BATCH_BYTES) {
+            break;
+        }
         entries[count].term = entry->term;
-        entries[count].command.command_val =
-            (char *)g_bytes_get_data(entry->command, &length);
+        entries[count].command.command_val = (char *)data;
         entries[count].command.command_len = (u_int)length;
-        bytes += length;
         count++;
     }
     append->entries.entries_val = entries;
