part: a message that no datagram holds goes in parts

Cause: a table of more than 65,507 bytes deflated could be proposed, but neither replicated nor pushed: it stood in the leader's log and held up every order after it. Above 262,144 bytes it was encoded to nothing, and acknowledged. Bodies over 1 MiB were refused, which a fifth growth by 1,400 routes would reach (4,245 routes: 0.8 MiB). Change: part.c splits messages into parts of 48 KB and puts them together, also in the simulated fleet; bodies may have 4 MiB; what is larger than 1 MiB deflated is refused with 413 before it is proposed. Found by reading, not seen at users.

--- a/cons.c
+++ b/cons.c
@@ -396,6 +396,8 @@
     case WIRE_SUMMARY:
     case WIRE_NEED:
     case WIRE_KEPT:
+    case WIRE_PART:
+    case WIRE_TABLE_ASK:
         return;
     }
 }
--- a/entry-core.c
+++ b/entry-core.c
@@ -254,6 +254,8 @@
     case WIRE_SUMMARY:
     case WIRE_NEED:
     case WIRE_KEPT:
+    case WIRE_PART:
+    case WIRE_TABLE_ASK:
         counter_add(core->counters, COUNTER_MSGS_MALFORMED, 1);
         return;
     }
--- a/node-http.c
+++ b/node-http.c
@@ -125,7 +125,7 @@
     const char *text = (const char *)call->body->data;
     struct route_table *table =
         platform_read_table(text, call->body->len, &st);
-    uint64_t version;
+    wire_routes packed = {0};
     uint64_t token;
 
     if (table == NULL) {
@@ -134,19 +134,27 @@
                   call->body->len, st.message);
         return refuse(call, MHD_HTTP_BAD_REQUEST, st.message);
     }
-    version = table->version;
+    packed.bundle_version = table->version;
     route_free(table);
     if (node->fleet.leads_since == 0) {
         return redirect(call, path);
     }
+    if (node_pack(text, call->body->len, &packed, &st) != STATUS_OK) {
+        log_event(LOG_WARN, "table-not-packed", "bytes=%u reason=\"%s\"",
+                  call->body->len, st.message);
+        return refuse(call,
+                      st.kind == STATUS_REFUSED ? MHD_HTTP_CONTENT_TOO_LARGE
+                                                : MHD_HTTP_SERVICE_UNAVAILABLE,
+                      st.message);
+    }
     call->submits = true;
     token = suspend(call);
     log_event(LOG_INFO, "table-received",
               "call=%llu version=%llu bytes=%u held=%llu",
-              (unsigned long long)token, (unsigned long long)version,
-              call->body->len,
+              (unsigned long long)token,
+              (unsigned long long)packed.bundle_version, call->body->len,
               (unsigned long long)node->fleet.routes.bundle_version);
-    node_voter_submit(node, token, text, call->body->len, version);
+    node_voter_submit(node, token, &packed);
     return MHD_YES;
 }
 
@@ -282,7 +290,7 @@
     }
     if (call->too_large) {
         return refuse(call, MHD_HTTP_CONTENT_TOO_LARGE,
-                      "the body is larger than 1 MiB");
+                      "the body is larger than 4 MiB");
     }
     switch (platform_classify(method, path, &rest)) {
     case PLATFORM_READY:
--- a/node-pack.c
+++ b/node-pack.c
@@ -5,24 +5,31 @@
 #include "log.h"
 #include "node.h"
 
-/* Deflates a document. */
-bool
-node_pack(const char *text, size_t length, wire_routes *out)
+/* Deflates a document. What the log does not hold must not reach it: it would
+ * be encoded to nothing, and acknowledged. */
+enum status_kind
+node_pack(const char *text, size_t length, wire_routes *out, struct status *st)
 {
     uLongf size = compressBound(length);
     Bytef *packed = g_malloc(size);
 
     if (compress2(packed, &size, (const Bytef *)text, length, Z_BEST_SPEED) !=
         Z_OK) {
-        log_event(LOG_ERROR, "table-not-packed", "bytes=%zu reason=\"%s\"",
-                  length, "zlib is out of memory");
         g_free(packed);
-        return false;
+        return status_set(st, STATUS_NO_ANSWER,
+                          "memory is short; send the table again");
+    }
+    if (size > WIRE_PACKED_MAX) {
+        g_free(packed);
+        return status_set(st, STATUS_REFUSED,
+                          "the table is %lu bytes when deflated, more than "
+                          "%u; use shorter names or fewer routes",
+                          (unsigned long)size, (unsigned)WIRE_PACKED_MAX);
     }
     out->length = (u_int)length;
     out->packed.packed_val = (char *)packed;
     out->packed.packed_len = (u_int)size;
-    return true;
+    return STATUS_OK;
 }
 
 /* Inflates a document. */
--- a/node-peers.c
+++ b/node-peers.c
@@ -1,9 +1,11 @@
 /*
  * Messages between nodes: XDR in UDP datagrams, with a checksum before it.
- * No message needs to arrive: each is sent again by its own rule.
+ * No message needs to arrive: each is sent again by its own rule. One that no
+ * datagram holds goes in parts.
  */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <sodium.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -13,7 +15,6 @@
 #include "loop.h"
 #include "node.h"
 
-#define DATAGRAM_MAX 65507
 #define DATAGRAMS_A_TURN 64 /* then other events have their turn */
 
 /* Says whether a message is for the voter. */
@@ -45,17 +46,16 @@
     counter_add(&node->counters, COUNTER_CONTROL_BYTES_OUT, length);
 }
 
-/* Sends an encoded message. Safe from the voter's thread. */
-void
-node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
-                  size_t length)
+/* Sends one datagram. */
+static void
+send_datagram(struct node *node, uint32_t to, const guint8 *bytes,
+              size_t length)
 {
     struct sockaddr_in at = {.sin_family = AF_INET,
                              .sin_port =
                                  htons((uint16_t)node->settings.peer_port),
                              .sin_addr.s_addr = htonl(to)};
     uint64_t sum = hash_checksum(bytes, length);
-    uint32_t kind = codec_kind(bytes, length);
     struct iovec parts[2] = {{.iov_base = &sum, .iov_len = sizeof(sum)},
                              {.iov_base = (void *)bytes, .iov_len = length}};
     struct msghdr msg = {.msg_name = &at,
@@ -63,13 +63,6 @@
                          .msg_iov = parts,
                          .msg_iovlen = 2};
 
-    if (length + sizeof(sum) > DATAGRAM_MAX) {
-        counter_add(&node->counters, COUNTER_MSGS_TOO_LARGE, 1);
-        log_event(LOG_ERROR, "message-too-large", "to=%08x kind=%u bytes=%zu",
-                  to, kind, length);
-        return;
-    }
-    count_bytes(node, kind, length + sizeof(sum));
     if (sendmsg(node->peers_fd, &msg, MSG_DONTWAIT) < 0) {
         log_event(LOG_WARN, "peer-send-failed",
                   "to=%08x bytes=%zu error=\"%s\"", to, length,
@@ -77,6 +70,62 @@
     }
 }
 
+/* Sends a message that no datagram holds. */
+static void
+send_parts(struct node *node, uint32_t to, const guint8 *bytes, size_t length)
+{
+    GPtrArray *parts;
+    uint64_t number;
+
+    randombytes_buf(&number, sizeof(number));
+    parts = part_split(number, bytes, length);
+    if (parts == NULL) {
+        counter_add(&node->counters, COUNTER_MSGS_TOO_LARGE, 1);
+        log_event(LOG_ERROR, "message-too-large", "to=%08x kind=%u bytes=%zu",
+                  to, codec_kind(bytes, length), length);
+        return;
+    }
+    for (guint i = 0; i < parts->len; i++) {
+        const GByteArray *part = g_ptr_array_index(parts, i);
+
+        send_datagram(node, to, part->data, part->len);
+    }
+    g_ptr_array_unref(parts);
+}
+
+/* Sends an encoded message. Safe from the voter's thread. */
+void
+node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
+                  size_t length)
+{
+    count_bytes(node, codec_kind(bytes, length), length);
+    if (length > PART_MESSAGE_MAX) {
+        send_parts(node, to, bytes, length);
+    }
+    else {
+        send_datagram(node, to, bytes, length);
+    }
+}
+
+static void take_message(struct node *node, const guint8 *bytes,
+                         size_t length);
+
+/* Takes a part of a message, and the message once it is whole. A part in a
+ * part is nobody's. */
+static void
+take_part(struct node *node, const wire_part *part)
+{
+    GByteArray *whole = part_take(&node->parts, loop_now(), part);
+
+    if (whole == NULL) {
+        return;
+    }
+    if (codec_kind(whole->data, whole->len) != WIRE_PART) {
+        take_message(node, whole->data, whole->len);
+    }
+    g_byte_array_unref(whole);
+}
+
 /* Takes one message. */
 static void
 take_message(struct node *node, const guint8 *bytes, size_t length)
@@ -87,7 +136,10 @@
         counter_add(&node->counters, COUNTER_MSGS_MALFORMED, 1);
         return;
     }
-    if (is_for_voter(msg.kind)) {
+    if (msg.kind == WIRE_PART) {
+        take_part(node, &msg.wire_msg_u.part);
+    }
+    else if (is_for_voter(msg.kind)) {
         GByteArray *copy = g_byte_array_sized_new((guint)length);
 
         g_byte_array_append(copy, bytes, (guint)length);
@@ -125,7 +177,7 @@
 static void
 on_datagrams(void *data)
 {
-    static guint8 bytes[DATAGRAM_MAX];
+    static guint8 bytes[PART_DATAGRAM_MAX];
     struct node *node = data;
 
     for (int i = 0; i < DATAGRAMS_A_TURN; i++) {
--- a/node-voter.c
+++ b/node-voter.c
@@ -166,20 +166,14 @@
     push(node, new_job(VOTER_JOB_RESIGN));
 }
 
-/* Passes an operator's table on. */
+/* Passes an operator's table on; takes it over. */
 void
-node_voter_submit(struct node *node, uint64_t token, const char *text,
-                  size_t length, uint64_t version)
+node_voter_submit(struct node *node, uint64_t token, wire_routes *routes)
 {
     struct voter_job *job = new_job(VOTER_JOB_SUBMIT);
 
     job->token = token;
-    job->routes.bundle_version = version;
-    if (!node_pack(text, length, &job->routes)) {
-        refuse(node, token, "the table cannot be packed; send it again");
-        voter_free_job(job);
-        return;
-    }
+    job->routes = *routes;
     push(node, job);
 }
 
--- a/node.h
+++ b/node.h
@@ -17,6 +17,7 @@
 #include "fleet.h"
 #include "histogram.h"
 #include "node-settings.h"
+#include "part.h"
 #include "ring.h"
 #include "status.h"
 #include "upstream.h"
@@ -47,6 +48,7 @@
     struct node_voter voter;       /**< what its thread told */
     int packets_fd;                /**< UDP: callers and upstreams */
     int peers_fd;                  /**< UDP: other nodes */
+    struct part_box parts;         /**< messages of other nodes in parts */
     uint64_t http_at;              /**< deadline: open HTTP, 0: it is open */
     struct MHD_Daemon *http[NODE_PORTS]; /**< by enum node_port */
     struct status failure;               /**< why the node ends by itself */
@@ -111,9 +113,9 @@
 void node_voter_found(struct node *node);
 /** Gives up leading. */
 void node_voter_resign(struct node *node);
-/** Passes on an operator's table; node_answer() follows. */
-void node_voter_submit(struct node *node, uint64_t token, const char *text,
-                       size_t length, uint64_t version);
+/** Passes on an operator's table, which it takes over; node_answer() follows.
+ */
+void node_voter_submit(struct node *node, uint64_t token, wire_routes *routes);
 /** Passes on an operator's question for the table; node_answer() follows. */
 void node_voter_read(struct node *node, uint64_t token);
 /** Stores the inventory, so that a start after a loss of power knows it;
@@ -121,9 +123,13 @@
 void node_voter_keep(struct node *node, GByteArray *bytes);
 
 /* node-pack.c */
-/** Deflates a document, false when zlib refuses; free `packed` with g_free().
+/**
+ * Deflates a document; free `packed` with g_free().
+ * @return STATUS_REFUSED when it is too large for the log, STATUS_NO_ANSWER
+ *         when memory was short
  */
-bool node_pack(const char *text, size_t length, wire_routes *out);
+enum status_kind node_pack(const char *text, size_t length, wire_routes *out,
+                           struct status *st);
 /** Inflates a document; NULL when it is damaged. Free with g_free(). */
 char *node_unpack(const wire_routes *routes);
 
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -113,10 +113,10 @@
     return at == UINT64_MAX ? at : at / 1000;
 }
 
-/* Sends bytes. */
+/* Sends a datagram. */
 static void
-send_bytes(struct fleet_sim *sim, int from, uint32_t to_address,
-           const GByteArray *bytes)
+send_datagram(struct fleet_sim *sim, int from, uint32_t to_address,
+              const GByteArray *bytes)
 {
     struct flight flight = {.from = from, .to = node_at(sim, to_address)};
 
@@ -124,9 +124,6 @@
         return;
     }
     sim->nodes[from].bytes_sent += bytes->len;
-    if (codec_kind(bytes->data, bytes->len) == WIRE_ROUTES) {
-        sim->nodes[from].tables_sent += bytes->len;
-    }
     if (flight.to < 0 || sim->cut[from][flight.to] ||
         fleet_sim_random(sim, 1000) < sim->options.loss) {
         return;
@@ -139,6 +136,26 @@
     g_array_append_val(sim->queue, flight);
 }
 
+/* Sends a message, in parts when no datagram holds it. */
+static void
+send_bytes(struct fleet_sim *sim, int from, uint32_t to, GByteArray *bytes)
+{
+    GPtrArray *parts;
+
+    if (codec_kind(bytes->data, bytes->len) == WIRE_ROUTES) {
+        sim->nodes[from].tables_sent += bytes->len;
+    }
+    if (bytes->len <= PART_MESSAGE_MAX) {
+        send_datagram(sim, from, to, bytes);
+        return;
+    }
+    parts = part_split(fleet_sim_random(sim, 0) | 1, bytes->data, bytes->len);
+    for (guint i = 0; parts != NULL && i < parts->len; i++) {
+        send_datagram(sim, from, to, g_ptr_array_index(parts, i));
+    }
+    g_clear_pointer(&parts, g_ptr_array_unref);
+}
+
 /* Carries out an action of consensus. */
 static void
 act_cons(struct fleet_sim *sim, int n, struct cons_action *action)
@@ -397,6 +414,7 @@
     }
     node->up = false;
     node->frozen_until = 0;
+    part_close(&node->parts);
     if (node->has_disk) {
         order_close(&node->order);
         forget_kept(node);
@@ -639,22 +657,30 @@
     }
 }
 
-/* Gives a message to a node. */
+/* Gives a message to a node; a part waits until its message is whole. */
 static void
-deliver(struct fleet_sim *sim, const struct flight *flight)
+deliver(struct fleet_sim *sim, int to, const GByteArray *bytes)
 {
-    struct fleet_sim_node *node = &sim->nodes[flight->to];
+    struct fleet_sim_node *node = &sim->nodes[to];
+    GByteArray *whole;
     wire_msg msg;
 
-    g_assert_true(codec_decode(flight->bytes->data, flight->bytes->len, &msg));
-    if (msg.kind >= WIRE_HELLO) {
+    g_assert_true(codec_decode(bytes->data, bytes->len, &msg));
+    if (msg.kind == WIRE_PART) {
+        whole = part_take(&node->parts, sim->now, &msg.wire_msg_u.part);
+        if (whole != NULL) {
+            deliver(sim, to, whole);
+            g_byte_array_unref(whole);
+        }
+    }
+    else if (msg.kind >= WIRE_HELLO) {
         fleet_receive(&node->fleet, sim->now, &msg);
     }
     else if (node->has_disk) {
         order_receive(&node->order, sim->now, &msg);
     }
     codec_free(&msg);
-    act(sim, flight->to);
+    act(sim, to);
 }
 
 /* Delivers messages that are due; those for a frozen node wait. */
@@ -671,7 +697,7 @@
         }
         g_array_remove_index(sim->queue, i);
         if (sim->nodes[flight.to].up && !sim->cut[flight.from][flight.to]) {
-            deliver(sim, &flight);
+            deliver(sim, flight.to, flight.bytes);
         }
         g_byte_array_unref(flight.bytes);
     }
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -10,12 +10,13 @@
 #include "evidence.h"
 #include "fleet.h"
 #include "order.h"
+#include "part.h"
 #include "sim-disk.h"
 
 #define FLEET_SIM_NODES 128          /* most, with those that replace others */
 #define FLEET_SIM_UPSTREAMS 640      /* most */
 #define FLEET_SIM_INTERVAL_MS 770    /* between registrations of an upstream */
-#define FLEET_SIM_DATAGRAM_MAX 65507 /* bytes; UDP carries no more at once */
+#define FLEET_SIM_DATAGRAM_MAX 65499 /* bytes behind a checksum of 8 */
 
 /* One node. */
 struct fleet_sim_node {
@@ -31,6 +32,7 @@
     struct evidence evidence;
     struct fleet fleet;
     struct order order;
+    struct part_box parts;
     uint64_t version_seen; /* in force in this run */
     unsigned ticks_late;   /* in a row that left a deadline in the past */
     uint64_t bytes_sent;   /* to other nodes */
--- a/tests/test-table.c
+++ b/tests/test-table.c
@@ -23,9 +23,12 @@
 #include <glib.h>
 #include <stdio.h>
 
+#include "codec.h"
 #include "fleet-sim.h"
+#include "node.h"
 
-#define TABLE_BYTES 36800U /* 4,245 routes, packed */
+#define TABLE_BYTES 36800U        /* 4,245 routes, packed */
+#define LARGE_TABLE_BYTES 150000U /* more than two datagrams */
 #define NODES 96
 #define DISKS 5
 #define LINK_KB_S 275U        /* 2.2 Mbit/s */
@@ -188,6 +191,155 @@
     }
 }
 
+/* A table that no datagram holds reaches all nodes, also an empty disk. */
+static void
+test_larger_than_a_datagram(void)
+{
+    struct fleet_sim_options options = {.nodes = 12,
+                                        .disks = DISKS,
+                                        .upstreams = 6,
+                                        .seed = 5,
+                                        .loss = 5,
+                                        .table_bytes = LARGE_TABLE_BYTES};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    int wiped;
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    put(sim, 1, 2);
+    wiped = follower(sim, -1);
+    fleet_sim_wipe(sim, wiped);
+    fleet_sim_start(sim, wiped);
+    put(sim, 3, 3);
+    fleet_sim_run(sim, sim->now + HEAL_MS);
+    g_assert_cmpuint(lowest_version(sim), ==, 3);
+    g_assert_cmpuint(sim->nodes[wiped].order.version, ==, 3);
+    g_assert_cmpstr(sim->broken, ==, "");
+    fleet_sim_free(sim);
+}
+
+/* Documents of operators. */
+struct document {
+    const char *name;
+    size_t bytes;
+    bool random; /* zlib finds nothing to save */
+    enum status_kind kind;
+};
+
+static const struct document documents[] = {
+    {"4,245 routes", 860000, false, STATUS_OK},
+    {"the largest", SCHEMA_TEXT_MAX, false, STATUS_OK},
+    {"random, fits", 900000, true, STATUS_OK},
+    {"random, too large", 2000000, true, STATUS_REFUSED},
+};
+
+/* A document is packed and comes back as it was, or is refused: one that the
+ * log does not hold must not be proposed. */
+static void
+test_pack(void)
+{
+    GRand *random = g_rand_new_with_seed(3);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(documents); i++) {
+        const struct document *d = &documents[i];
+        char *text = g_malloc0(d->bytes + 1);
+        struct status st = {STATUS_OK, ""};
+        wire_routes packed = {0};
+        char *back;
+
+        for (size_t j = 0; j < d->bytes; j++) {
+            text[j] = (char)(d->random ? g_rand_int_range(random, 1, 256)
+                                       : "routes"[j % 6]);
+        }
+        g_test_message("%s", d->name);
+        g_assert_cmpint(node_pack(text, d->bytes, &packed, &st), ==, d->kind);
+        if (d->kind == STATUS_OK) {
+            back = node_unpack(&packed);
+            g_assert_cmpmem(back, packed.length, text, d->bytes);
+            g_free(back);
+            g_free(packed.packed.packed_val);
+        }
+        g_free(text);
+    }
+    g_rand_free(random);
+}
+
+/* Parts that arrive, by place; 'x' is one of another message, '.' a time in
+ * which all are given up. */
+struct arrivals {
+    const char *name;
+    const char *places;
+    bool whole; /* the message is complete after the last */
+};
+
+static const struct arrivals arrivals[] = {
+    {"in-order", "012", true},          {"out-of-order", "201", true},
+    {"one-twice", "0012", true},        {"one-lost", "02", false},
+    {"another-between", "0x12", true},  {"too-late", "01.2", false},
+    {"again-after-it", "01.012", true},
+};
+
+/* A message is whole when all of its parts have arrived, in any order. */
+static void
+test_arrivals(const void *data)
+{
+    const struct arrivals *a = data;
+    GByteArray *bytes = g_byte_array_new();
+    struct part_box box = {0};
+    GByteArray *whole = NULL;
+    uint64_t now = 1;
+    GPtrArray *parts;
+
+    g_byte_array_set_size(bytes, 2 * WIRE_PART_MAX + 100);
+    for (guint i = 0; i < bytes->len; i++) {
+        bytes->data[i] = (guint8)(i * 7 + i / 4096);
+    }
+    parts = part_split(77, bytes->data, bytes->len);
+    g_assert_cmpuint(parts->len, ==, 3);
+    for (const char *place = a->places; *place != '\0'; place++) {
+        const GByteArray *part = g_ptr_array_index(
+            parts, g_ascii_isdigit(*place) ? (guint)(*place - '0') : 0);
+        wire_msg msg;
+
+        if (*place == '.') {
+            now += PART_WAIT_MS;
+            continue;
+        }
+        g_assert_null(whole);
+        g_assert_true(codec_decode(part->data, part->len, &msg));
+        msg.wire_msg_u.part.message += *place == 'x';
+        whole = part_take(&box, now, &msg.wire_msg_u.part);
+        codec_free(&msg);
+    }
+    g_assert_cmpint(whole != NULL, ==, a->whole);
+    if (whole != NULL) {
+        g_assert_cmpmem(whole->data, whole->len, bytes->data, bytes->len);
+        g_byte_array_unref(whole);
+    }
+    part_close(&box);
+    g_ptr_array_unref(parts);
+    g_byte_array_unref(bytes);
+}
+
+/* Parts that no message has are not taken. */
+static void
+test_bad_parts(void)
+{
+    static const wire_part bad[] = {
+        {.message = 0, .place = 0, .count = 1},
+        {.message = 1, .place = 1, .count = 1},
+        {.message = 1, .place = 0, .count = PART_COUNT_MAX + 1},
+        {.message = 1, .place = 0, .count = 0},
+    };
+    struct part_box box = {0};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_null(part_take(&box, 1, &bad[i]));
+    }
+    for (size_t i = 0; i < PART_OPEN_MAX; i++) {
+        g_assert_cmpuint(box.open[i].message, ==, 0);
+    }
+}
+
 /* Bytes of copies of the table that were sent so far. */
 static uint64_t
 copies_sent(const struct fleet_sim *sim)
@@ -266,6 +418,15 @@
     g_test_set_nonfatal_assertions();
     g_test_add_func("/table/wiped", test_wiped);
     g_test_add_func("/table/two-behind", test_two_behind);
+    g_test_add_func("/table/larger-than-a-datagram",
+                    test_larger_than_a_datagram);
+    g_test_add_func("/table/pack", test_pack);
+    g_test_add_func("/table/bad-parts", test_bad_parts);
+    for (size_t i = 0; i < G_N_ELEMENTS(arrivals); i++) {
+        (void)snprintf(path, sizeof(path), "/table/arrivals/%s",
+                       arrivals[i].name);
+        g_test_add_data_func(path, &arrivals[i], test_arrivals);
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
         (void)snprintf(path, sizeof(path), "/table/changes/%s",
                        changes[i].name);
