fleet-table: a table is owed to each node once, and copies take half of a link

Cause: every node that saw by a hello that another one had an older table sent it all of it, twice a second and more, while the other was still reading it (0.3 to 1 s on 0.038 of a core): fourteen copies a node after a restart of all. Links filled; rounds of consensus, hellos, registrations and callers' packets waited, and nodes took the silence for the end of a leader or an upstream. Change: fleet-table.c. The leader owes a newer table to the members that showed an older one, each once; a node that still lacks it 0.3 s after it saw it asks one node, again after 0.4 s. Copies leave in turn and take half of the link, whose rate the platform tells (link_mbps). Disks hold the table by consensus and are not sent it unasked.

--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -28,6 +28,19 @@
 /** Greets the stored nodes that were not heard yet. */
 void fleet_greet_unheard(struct fleet *fleet, uint64_t now);
 
+/* fleet-table.c */
+/** A node is owed the table; one that begins is before the others. */
+void fleet_owe_table(struct fleet *fleet, uint32_t to, bool begins);
+/** LEADER: owes the table to all members that showed an older one. */
+void fleet_push_table(struct fleet *fleet, uint64_t now);
+/** Sends the copies that the link has room for. */
+void fleet_pay_tables(struct fleet *fleet, uint64_t now);
+/** Asks a node that shows a newer table, when the leader's copy stays away. */
+void fleet_see_table(struct fleet *fleet, uint64_t now,
+                     const wire_hello *hello);
+/** Another node asks for the table. */
+void fleet_take_table_ask(struct fleet *fleet, const wire_table_ask *ask);
+
 /* fleet-spread.c */
 /** Sends a message; to address 0 or to this node itself, nothing. */
 void fleet_send(struct fleet *fleet, uint32_t to, wire_msg *msg);
@@ -35,12 +48,8 @@
 void fleet_send_hello(struct fleet *fleet, uint32_t to, bool reply);
 /** The same, and asks it for what this one lacks. */
 void fleet_ask(struct fleet *fleet, uint32_t to);
-/** Sends the table in force. */
-void fleet_send_routes(struct fleet *fleet, uint32_t to);
 /** LEADER: tells all members who is new. */
 void fleet_push_joined(struct fleet *fleet);
-/** LEADER: pushes the table to all members. */
-void fleet_push_routes(struct fleet *fleet, uint64_t now);
 /** Says whether the sender of a hello knows any upstream. */
 bool fleet_has_upstreams(const wire_hello *hello);
 /** Says whether a hello shows the same inventory. */
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -1,6 +1,6 @@
 /*
- * What a node tells others: hellos, and members, tables and upstreams that
- * changed or that another node lacks.
+ * What a node tells others: hellos, and members and upstreams that changed or
+ * that another node lacks.
  */
 #include "fleet-internal.h"
 
@@ -91,15 +91,6 @@
     send_hello(fleet, to, false, true);
 }
 
-/* Sends the table in force. */
-void
-fleet_send_routes(struct fleet *fleet, uint32_t to)
-{
-    wire_msg msg = {.kind = WIRE_ROUTES, .wire_msg_u.routes = fleet->routes};
-
-    fleet_send(fleet, to, &msg);
-}
-
 /* Sends all members. */
 static void
 send_members(struct fleet *fleet, uint32_t to)
@@ -148,19 +139,6 @@
     g_free(nodes);
 }
 
-/* LEADER: pushes the table to all members. */
-void
-fleet_push_routes(struct fleet *fleet, uint64_t now)
-{
-    wire_msg msg = {.kind = WIRE_ROUTES, .wire_msg_u.routes = fleet->routes};
-
-    fleet->push_at = 0;
-    fleet->pushed_at = now;
-    if (fleet->routes.bundle_version != 0) {
-        send_to_all(fleet, &msg);
-    }
-}
-
 /* Sends records of upstreams, in as many messages as they need, to one node or
  * to TO_ALL. */
 static void
--- a/fleet.c
+++ b/fleet.c
@@ -37,6 +37,9 @@
     fleet->actions = g_array_new(FALSE, TRUE, sizeof(struct fleet_action));
     fleet->joined = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     fleet->unheard = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    fleet->owed = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    fleet->copy_bytes_ms =
+        (uint32_t)(options->link_kbit_s / 8 / FLEET_TABLE_SHARE);
 }
 
 /* Frees it. */
@@ -48,6 +51,7 @@
     g_array_free(fleet->actions, TRUE);
     g_array_free(fleet->joined, TRUE);
     g_array_free(fleet->unheard, TRUE);
+    g_array_free(fleet->owed, TRUE);
     g_free(fleet->routes.packed.packed_val);
 }
 
@@ -246,9 +250,10 @@
             fleet_push_joined(fleet);
         }
         if (fleet->push_at != 0 && now >= fleet->push_at) {
-            fleet_push_routes(fleet, now);
+            fleet_push_table(fleet, now);
         }
     }
+    fleet_pay_tables(fleet, now);
     if (now >= fleet->hello_at) {
         greet(fleet, now);
     }
@@ -297,8 +302,9 @@
 send_lacking(struct fleet *fleet, uint64_t now, const wire_hello *hello,
              struct fleet_member *member, bool same)
 {
-    if (hello->routes < fleet->routes.bundle_version) {
-        fleet_send_routes(fleet, hello->self.address);
+    if (hello->routes < fleet->routes.bundle_version && !hello->settled) {
+        fleet_owe_table(fleet, hello->self.address, true);
+        fleet_pay_tables(fleet, now);
     }
     fleet_send_lacking_upstreams(fleet, now, hello, member, same);
     fleet_send_lacking_members(fleet, hello, member);
@@ -320,9 +326,11 @@
     if (fleet->met_at == 0) {
         fleet->met_at = now;
     }
+    member->routes = hello->routes;
     if (hello->self.identity != 0) {
         fleet_act(fleet, FLEET_DISK)->node = hello->self;
     }
+    fleet_see_table(fleet, now, hello);
     note_leader(fleet, now, hello->term, hello->leader, hello->leader == from);
     if (hello->wants) {
         send_lacking(fleet, now, hello, member, same);
@@ -368,6 +376,10 @@
     case WIRE_ROUTES:
         (void)fleet_set_routes(fleet, now, &msg->wire_msg_u.routes);
         return;
+    case WIRE_TABLE_ASK:
+        fleet_take_table_ask(fleet, &msg->wire_msg_u.table_ask);
+        fleet_pay_tables(fleet, now);
+        return;
     case WIRE_SUMMARY:
         fleet_take_summary(fleet, &msg->wire_msg_u.summary);
         return;
@@ -391,8 +403,12 @@
 uint64_t
 fleet_deadline(const struct fleet *fleet)
 {
-    return fleet->push_at != 0 ? MIN(fleet->push_at, fleet->hello_at)
-                               : fleet->hello_at;
+    uint64_t at = fleet->hello_at;
+
+    if (fleet->push_at != 0) {
+        at = MIN(at, fleet->push_at);
+    }
+    return fleet->owed->len > 0 ? MIN(at, fleet->pay_at) : at;
 }
 
 /* Gives the actions. */
--- a/fleet.h
+++ b/fleet.h
@@ -38,6 +38,14 @@
     50U /**< after the first hello, nodes without a disk are asked too;       \
              those with one answer within a few ms and have larger links */
 #define FLEET_PUSH_MS 250U /**< least time between two pushes of tables */
+#define FLEET_TABLE_WAIT_MS                                                   \
+    300U /**< a node that sees a newer table has so long to be sent it by the \
+              leader, before it asks */
+#define FLEET_TABLE_AGAIN_MS                                                  \
+    400U /**< it asks again only so long after: 37 KB take 0.13 s on a link   \
+              of 2.2 Mbit/s, and others may be before it */
+#define FLEET_TABLE_SHARE                                                     \
+    2U /**< copies of the table take at most one part in so many of a link */
 
 /** What the shell must do. */
 enum fleet_action_kind {
@@ -62,6 +70,7 @@
     uint64_t heard_at;    /**< last hello, or word of the leader */
     bool lacks_members;   /**< its last hello showed another list */
     bool lacks_upstreams; /**< its last hello showed another inventory */
+    uint64_t routes;      /**< version that it showed last, 0: none */
 };
 
 /** What one node knows of the fleet. */
@@ -89,9 +98,17 @@
     wire_routes routes;              /**< newest table; packed is owned */
     uint64_t push_at;                /**< deadline: push the table, 0: no */
     uint64_t pushed_at;              /**< last push */
-    struct upstream_set *upstreams;  /**< borrowed */
-    uint64_t random;                 /**< state of the generator */
-    GArray *actions;                 /**< struct fleet_action */
+    GArray *owed;                    /**< uint32_t: nodes that are owed the
+                                          table, in order, each once */
+    uint64_t pay_at;                 /**< deadline: the next copy may leave */
+    uint64_t paid_bytes;             /**< sent within the current ms */
+    uint32_t copy_bytes_ms;          /**< copies may take so much of the link,
+                                          0: no bound */
+    uint64_t seen_routes;            /**< highest version that was shown */
+    uint64_t ask_table_at;          /**< deadline: ask who shows a newer one */
+    struct upstream_set *upstreams; /**< borrowed */
+    uint64_t random;                /**< state of the generator */
+    GArray *actions;                /**< struct fleet_action */
 };
 
 /** What fleet_open() needs. */
@@ -100,6 +117,7 @@
     uint64_t incarnation; /**< drawn at each start */
     uint64_t identity;    /**< of the own disk, 0: none */
     bool first_start;     /**< of the whole deployment */
+    uint64_t link_kbit_s; /**< of this node's link, 0: not known */
     uint64_t seed;        /**< of the generator */
 };
 
--- a/node-settings.c
+++ b/node-settings.c
@@ -106,6 +106,15 @@
      .unit = "s",
      .help = "give the time at rest after which a flow may be forgotten, "
              "where the routing table sets none"},
+    {.key = "link_mbps",
+     .type = SCHEMA_RATE,
+     .min = 0,
+     .max = 400000000,
+     .value = 0,
+     .offset = AT(link_kbit_s),
+     .unit = "Mbit/s",
+     .help = "give the rate of this VM's link, so that copies of the routing "
+             "table leave room for packets; 0 where it is not known"},
     {.key = "log_level",
      .type = SCHEMA_WORD,
      .value = 1,
--- a/node-settings.h
+++ b/node-settings.h
@@ -35,6 +35,7 @@
     uint64_t grace_ms;              /**< a stop must be done within it */
     uint64_t flow_max_ms;           /**< flows at rest so long may be
                                          forgotten, where no table says */
+    uint64_t link_kbit_s;           /**< of this VM's link; 0: not known */
     int log_level;                  /**< enum log_level */
     struct node_seed *seeds;        /**< whom to ask first */
     size_t seed_count;              /**< of seeds */
--- a/node.c
+++ b/node.c
@@ -343,7 +343,8 @@
 {
     const struct node_settings *s = &node->settings;
     struct fleet_options options = {.address = node_settings_address(s),
-                                    .first_start = s->first_start != 0};
+                                    .first_start = s->first_start != 0,
+                                    .link_kbit_s = s->link_kbit_s};
 
     randombytes_buf(&options.incarnation, sizeof(options.incarnation));
     randombytes_buf(&options.seed, sizeof(options.seed));
--- a/schema.c
+++ b/schema.c
@@ -85,25 +85,25 @@
     return STATUS_OK;
 }
 
-/* Reads seconds, whole or not, as milliseconds. */
+/* Reads a decimal number as thousandths: seconds as ms, Mbit/s as kbit/s. */
 static enum status_kind
-read_seconds(struct reader *r, const struct schema_field *field,
+read_decimal(struct reader *r, const struct schema_field *field,
              json_object *value, const char *path, char *out)
 {
-    double seconds;
+    double decimal;
     uint64_t stored;
 
     if (!json_object_is_type(value, json_type_int) &&
         !json_object_is_type(value, json_type_double)) {
-        return refuse(r, path, field, "is not a number of seconds");
+        return refuse(r, path, field, "is not a number");
     }
-    seconds = json_object_get_double(value);
-    if (!(seconds >= 0.0 && seconds <= (double)field->max / 1000.0)) {
+    decimal = json_object_get_double(value);
+    if (!(decimal >= 0.0 && decimal <= (double)field->max / 1000.0)) {
         return refuse(r, path, field, "is out of range");
     }
-    stored = (uint64_t)(seconds * 1000.0 + 0.5);
+    stored = (uint64_t)(decimal * 1000.0 + 0.5);
     if (stored < field->min) {
-        return refuse(r, path, field, "is too short");
+        return refuse(r, path, field, "is too small");
     }
     memcpy(out, &stored, sizeof(stored));
     return STATUS_OK;
@@ -217,7 +217,8 @@
     case SCHEMA_TEXT:
         return read_text(r, field, value, path, out);
     case SCHEMA_SECONDS:
-        return read_seconds(r, field, value, path, out);
+    case SCHEMA_RATE:
+        return read_decimal(r, field, value, path, out);
     case SCHEMA_ENDPOINT:
         return read_endpoint(r, field, value, path, out);
     case SCHEMA_UINT:
@@ -248,7 +249,8 @@
             put_default(f, out + f->offset);
         }
     }
-    else if (field->type == SCHEMA_UINT || field->type == SCHEMA_SECONDS) {
+    else if (field->type == SCHEMA_UINT || field->type == SCHEMA_SECONDS ||
+             field->type == SCHEMA_RATE) {
         memcpy(out, &field->value, sizeof(field->value));
     }
     else if (field->type == SCHEMA_WORD) {
@@ -455,6 +457,8 @@
         return "whole number";
     case SCHEMA_SECONDS:
         return "seconds";
+    case SCHEMA_RATE:
+        return "megabits a second";
     case SCHEMA_ENDPOINT:
         return "IPv4 address and port";
     case SCHEMA_IPV4:
@@ -481,7 +485,7 @@
     else if (f->type == SCHEMA_UINT) {
         (void)printf("%" PRIu64, f->value);
     }
-    else if (f->type == SCHEMA_SECONDS) {
+    else if (f->type == SCHEMA_SECONDS || f->type == SCHEMA_RATE) {
         (void)printf("%g", (double)f->value / 1000.0);
     }
     else if (f->type == SCHEMA_WORD) {
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -362,6 +362,7 @@
         .incarnation = fleet_sim_random(sim, 0),
         .identity = node->has_disk ? node->disk.identity : 0,
         .first_start = first_start,
+        .link_kbit_s = 8 * link_of(sim, n),
         .seed = fleet_sim_random(sim, 0)};
     uint32_t seeds[SEEDS];
     size_t count = 0;
