--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -465,7 +465,9 @@
 fleet_sim_isolate(struct fleet_sim *sim, int n, bool cut)
 {
     for (int i = 0; i < FLEET_SIM_NODES; i++) {
-        fleet_sim_cut(sim, n, i, cut);
+        if (i != n) {
+            fleet_sim_cut(sim, n, i, cut);
+        }
     }
 }
 
@@ -536,7 +538,7 @@
         return -1;
     }
     leader = node_at(sim, sim->nodes[n].fleet.leader);
-    return leader >= 0 && is_running(sim, leader) &&
+    return leader >= 0 && !sim->cut[n][leader] && is_running(sim, leader) &&
                    sim->nodes[leader].has_disk
                ? leader
                : -1;
@@ -769,6 +771,7 @@
     struct fleet_sim *sim = g_new0(struct fleet_sim, 1);
 
     sim->options = *options;
+    sim->first_seed = options->first_seed;
     sim->now = BEGIN_MS;
     sim->random = options->seed;
     sim->queue = g_array_new(FALSE, FALSE, sizeof(struct flight));
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -57,7 +57,8 @@
     int disks; /* the first of the nodes have one */
     int upstreams;
     uint64_t seed;
-    unsigned loss;           /* of 1,000 messages */
+    int first_seed; /* nodes from here on are named to those that start */
+    unsigned loss;  /* of 1,000 messages */
     unsigned table_bytes;    /* of a packed table; 0: a short text */
     unsigned apply_ms;       /* a node without a disk stands still so long to
                                 read a table */
