fleet: a founder is named only while no leader was ever known

Cause: the lowest seed took a leader that it does not hear for a deployment that is not founded. The founder of long ago, whose disk was lost, founded a second quorum by the identity that it had in the first. Change: nobody names a founder, and nobody founds, once a leader was known here or to another node. Left: a deployment whose named founder is killed before it founds stays unfounded only if nobody else asks it; the same is named again, as before.

--- a/fleet.c
+++ b/fleet.c
@@ -82,6 +82,7 @@
 note_leader(struct fleet *fleet, uint64_t now, uint64_t term, uint32_t leader,
             bool first_hand)
 {
+    fleet->founded = fleet->founded || term != 0;
     if (fleet->leads_since != 0 || leader == 0 || term < fleet->term ||
         leader == fleet->self.address) {
         return;
@@ -171,10 +172,16 @@
 }
 
 /* Says whether this node names the founder: the lowest of the seeds does,
- * which are the same for all at the first start. */
+ * which are the same for all at the first start. Once a leader was known the
+ * deployment is founded; that none is heard now says nothing of it, and a
+ * founder that lost its disk would found a second quorum, by the identity that
+ * it had in the first. */
 static bool
 names_founder(const struct fleet *fleet)
 {
+    if (fleet->founded) {
+        return false;
+    }
     for (size_t i = 0; i < fleet->seed_count; i++) {
         if (fleet->seeds[i] < fleet->self.address) {
             return false;
@@ -392,7 +399,8 @@
                             msg->wire_msg_u.doubt.quiet_ms);
         return;
     case WIRE_FOUND:
-        if (msg->wire_msg_u.found.identity == fleet->self.identity) {
+        if (!fleet->founded &&
+            msg->wire_msg_u.found.identity == fleet->self.identity) {
             (void)fleet_act(fleet, FLEET_FOUND);
         }
         return;
--- a/fleet.h
+++ b/fleet.h
@@ -87,6 +87,8 @@
     uint64_t leads_since;            /**< this node leads since, 0: not */
     uint64_t hello_at;               /**< deadline */
     uint32_t founder;                /**< named here, 0: none yet */
+    bool founded;                    /**< a leader was known once, here or to
+                                          another node */
     bool settled;                    /**< holds enough to serve */
     uint64_t met_at;                 /**< first hello of a peer, 0: none */
     uint64_t asked_until;            /**< deadline: until then the node that
