--- a/fleet.c
+++ b/fleet.c
@@ -119,6 +119,7 @@
         fleet->push_at = now;
     }
     fleet->term = term;
+    fleet->founded = true;
     fleet->leader = leader;
     fleet->leader_heard_at = now;
 }
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -686,24 +686,34 @@
     act(sim, to);
 }
 
-/* Delivers messages that are due; those for a frozen node wait. */
+/* Says whether a message that is under way must wait. */
+static bool
+waits(const struct fleet_sim *sim, const struct flight *flight)
+{
+    return flight->at > sim->now ||
+           (sim->nodes[flight->to].up && !is_running(sim, flight->to));
+}
+
+/* Delivers messages that are due; those for a frozen node wait. What is sent
+ * meanwhile stands at the end of the queue. */
 static void
 deliver_due(struct fleet_sim *sim)
 {
-    for (guint i = 0; i < sim->queue->len;) {
+    guint kept = 0;
+
+    for (guint i = 0; i < sim->queue->len; i++) {
         struct flight flight = g_array_index(sim->queue, struct flight, i);
 
-        if (flight.at > sim->now ||
-            (sim->nodes[flight.to].up && !is_running(sim, flight.to))) {
-            i++;
+        if (waits(sim, &flight)) {
+            g_array_index(sim->queue, struct flight, kept++) = flight;
             continue;
         }
-        g_array_remove_index(sim->queue, i);
         if (sim->nodes[flight.to].up && !sim->cut[flight.from][flight.to]) {
             deliver(sim, flight.to, flight.bytes);
         }
         g_byte_array_unref(flight.bytes);
     }
+    g_array_set_size(sim->queue, kept);
 }
 
 /* Earliest deadline of a node. */
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -13,8 +13,8 @@
 #include "part.h"
 #include "sim-disk.h"
 
-#define FLEET_SIM_NODES 128          /* most, with those that replace others */
-#define FLEET_SIM_UPSTREAMS 640      /* most */
+#define FLEET_SIM_NODES 320          /* most, with those that replace others */
+#define FLEET_SIM_UPSTREAMS 3200     /* most */
 #define FLEET_SIM_INTERVAL_MS 770    /* between registrations of an upstream */
 #define FLEET_SIM_DATAGRAM_MAX 65499 /* bytes behind a checksum of 8 */
 
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -22,6 +22,7 @@
 #define RECALLED 9    /* nodes from here on stay down */
 #define RECALL_MS 300 /* from a start without seeds until all can serve */
 #define MANY_UPSTREAMS 64
+#define UPSTREAMS 640  /* of a fleet that repairs its records */
 #define FORGOTTEN 16   /* records that a node loses */
 #define REPAIR_MS 3000 /* it has them again within it */
 #define REPAIR_BYTES                                                          \
@@ -499,14 +500,14 @@
 test_repair(void)
 {
     struct fleet_sim_options options = {
-        .nodes = 16, .disks = 3, .upstreams = FLEET_SIM_UPSTREAMS, .seed = 11};
+        .nodes = 16, .disks = 3, .upstreams = UPSTREAMS, .seed = 11};
     struct fleet_sim *sim = fleet_sim_new(&options);
     int n = sim->count - 1;
     struct upstream_set *set = &sim->nodes[n].upstreams;
     uint64_t bytes = 0;
 
     fleet_sim_run(sim, sim->now + SETTLE_MS);
-    g_assert_cmpuint(set->all->len, ==, FLEET_SIM_UPSTREAMS);
+    g_assert_cmpuint(set->all->len, ==, UPSTREAMS);
     for (guint i = 0; i < FORGOTTEN; i++) {
         struct upstream *u = g_ptr_array_index(set->all, 37 * i);
 
@@ -521,7 +522,7 @@
     for (int i = 0; i < sim->count; i++) {
         bytes += sim->nodes[i].bytes_sent;
     }
-    g_assert_cmpuint(set->all->len, ==, FLEET_SIM_UPSTREAMS);
+    g_assert_cmpuint(set->all->len, ==, UPSTREAMS);
     g_test_message("bytes %lu", (unsigned long)bytes);
     g_assert_cmpuint(bytes, <, REPAIR_BYTES);
     fleet_sim_free(sim);
