tests: an upstream that ended is never forgotten, which fails

Cause: found by reading, with the question which copies have an age that nobody knows. A record of an upstream that ended is kept for a minute from when it was told; a node that has forgotten it is told again by one that was told later, and keeps it for another minute.

--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -258,6 +258,44 @@
     {"replace", FAULT_NO_REPLACE, "/upstream/address/late-word-of-the-old"},
 };
 
+/* Tells one inventory what another one holds. */
+static void
+tell(const struct upstream_set *from, struct upstream_set *to, uint64_t now)
+{
+    for (guint i = 0; i < from->all->len; i++) {
+        wire_upstream record;
+
+        upstream_pack(from, now, g_ptr_array_index(from->all, i), &record);
+        (void)upstream_merge(to, now, &record);
+    }
+}
+
+/* Nodes that tell each other forget an upstream that ended at the same time.
+ * When each counts from when it was told, one that forgot is told again by one
+ * that was told later, and every upstream that ever ended stays known. */
+static void
+test_gone_is_forgotten(void)
+{
+    struct upstream_set sets[2];
+    uint64_t until = NOW + 3 * UPSTREAM_GONE_MS;
+
+    for (int i = 0; i < 2; i++) {
+        upstream_open(&sets[i], SELF + (uint32_t)i, INTERVAL_MS);
+    }
+    upstream_deregister(&sets[0], NOW, 7);
+    for (uint64_t now = NOW; now <= until; now += UPSTREAM_GONE_MS / 5) {
+        for (int i = 0; i < 2; i++) {
+            upstream_tick(&sets[i], now);
+        }
+        tell(&sets[0], &sets[1], now + UPSTREAM_GONE_MS / 10);
+        tell(&sets[1], &sets[0], now + UPSTREAM_GONE_MS / 10);
+    }
+    for (int i = 0; i < 2; i++) {
+        g_assert_cmpuint(sets[i].all->len, ==, 0);
+        upstream_close(&sets[i]);
+    }
+}
+
 /* Lists the tests. */
 int
 main(int argc, char **argv)
@@ -271,6 +309,7 @@
     g_test_add_func("/upstream/address/merged", test_address_merged);
     CASES_ADD("/upstream/doubt/", words, test_word)
     g_test_add_func("/upstream/excuse", test_excuse);
+    g_test_add_func("/upstream/gone-is-forgotten", test_gone_is_forgotten);
     CASES_ADD("/upstream/mutation/", mutations, mutation_test)
     return g_test_run();
 }
