upstream: nodes forget an upstream that ended together

Cause: each node kept the record for a minute from when it was told, so one that had forgotten it was told again. Change: a record that is gone tells how much longer it is kept. Before/after: /upstream/gone-is-forgotten: 1 record after three minutes -> 0.

--- a/upstream.c
+++ b/upstream.c
@@ -329,13 +329,23 @@
     return true;
 }
 
-/* Marks a record gone. */
+/* Marks a record gone, to be forgotten after some time. */
 static void
-mark_gone(struct upstream *upstream, uint64_t now)
+mark_gone(struct upstream *upstream, uint64_t now, uint64_t keep_ms)
 {
     upstream->state = UPSTREAM_GONE;
     upstream->expire_at = 0;
-    upstream->forget_at = now + UPSTREAM_GONE_MS;
+    upstream->forget_at = now + MIN(keep_ms, UPSTREAM_GONE_MS);
+}
+
+/* How much longer a record that another node told as gone is kept: as long as
+ * there, so that all forget it together. If each counted from when it was
+ * told, one that forgot would be told again, for ever. A node of an earlier
+ * version tells 0. */
+static uint64_t
+keep_of(const wire_upstream *record)
+{
+    return record->warm_ms != 0 ? record->warm_ms : UPSTREAM_GONE_MS;
 }
 
 /* Takes an upstream's word that it ends. */
@@ -349,7 +359,7 @@
         upstream->service = UPSTREAM_NO_SERVICE;
     }
     if (upstream->state != UPSTREAM_GONE) {
-        mark_gone(upstream, now);
+        mark_gone(upstream, now, UPSTREAM_GONE_MS);
         note_change(set, upstream);
     }
 }
@@ -385,7 +395,7 @@
             ? next_expiry(set, now)
             : 0;
     if (upstream->state == UPSTREAM_GONE) {
-        mark_gone(upstream, now);
+        mark_gone(upstream, now, keep_of(record));
     }
     if (differs) {
         set->change_count++;
@@ -539,6 +549,17 @@
     }
 }
 
+/* How much longer a record is warming up or, when it is gone, kept; then at
+ * least 1, which tells it from not known. */
+static u_int
+left_ms(const struct upstream *upstream, uint64_t now)
+{
+    bool gone = upstream->state == UPSTREAM_GONE;
+    uint64_t until = gone ? upstream->forget_at : upstream->warm_at;
+
+    return until > now ? (u_int)(until - now) : gone;
+}
+
 /* Fills a record for the wire. */
 void
 upstream_pack(const struct upstream_set *set, uint64_t now,
@@ -551,8 +572,7 @@
         .port = upstream->port,
         .slots = upstream->slots,
         .state = upstream->state,
-        .warm_ms =
-            upstream->warm_at > now ? (u_int)(upstream->warm_at - now) : 0,
+        .warm_ms = left_ms(upstream, now),
         .keeper = upstream->keeper,
         .service = (char *)upstream_service_name(set, upstream->service),
         .hall = (char *)upstream->hall};
