fault, tests: the share of a link, comparisons and founding can be left out

Change: FAULT_NO_PACE, FAULT_NO_COMPARE, FAULT_FOUND_AGAIN; mutation tests; the simulated fleet measures how long consensus waits at its own link. Conclusion: all three stay.

--- a/fleet-inventory.c
+++ b/fleet-inventory.c
@@ -10,6 +10,7 @@
 
 #include <string.h>
 
+#include "fault.h"
 #include "random.h"
 
 /* An inventory of no more records than this is sent without asking: all of it
@@ -213,8 +214,9 @@
     bool one_for_all = hello->self.address == fleet->leader &&
                        g_hash_table_size(fleet->members) > COMPARE_FEW;
 
-    return fleet->upstreams->all->len > 0 && fleet_has_upstreams(hello) &&
-           !one_for_all && now >= fleet->compare_at;
+    return !fault_is(FAULT_NO_COMPARE) && fleet->upstreams->all->len > 0 &&
+           fleet_has_upstreams(hello) && !one_for_all &&
+           now >= fleet->compare_at;
 }
 
 /* Compares the inventory with that of the node of a hello: some of the buckets
--- a/fleet-owed.c
+++ b/fleet-owed.c
@@ -5,12 +5,16 @@
  * leave in turn and take a share of the link, so that rounds of consensus,
  * hellos and callers' packets do not wait behind them; a quorum that waits
  * behind copies loses its leader, and all who then look for one ask for more.
- * With 96 nodes and a table of 37 KB it is 1.0 copies a node for a change
- * instead of 2.6, and three changes in a row leave the leader in place
- * (simulated time).
+ * With 96 nodes and a table of 37 KB it is 1.1 copies a node for a change
+ * instead of 2.6, three changes in a row leave the leader in place, and its
+ * rounds wait 11 ms at its link instead of 80 (simulated time). Of 2,300
+ * requests 326 instead of 391 were late after a kill of all 96 nodes by the
+ * share of the link alone (one play of each).
  */
 #include "fleet-internal.h"
 
+#include "fault.h"
+
 /* The place of a node among those that are owed something; a new one, without
  * anything yet, when it has none. */
 static struct fleet_owed *
@@ -112,7 +116,7 @@
 void
 fleet_note_bulk(struct fleet *fleet, uint64_t now, uint64_t bytes)
 {
-    if (fleet->bulk_bytes_ms == 0) {
+    if (fleet->bulk_bytes_ms == 0 || fault_is(FAULT_NO_PACE)) {
         return;
     }
     fleet->bulk_bytes += bytes;
--- a/fleet.c
+++ b/fleet.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+#include "fault.h"
+
 /* Adds an action. */
 struct fleet_action *
 fleet_act(struct fleet *fleet, enum fleet_action_kind kind)
@@ -180,7 +182,7 @@
 static bool
 names_founder(const struct fleet *fleet)
 {
-    if (fleet->founded) {
+    if (fleet->founded && !fault_is(FAULT_FOUND_AGAIN)) {
         return false;
     }
     for (size_t i = 0; i < fleet->seed_count; i++) {
@@ -430,7 +432,7 @@
                             msg->wire_msg_u.doubt.quiet_ms);
         return;
     case WIRE_FOUND:
-        if (!fleet->founded &&
+        if ((!fleet->founded || fault_is(FAULT_FOUND_AGAIN)) &&
             msg->wire_msg_u.found.identity == fleet->self.identity) {
             (void)fleet_act(fleet, FLEET_FOUND);
         }
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -142,9 +142,15 @@
 {
     GPtrArray *parts;
 
-    if (codec_kind(bytes->data, bytes->len) == WIRE_ROUTES) {
+    uint32_t kind = codec_kind(bytes->data, bytes->len);
+
+    if (kind == WIRE_ROUTES) {
         sim->nodes[from].tables_sent += bytes->len;
     }
+    if (kind < WIRE_HELLO && sim->nodes[from].out_free_at > sim->now * 1000) {
+        sim->vote_wait_us = MAX(
+            sim->vote_wait_us, sim->nodes[from].out_free_at - sim->now * 1000);
+    }
     if (bytes->len <= PART_MESSAGE_MAX) {
         send_datagram(sim, from, to, bytes);
         return;
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -77,8 +77,9 @@
     int upstream_count;
     struct fleet_sim_upstream upstreams[FLEET_SIM_UPSTREAMS];
     bool cut[FLEET_SIM_NODES][FLEET_SIM_NODES];
-    GArray *queue;       /* messages under way */
-    GHashTable *waiting; /* token to version; 0: a read */
+    GArray *queue;         /* messages under way */
+    uint64_t vote_wait_us; /* longest wait of consensus for its own link */
+    GHashTable *waiting;   /* token to version; 0: a read */
     uint64_t last_token;
     uint64_t acked;   /* highest version acknowledged */
     uint64_t read;    /* version of the last read that was answered */
--- a/tests/test-founding.c
+++ b/tests/test-founding.c
@@ -9,7 +9,9 @@
 #include <glib.h>
 #include <stdio.h>
 
+#include "cases.h"
 #include "fleet-sim.h"
+#include "mutation.h"
 
 #define NODES 11
 #define DISKS 3
@@ -92,17 +94,24 @@
     }
 }
 
+/* What is left out, and the test that fails by it. */
+static const struct mutation mutations[] = {
+    {"founded-again", FAULT_FOUND_AGAIN, "/founding/cut-and-wiped"},
+};
+
 /* Lists the tests. */
 int
 main(int argc, char **argv)
 {
     char path[128];
 
+    mutation_begin();
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     for (size_t i = 0; i < G_N_ELEMENTS(cuts); i++) {
         (void)snprintf(path, sizeof(path), "/founding/%s", cuts[i].name);
         g_test_add_data_func(path, &cuts[i], test_cut);
     }
+    CASES_ADD("/founding/mutation/", mutations, mutation_test)
     return g_test_run();
 }
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -20,7 +20,9 @@
 #include <glib.h>
 #include <stdio.h>
 
+#include "cases.h"
 #include "fleet-sim.h"
+#include "mutation.h"
 
 #define NODES 150
 #define DISKS 5
@@ -214,12 +216,18 @@
     fleet_sim_free(sim);
 }
 
+/* What is left out, and the test that fails by it. */
+static const struct mutation mutations[] = {
+    {"no-comparisons", FAULT_NO_COMPARE, "/size/disks-lack"},
+};
+
 /* Lists the tests. */
 int
 main(int argc, char **argv)
 {
     char path[128];
 
+    mutation_begin();
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     for (size_t i = 0; i < G_N_ELEMENTS(kills); i++) {
@@ -228,5 +236,6 @@
     }
     g_test_add_func("/size/disks-lack", test_disks_lack);
     g_test_add_func("/size/calm", test_calm);
+    CASES_ADD("/size/mutation/", mutations, mutation_test)
     return g_test_run();
 }
--- a/tests/test-table.c
+++ b/tests/test-table.c
@@ -23,8 +23,10 @@
 #include <glib.h>
 #include <stdio.h>
 
+#include "cases.h"
 #include "codec.h"
 #include "fleet-sim.h"
+#include "mutation.h"
 #include "node.h"
 
 #define TABLE_BYTES 36800U        /* 4,245 routes, packed */
@@ -40,7 +42,10 @@
 #define HEAL_MS 8000     /* after the last event */
 #define IN_FORCE_MS 4000 /* from the acknowledgement to all nodes */
 #define BACK_MS 4000     /* from a start of all to the newest table at all */
-#define COPIES_MAX 2     /* of one table, for each node */
+#define VOTE_WAIT_US                                                          \
+    100000U          /* longest wait of consensus at a link: half of          \
+                        the time between a leader's rounds */
+#define COPIES_MAX 2 /* of one table, for each node */
 
 /* Starts a fleet of a few nodes, with large tables and wide links. */
 static struct fleet_sim *
@@ -59,13 +64,13 @@
 
 /* Starts a fleet as that of the incident. */
 static struct fleet_sim *
-start_many(uint64_t seed)
+start_many(int nodes, unsigned table_bytes, uint64_t seed)
 {
-    struct fleet_sim_options options = {.nodes = NODES,
+    struct fleet_sim_options options = {.nodes = nodes,
                                         .disks = DISKS,
                                         .upstreams = 150,
                                         .seed = seed,
-                                        .table_bytes = TABLE_BYTES,
+                                        .table_bytes = table_bytes,
                                         .apply_ms = APPLY_MS,
                                         .link_kb_s = LINK_KB_S,
                                         .disk_link_kb_s = DISK_LINK_KB_S};
@@ -349,7 +354,7 @@
     for (int n = 0; n < sim->count; n++) {
         bytes += sim->nodes[n].tables_sent;
     }
-    return bytes / TABLE_BYTES;
+    return bytes / sim->options.table_bytes;
 }
 
 /* Changes in quick succession. */
@@ -357,14 +362,19 @@
     const char *name;
     unsigned count; /* tables, each sent when the one before is acknowledged */
     unsigned loss;  /* of 1,000 messages, from the first change on */
-    bool kill_all;  /* then all nodes are killed and started at once */
+    int nodes;
+    unsigned table_bytes;
+    uint64_t within_ms; /* from the last acknowledgement to all nodes */
+    bool kill_all;      /* then all nodes are killed and started at once */
 };
 
 static const struct changes changes[] = {
-    {"one", 1, 0, false},
-    {"one-lossy", 1, 50, false},
-    {"three", 3, 0, false},
-    {"kill-all", 2, 0, true},
+    {"one", 1, 0, NODES, TABLE_BYTES, IN_FORCE_MS, false},
+    {"one-lossy", 1, 50, NODES, TABLE_BYTES, IN_FORCE_MS, false},
+    {"three", 3, 0, NODES, TABLE_BYTES, IN_FORCE_MS, false},
+    {"three-in-300-nodes", 3, 0, 300, TABLE_BYTES, IN_FORCE_MS, false},
+    {"large-in-300-nodes", 1, 0, 300, 100000, 2 * IN_FORCE_MS, false},
+    {"kill-all", 2, 0, NODES, TABLE_BYTES, IN_FORCE_MS, true},
 };
 
 /* Changes reach all nodes in time, by few copies for each, and the leader goes
@@ -373,7 +383,7 @@
 test_changes(const void *data)
 {
     const struct changes *c = data;
-    struct fleet_sim *sim = start_many(17);
+    struct fleet_sim *sim = start_many(c->nodes, c->table_bytes, 17);
     uint64_t version = 1 + c->count;
     uint64_t before;
     uint64_t term;
@@ -383,6 +393,7 @@
     fleet_sim_run(sim, sim->now + HEAL_MS);
     term = sim->nodes[fleet_sim_leader(sim)].order.cons.term;
     before = copies_sent(sim);
+    sim->vote_wait_us = 0;
     sim->options.loss = c->loss;
     put(sim, 2, version);
     if (c->kill_all) {
@@ -394,13 +405,17 @@
         }
         term++;
     }
-    took = run_until_in_force(sim, version, IN_FORCE_MS);
+    took = run_until_in_force(sim, version, c->within_ms);
     fleet_sim_run(sim, sim->now + HEAL_MS);
-    g_test_message("in force after %lu ms, %.1f copies a node", (long)took,
-                   (double)(copies_sent(sim) - before) / NODES);
-    g_assert_cmpuint(took, <, IN_FORCE_MS);
+    g_test_message("in force after %lu ms, consensus waited %lu ms, %.1f "
+                   "copies a node",
+                   (long)took, (long)sim->vote_wait_us / 1000,
+                   (double)(copies_sent(sim) - before) / c->nodes);
+    g_assert_cmpuint(took, <, c->within_ms);
+    g_assert_cmpuint(sim->vote_wait_us, <, VOTE_WAIT_US);
     g_assert_cmpuint(copies_sent(sim) - before, <=,
-                     COPIES_MAX * NODES * (c->count + c->kill_all));
+                     COPIES_MAX * (uint64_t)c->nodes *
+                         (c->count + c->kill_all));
     g_assert_cmpint(fleet_sim_leader(sim), >=, 0);
     g_assert_cmpuint(sim->nodes[fleet_sim_leader(sim)].order.cons.term, ==,
                      term);
@@ -408,12 +423,19 @@
     fleet_sim_free(sim);
 }
 
+/* What is left out, and the test that fails by it. */
+static const struct mutation mutations[] = {
+    {"copies-take-all-of-a-link", FAULT_NO_PACE,
+     "/table/changes/three-in-300-nodes"},
+};
+
 /* Lists the tests. */
 int
 main(int argc, char **argv)
 {
     char path[128];
 
+    mutation_begin();
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     g_test_add_func("/table/wiped", test_wiped);
@@ -432,5 +454,6 @@
                        changes[i].name);
         g_test_add_data_func(path, &changes[i], test_changes);
     }
+    CASES_ADD("/table/mutation/", mutations, mutation_test)
     return g_test_run();
 }
