node-http: a read whose table cannot be unpacked is answered 503

Cause: found by reading: it was answered 200 with an empty object. Parts of one message were bounded by 4.5 MiB, eight of them being 36 MB that a stranger could make a node hold. Change: 503 with Retry-After; 24 parts at most (1.1 MiB, more than the largest table).

--- a/node-http.c
+++ b/node-http.c
@@ -394,19 +394,17 @@
     *state = NULL;
 }
 
-/* The body that answers a call of an operator. */
+/* The body that answers a call of an operator: a table, or why there is none.
+ */
 static struct MHD_Response *
-make_body(const struct status *status, const wire_routes *table)
+make_body(const struct status *status, const char *text, size_t length)
 {
-    char *text =
-        table != NULL && status->kind == STATUS_OK ? node_unpack(table) : NULL;
     struct MHD_Response *out;
     json_object *doc;
 
     if (text != NULL) {
-        out = library_microhttpd.new_response(table->length, text,
+        out = library_microhttpd.new_response(length, (void *)text,
                                               MHD_RESPMEM_MUST_COPY);
-        g_free(text);
     }
     else {
         doc = json_object_new_object();
@@ -430,6 +428,7 @@
 {
     struct call *call = g_hash_table_lookup(node->calls, &token);
     bool ok = status->kind == STATUS_OK;
+    char *text = NULL;
     uint64_t took_us = call != NULL ? loop_now_us() - call->began_us : 0;
 
     log_event(ok ? LOG_INFO : LOG_WARN, "operator-answered",
@@ -446,13 +445,14 @@
         counter_add(&node->counters, COUNTER_TABLES_TAKEN, 1);
     }
     histogram_add(&node->histograms, HISTOGRAM_OPERATOR, took_us);
-    if (table != NULL && table->bundle_version == 0) {
-        call->code = MHD_HTTP_SERVICE_UNAVAILABLE;
-    }
-    else {
-        call->code = ok ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE;
+    if (ok && table != NULL) {
+        /* A read: nothing is answered for a table that there is not. */
+        text = table->bundle_version != 0 ? node_unpack(table) : NULL;
+        ok = text != NULL;
     }
-    call->out = make_body(status, table);
+    call->code = ok ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE;
+    call->out = make_body(status, text, text != NULL ? table->length : 0);
+    g_free(text);
     if (!ok) {
         (void)library_microhttpd.add_header(call->out, "Retry-After",
                                             RETRY_AFTER_S);
--- a/part.h
+++ b/part.h
@@ -19,7 +19,7 @@
     65499U /**< bytes of a message that is sent whole: the checksum before    \
                 it has 8 */
 #define PART_COUNT_MAX                                                        \
-    96U /**< parts of one message: 4.5 MiB, more than a log entry may have */
+    24U /**< parts of one message: 1.1 MiB, more than the largest table */
 #define PART_OPEN_MAX                                                         \
     8U /**< messages that are being put together; the oldest makes room */
 #define PART_WAIT_MS                                                          \
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -534,6 +534,20 @@
     return best;
 }
 
+/* The lowest version that a running node works by. */
+uint64_t
+fleet_sim_lowest_version(const struct fleet_sim *sim)
+{
+    uint64_t lowest = UINT64_MAX;
+
+    for (int n = 0; n < sim->count; n++) {
+        if (sim->nodes[n].up) {
+            lowest = MIN(lowest, sim->nodes[n].fleet.routes.bundle_version);
+        }
+    }
+    return lowest;
+}
+
 /* The node that serves an operator who asked another one. */
 static int
 serving(const struct fleet_sim *sim, int n)
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -120,6 +120,8 @@
 bool fleet_sim_get(struct fleet_sim *sim, uint64_t limit_ms);
 /* The node that leads, -1 when none does. */
 int fleet_sim_leader(const struct fleet_sim *sim);
+/* The lowest version that a running node works by. */
+uint64_t fleet_sim_lowest_version(const struct fleet_sim *sim);
 /* Notes the first broken promise. */
 void fleet_sim_note(struct fleet_sim *sim, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
