--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -1,5 +1,5 @@
 /* Simulated time over the nodes of a fleet. */
-#include "fleet-sim.h"
+#include "fleet-sim-internal.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -7,11 +7,8 @@
 #include "codec.h"
 #include "random.h"
 
-#define BEGIN_MS 1000000      /* the time at which a fleet starts */
-#define STEP_MS 5             /* time passes in steps */
-#define LINK_QUEUE_US 1000000 /* a message that would wait longer is lost */
-#define DELAY_MS 1            /* least time that a message is under way */
-#define JITTER_MS 3           /* most that is added to it */
+#define BEGIN_MS 1000000 /* the time at which a fleet starts */
+#define STEP_MS 5        /* time passes in steps */
 #define TRY_MS 100 /* between an operator's calls until one is answered */
 #define TRY_AGAIN_MS 1000 /* until an upstream asks another node */
 #define TICKS_LATE_MAX 2  /* in a row, in which a deadline may be past */
@@ -23,14 +20,6 @@
 /* Keeps the identity of a disk apart from a founder's, its node's address. */
 #define IDENTITY_BIT (1ULL << 63)
 
-/* A message under way. */
-struct flight {
-    uint64_t at;
-    int from;
-    int to;
-    GByteArray *bytes;
-};
-
 /* Random number below a bound; any when it is 0. */
 uint64_t
 fleet_sim_random(struct fleet_sim *sim, uint64_t below)
@@ -54,114 +43,6 @@
     va_end(args);
 }
 
-/* Node at an address, -1 when there is none. */
-static int
-node_at(const struct fleet_sim *sim, uint32_t address)
-{
-    for (int i = 0; i < sim->count; i++) {
-        if (sim->nodes[i].address == address) {
-            return i;
-        }
-    }
-    return -1;
-}
-
-/* Says whether a node runs now. */
-static bool
-is_running(const struct fleet_sim *sim, int n)
-{
-    return sim->nodes[n].up && sim->now >= sim->nodes[n].frozen_until;
-}
-
-/* When a message of so many bytes has passed a link that is free at a time;
- * UINT64_MAX: its queue is full. */
-static uint64_t
-pass_link(uint64_t now_us, uint64_t *free_at, unsigned kb_s, size_t bytes)
-{
-    uint64_t begins = MAX(now_us, *free_at);
-
-    if (kb_s == 0) {
-        return now_us;
-    }
-    if (begins > now_us + LINK_QUEUE_US) {
-        return UINT64_MAX;
-    }
-    *free_at = begins + bytes * 1000 / kb_s;
-    return *free_at;
-}
-
-/* Rate of a node's link. */
-static unsigned
-link_of(const struct fleet_sim *sim, int n)
-{
-    return sim->nodes[n].has_disk ? sim->options.disk_link_kb_s
-                                  : sim->options.link_kb_s;
-}
-
-/* When a message arrives; UINT64_MAX: it is lost at a full link. */
-static uint64_t
-arrival(struct fleet_sim *sim, int from, int to, size_t bytes)
-{
-    uint64_t at = pass_link(sim->now * 1000, &sim->nodes[from].out_free_at,
-                            link_of(sim, from), bytes);
-
-    if (at == UINT64_MAX) {
-        return at;
-    }
-    at += 1000 * (DELAY_MS + fleet_sim_random(sim, JITTER_MS + 1));
-    at = pass_link(at, &sim->nodes[to].in_free_at, link_of(sim, to), bytes);
-    return at == UINT64_MAX ? at : at / 1000;
-}
-
-/* Sends a datagram. */
-static void
-send_datagram(struct fleet_sim *sim, int from, uint32_t to_address,
-              const GByteArray *bytes)
-{
-    struct flight flight = {.from = from, .to = node_at(sim, to_address)};
-
-    if (bytes->len > FLEET_SIM_DATAGRAM_MAX) {
-        return;
-    }
-    sim->nodes[from].bytes_sent += bytes->len;
-    if (flight.to < 0 || sim->cut[from][flight.to] ||
-        fleet_sim_random(sim, 1000) < sim->options.loss) {
-        return;
-    }
-    flight.at = arrival(sim, from, flight.to, bytes->len);
-    if (flight.at == UINT64_MAX) {
-        return;
-    }
-    flight.bytes = g_byte_array_ref((GByteArray *)bytes);
-    g_array_append_val(sim->queue, flight);
-}
-
-/* Sends a message, in parts when no datagram holds it. */
-static void
-send_bytes(struct fleet_sim *sim, int from, uint32_t to, GByteArray *bytes)
-{
-    GPtrArray *parts;
-
-    uint32_t kind = codec_kind(bytes->data, bytes->len);
-
-    if (kind == WIRE_ROUTES) {
-        sim->nodes[from].tables_sent += bytes->len;
-    }
-    if (kind < WIRE_HELLO && sim->nodes[from].out_free_at > sim->now * 1000) {
-        sim->vote_wait_us = MAX(
-            sim->vote_wait_us, sim->nodes[from].out_free_at - sim->now * 1000);
-    }
-    if (bytes->len <= PART_MESSAGE_MAX) {
-        send_datagram(sim, from, to, bytes);
-        return;
-    }
-    parts = part_split(fleet_sim_random(sim, 0) | 1, bytes->data, bytes->len);
-    for (guint i = 0; parts != NULL && i < parts->len; i++) {
-        send_datagram(sim, from, to, g_ptr_array_index(parts, i));
-    }
-    g_clear_pointer(&parts, g_ptr_array_unref);
-}
-
 /* Carries out an action of consensus. */
 static void
 act_cons(struct fleet_sim *sim, int n, struct cons_action *action)
@@ -186,7 +67,7 @@
         return;
     case CONS_SEND:
         bytes = codec_encode(&action->msg);
-        send_bytes(sim, n, action->to, bytes);
+        fleet_sim_send(sim, n, action->to, bytes);
         g_byte_array_unref(bytes);
         return;
     case CONS_LOAD:
@@ -302,7 +183,7 @@
     for (size_t i = 0; i < count; i++) {
         switch (all[i].kind) {
         case FLEET_SEND:
-            send_bytes(sim, n, all[i].to, all[i].bytes);
+            fleet_sim_send(sim, n, all[i].to, all[i].bytes);
             break;
         case FLEET_DISK:
             if (node->has_disk) {
@@ -368,7 +249,7 @@
         .incarnation = fleet_sim_random(sim, 0),
         .identity = node->has_disk ? node->disk.identity : 0,
         .first_start = first_start,
-        .link_kbit_s = 8 * link_of(sim, n),
+        .link_kbit_s = 8 * fleet_sim_link_of(sim, n),
         .seed = fleet_sim_random(sim, 0)};
     uint32_t seeds[SEEDS];
     size_t count = 0;
@@ -524,7 +405,7 @@
     for (int i = 0; i < sim->count; i++) {
         const struct fleet_sim_node *node = &sim->nodes[i];
 
-        if (is_running(sim, i) && node->has_disk &&
+        if (fleet_sim_is_running(sim, i) && node->has_disk &&
             cons_is_ready(&node->order.cons) &&
             (best < 0 ||
              node->order.cons.term > sim->nodes[best].order.cons.term)) {
@@ -554,11 +435,12 @@
 {
     int leader;
 
-    if (!is_running(sim, n)) {
+    if (!fleet_sim_is_running(sim, n)) {
         return -1;
     }
-    leader = node_at(sim, sim->nodes[n].fleet.leader);
-    return leader >= 0 && !sim->cut[n][leader] && is_running(sim, leader) &&
+    leader = fleet_sim_node_at(sim, sim->nodes[n].fleet.leader);
+    return leader >= 0 && !sim->cut[n][leader] &&
+                   fleet_sim_is_running(sim, leader) &&
                    sim->nodes[leader].has_disk
                ? leader
                : -1;
@@ -656,7 +538,7 @@
 
     registration.address += (uint32_t)index;
     registration.sequence = ++u->sequence;
-    if (!is_running(sim, n)) {
+    if (!fleet_sim_is_running(sim, n)) {
         u->keeper = -1;
         u->register_at = sim->now + TRY_AGAIN_MS;
         return;
@@ -681,8 +563,8 @@
 }
 
 /* Gives a message to a node; a part waits until its message is whole. */
-static void
-deliver(struct fleet_sim *sim, int to, const GByteArray *bytes)
+void
+fleet_sim_deliver(struct fleet_sim *sim, int to, const GByteArray *bytes)
 {
     struct fleet_sim_node *node = &sim->nodes[to];
     GByteArray *whole;
@@ -692,7 +574,7 @@
     if (msg.kind == WIRE_PART) {
         whole = part_take(&node->parts, sim->now, &msg.wire_msg_u.part);
         if (whole != NULL) {
-            deliver(sim, to, whole);
+            fleet_sim_deliver(sim, to, whole);
             g_byte_array_unref(whole);
         }
     }
@@ -706,36 +588,6 @@
     act(sim, to);
 }
 
-/* Says whether a message that is under way must wait. */
-static bool
-waits(const struct fleet_sim *sim, const struct flight *flight)
-{
-    return flight->at > sim->now ||
-           (sim->nodes[flight->to].up && !is_running(sim, flight->to));
-}
-
-/* Delivers messages that are due; those for a frozen node wait. What is sent
- * meanwhile stands at the end of the queue. */
-static void
-deliver_due(struct fleet_sim *sim)
-{
-    guint kept = 0;
-
-    for (guint i = 0; i < sim->queue->len; i++) {
-        struct flight flight = g_array_index(sim->queue, struct flight, i);
-
-        if (waits(sim, &flight)) {
-            g_array_index(sim->queue, struct flight, kept++) = flight;
-            continue;
-        }
-        if (sim->nodes[flight.to].up && !sim->cut[flight.from][flight.to]) {
-            deliver(sim, flight.to, flight.bytes);
-        }
-        g_byte_array_unref(flight.bytes);
-    }
-    g_array_set_size(sim->queue, kept);
-}
-
 /* Earliest deadline of a node. */
 static uint64_t
 deadline(const struct fleet_sim_node *node)
@@ -785,9 +637,9 @@
     while (sim->now < until) {
         sim->now += STEP_MS;
         register_all(sim);
-        deliver_due(sim);
+        fleet_sim_deliver_due(sim);
         for (int i = 0; i < sim->count; i++) {
-            if (is_running(sim, i)) {
+            if (fleet_sim_is_running(sim, i)) {
                 tick(sim, i);
             }
         }
@@ -804,7 +656,7 @@
     sim->first_seed = options->first_seed;
     sim->now = BEGIN_MS;
     sim->random = options->seed;
-    sim->queue = g_array_new(FALSE, FALSE, sizeof(struct flight));
+    sim->queue = fleet_sim_queue_new();
     sim->waiting =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     for (int i = 0; i < options->nodes; i++) {
@@ -836,10 +688,7 @@
         g_free(sim->nodes[i].disk.snapshot.config.voters.voters_val);
         g_array_free(sim->nodes[i].disk.log, TRUE);
     }
-    for (guint i = 0; i < sim->queue->len; i++) {
-        g_byte_array_unref(g_array_index(sim->queue, struct flight, i).bytes);
-    }
-    g_array_free(sim->queue, TRUE);
+    fleet_sim_queue_free(sim->queue);
     g_hash_table_destroy(sim->waiting);
     g_free(sim);
 }
