fleet: a node that begins asks again, though changes arrive from others

Cause: while records arrived the next question was put off, but they arrive from all nodes when upstreams change: a node that began among changes never asked for the table (found by reading the change before it landed). Change: it is put off for half a second after a question at most. A node that is compared with does not begin a comparison of its own meanwhile, which the same repair would do twice.

--- a/fleet-inventory.c
+++ b/fleet-inventory.c
@@ -283,7 +283,8 @@
 }
 
 /* Answers a comparison: sends what the other node lacks, and asks it for what
- * this one lacks. */
+ * this one lacks. Both then hold the same there, so this node need not begin
+ * one of its own meanwhile. */
 void
 fleet_take_compare(struct fleet *fleet, uint64_t now,
                    const wire_compare *compare)
@@ -294,6 +295,7 @@
     u_int count;
 
     if (compare->node != FLEET_ALL && now + BACKLOG_MS >= fleet->pay_at) {
+        fleet->compare_at = MAX(fleet->compare_at, now + FLEET_COMPARE_MS);
         open_gathered(&g, fleet->upstreams);
         gather_lacking(fleet, now, compare, &g);
         count = list_needed(fleet, compare->list.list_val,
--- a/fleet.c
+++ b/fleet.c
@@ -374,6 +374,7 @@
         fleet->settled = true;
     }
     if (should_ask(fleet, now, hello, same)) {
+        fleet->asked_at = now;
         fleet->asked_until = now + FLEET_ASK_MS;
         fleet_ask(fleet, from);
     }
@@ -391,8 +392,9 @@
         (void)upstream_merge(fleet->upstreams, now,
                              &upstreams->list.list_val[i]);
     }
-    /* Whoever was asked is still sending. */
-    fleet->asked_until = MAX(fleet->asked_until, now + FLEET_SEEK_MS);
+    /* Whoever was asked may still be sending, but others tell of changes. */
+    fleet->asked_until = MIN(MAX(fleet->asked_until, now + FLEET_SEEK_MS),
+                             fleet->asked_at + FLEET_ASK_MOST_MS);
 }
 
 /* Takes a message of another node. The kinds of other roles are not for
--- a/fleet.h
+++ b/fleet.h
@@ -34,6 +34,9 @@
 #define FLEET_ASK_MS                                                          \
     200U /**< a node that begins asks another one for what it lacks only so   \
               long after the last: 20 KB take 50 ms on a link of 3 Mbit/s */
+#define FLEET_ASK_MOST_MS                                                     \
+    500U /**< the same while records arrive: 64 KB take 0.23 s on a link of   \
+              2.2 Mbit/s, and another node may be served before */
 #define FLEET_ASK_ANY_MS                                                      \
     50U /**< after the first hello, nodes without a disk are asked too;       \
              those with one answer within a few ms and have larger links */
@@ -113,6 +116,7 @@
                                           another node */
     bool settled;                    /**< holds enough to serve */
     uint64_t met_at;                 /**< first hello of a peer, 0: none */
+    uint64_t asked_at;               /**< when it asked last, 0: never */
     uint64_t asked_until;            /**< deadline: until then the node that
                                           was asked may still send */
     GArray *unheard;                 /**< uint32_t: nodes that were stored and
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -12,7 +12,7 @@
 #include "fleet-sim.h"
 
 #define SEEDS 8
-#define MUTATION_SEEDS 40
+#define MUTATION_SEEDS 200
 #define SETTLE_MS 6000  /* from the first start to the first table */
 #define OPERATE_MS 8000 /* an operator's call is answered within it */
 #define EVENT_MS 1000   /* between two events */
--- a/tests/test-table.c
+++ b/tests/test-table.c
@@ -185,6 +185,29 @@
     }
 }
 
+/* A node that begins asks for the table, though changes of upstreams arrive
+ * from all nodes all the time: they do not come from the one that it asked. */
+static void
+test_begins_among_changes(void)
+{
+    struct fleet_sim *sim = start_few(7);
+    wire_msg changes = {.kind = WIRE_UPSTREAMS};
+    uint64_t until;
+    int joined;
+
+    put(sim, 1, 1);
+    fleet_sim_run(sim, sim->now + PAUSE_MS);
+    sim->first_seed = DISKS;
+    joined = fleet_sim_join(sim);
+    until = sim->now + PAUSE_MS;
+    while (sim->now < until) {
+        fleet_receive(&sim->nodes[joined].fleet, sim->now, &changes);
+        fleet_sim_run(sim, sim->now + 20);
+    }
+    g_assert_cmpuint(sim->nodes[joined].fleet.routes.bundle_version, ==, 1);
+    fleet_sim_free(sim);
+}
+
 /* A table that no datagram holds reaches all nodes, also an empty disk. */
 static void
 test_larger_than_a_datagram(void)
@@ -528,6 +551,7 @@
     g_test_add_func("/table/pack", test_pack);
     g_test_add_func("/table/wire", test_wire);
     CASES_ADD("/table/bad-wire/", bad_wires, test_bad_wire)
+    g_test_add_func("/table/begins-among-changes", test_begins_among_changes);
     g_test_add_func("/table/bad-parts", test_bad_parts);
     for (size_t i = 0; i < G_N_ELEMENTS(arrivals); i++) {
         (void)snprintf(path, sizeof(path), "/table/arrivals/%s",
