--- a/tests/test-founding.c
+++ b/tests/test-founding.c
@@ -7,7 +7,6 @@
  * disk it forgets what was acknowledged.
  */
 #include <glib.h>
-#include <stdio.h>
 
 #include "cases.h"
 #include "fleet-sim.h"
@@ -108,10 +107,7 @@
     mutation_begin();
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
-    for (size_t i = 0; i < G_N_ELEMENTS(cuts); i++) {
-        (void)snprintf(path, sizeof(path), "/founding/%s", cuts[i].name);
-        g_test_add_data_func(path, &cuts[i], test_cut);
-    }
+    CASES_ADD("/founding/", cuts, test_cut)
     CASES_ADD("/founding/mutation/", mutations, mutation_test)
     return g_test_run();
 }
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -18,7 +18,6 @@
  * size; and this test.
  */
 #include <glib.h>
-#include <stdio.h>
 
 #include "cases.h"
 #include "fleet-sim.h"
@@ -218,10 +217,7 @@
     mutation_begin();
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
-    for (size_t i = 0; i < G_N_ELEMENTS(kills); i++) {
-        (void)snprintf(path, sizeof(path), "/size/kill/%s", kills[i].name);
-        g_test_add_data_func(path, &kills[i], test_kill);
-    }
+    CASES_ADD("/size/kill/", kills, test_kill)
     g_test_add_func("/size/disks-lack", test_disks_lack);
     g_test_add_func("/size/calm", test_calm);
     CASES_ADD("/size/mutation/", mutations, mutation_test)
--- a/tests/test-table.c
+++ b/tests/test-table.c
@@ -21,7 +21,6 @@
  * other alone.
  */
 #include <glib.h>
-#include <stdio.h>
 
 #include "cases.h"
 #include "codec.h"
@@ -553,16 +552,8 @@
     CASES_ADD("/table/bad-wire/", bad_wires, test_bad_wire)
     g_test_add_func("/table/begins-among-changes", test_begins_among_changes);
     g_test_add_func("/table/bad-parts", test_bad_parts);
-    for (size_t i = 0; i < G_N_ELEMENTS(arrivals); i++) {
-        (void)snprintf(path, sizeof(path), "/table/arrivals/%s",
-                       arrivals[i].name);
-        g_test_add_data_func(path, &arrivals[i], test_arrivals);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
-        (void)snprintf(path, sizeof(path), "/table/changes/%s",
-                       changes[i].name);
-        g_test_add_data_func(path, &changes[i], test_changes);
-    }
+    CASES_ADD("/table/arrivals/", arrivals, test_arrivals)
+    CASES_ADD("/table/changes/", changes, test_changes)
     CASES_ADD("/table/mutation/", mutations, mutation_test)
     return g_test_run();
 }
