fleet-spread: what takes an upstream out of use is pushed twice

Ruled out: the acknowledgement (0.17 s) and full links (1.0 to 1.5 MB in the busiest node's worst second). Change: leaving, silent and gone are pushed once more after 0.3 s. Before/after: /fleet/upstream/leaving-push-lost, gone-push-lost: fail without it.

--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -76,6 +76,8 @@
 void fleet_ask(struct fleet *fleet, uint32_t to);
 /** LEADER: tells all members who is new. */
 void fleet_push_joined(struct fleet *fleet);
+/** Pushes once more what takes upstreams out of use. */
+void fleet_push_again(struct fleet *fleet, uint64_t now);
 /** Sends all members. */
 void fleet_send_members(struct fleet *fleet, uint32_t to);
 /** Owes the members to the node of a hello that lacks them. */
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -200,6 +200,47 @@
     g_array_set_size(set->doubted, 0);
 }
 
+/* A change that takes an upstream out of use is pushed once more: a node that
+ * missed it would go on sending new flows there. */
+static void
+note_again(struct fleet *fleet, uint64_t now, const struct upstream *upstream)
+{
+    struct fleet_again again = {.id = upstream->id,
+                                .at = now + FLEET_AGAIN_MS};
+
+    if (upstream->state != UPSTREAM_READY && !fault_is(FAULT_NO_AGAIN)) {
+        g_array_append_val(fleet->again, again);
+    }
+}
+
+/* Pushes once more what is due. */
+void
+fleet_push_again(struct fleet *fleet, uint64_t now)
+{
+    const struct fleet_again *all =
+        (const struct fleet_again *)(void *)fleet->again->data;
+    wire_upstream *records;
+    guint due = 0;
+    guint count = 0;
+
+    if (fleet->again->len == 0 || now < all[0].at) {
+        return;
+    }
+    records = g_new0(wire_upstream, fleet->again->len);
+    while (due < fleet->again->len && now >= all[due].at) {
+        const struct upstream *u =
+            upstream_by_id(fleet->upstreams, all[due].id);
+
+        due++;
+        if (u != NULL && u->state != UPSTREAM_READY) {
+            upstream_pack(fleet->upstreams, now, u, &records[count++]);
+        }
+    }
+    g_array_remove_range(fleet->again, 0, due);
+    fleet_send_upstreams(fleet, FLEET_ALL, records, count);
+    g_free(records);
+}
+
 /* Pushes what changed in the inventory. */
 void
 fleet_spread(struct fleet *fleet, uint64_t now)
@@ -219,6 +260,7 @@
 
         if (u != NULL) {
             upstream_pack(set, now, u, &records[count++]);
+            note_again(fleet, now, u);
         }
     }
     g_array_set_size(set->changed, 0);
--- a/fleet.c
+++ b/fleet.c
@@ -40,6 +40,7 @@
     fleet->joined = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     fleet->unheard = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     fleet->owed = g_array_new(FALSE, FALSE, sizeof(struct fleet_owed));
+    fleet->again = g_array_new(FALSE, FALSE, sizeof(struct fleet_again));
     fleet->bulk_bytes_ms =
         (uint32_t)(options->link_kbit_s / 8 / FLEET_BULK_SHARE);
 }
@@ -54,6 +55,7 @@
     g_array_free(fleet->joined, TRUE);
     g_array_free(fleet->unheard, TRUE);
     g_array_free(fleet->owed, TRUE);
+    g_array_free(fleet->again, TRUE);
     g_free(fleet->routes.packed.packed_val);
 }
 
@@ -274,6 +276,7 @@
             fleet_push_table(fleet, now);
         }
     }
+    fleet_push_again(fleet, now);
     fleet_pay(fleet, now);
     if (now >= fleet->hello_at) {
         greet(fleet, now);
@@ -454,6 +457,9 @@
     if (fleet->leads_since != 0 && fleet->joined->len > 0) {
         at = MIN(at, fleet->joined_at + FLEET_JOINED_MS);
     }
+    if (fleet->again->len > 0) {
+        at = MIN(at, g_array_index(fleet->again, struct fleet_again, 0).at);
+    }
     return fleet->owed->len > 0 ? MIN(at, fleet->pay_at) : at;
 }
 
--- a/fleet.h
+++ b/fleet.h
@@ -56,6 +56,10 @@
 #define FLEET_COMPARE_MS                                                      \
     500U /**< a node compares its inventory with one other so often, however  \
               many it meets: what it sends does not grow with the fleet */
+#define FLEET_AGAIN_MS                                                        \
+    300U /**< what takes an upstream out of use is pushed again so long       \
+            after: of 300 nodes one or the other misses a push, and                             \
+            comparisons among 3,000 upstreams find it after up to 3 s */
 #define FLEET_JOINED_MS                                                       \
     100U /**< LEADER: between two messages to all about nodes that are new */
 
@@ -89,6 +93,12 @@
     unsigned what; /**< enum fleet_bulk, or-ed */
 };
 
+/** A change that is pushed once more. */
+struct fleet_again {
+    uint64_t id; /**< of the upstream */
+    uint64_t at; /**< deadline */
+};
+
 /** Another node. */
 struct fleet_member {
     wire_node node;     /**< as it or the leader reported it */
@@ -134,6 +144,8 @@
     uint32_t bulk_bytes_ms;          /**< copies may take so much of the link,
                                           0: no bound */
     uint64_t bytes_sent;             /**< of all messages to one node */
+    GArray *again;                   /**< struct fleet_again, first due first
+                                      */
     uint64_t compare_at;             /**< deadline: compare the inventory */
     uint64_t seen_routes;            /**< highest version that was shown */
     uint64_t ask_table_at;          /**< deadline: ask who shows a newer one */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -27,6 +27,7 @@
 #define REPAIR_MS 3000 /* it has them again within it */
 #define REPAIR_BYTES                                                          \
     60000U /* most that all nodes send meanwhile, of which 50 KB are calm */
+#define LOST_PUSH_MS 50   /* in which what a node sends is lost */
 #define LOOK_MS 100       /* between two looks at what nodes believe */
 #define LOST_UPSTREAMS 16 /* that are lost with their node */
 #define DROP_MS 1500      /* after that all know that a node is dropped */
@@ -377,6 +378,44 @@
     fleet_sim_free(sim);
 }
 
+/* An upstream says that it leaves, or ends, while all that its keeper sends is
+ * lost: all know it a moment after, without a comparison that finds it. */
+static void
+test_push_lost(const void *data)
+{
+    bool ends = data != NULL;
+    struct fleet_sim_options options = {
+        .nodes = 11, .disks = 3, .upstreams = KNOWN_UPSTREAMS, .seed = 3};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    struct fleet_sim_upstream *u = &sim->upstreams[0];
+    enum upstream_state state = ends ? UPSTREAM_GONE : UPSTREAM_LEAVING;
+    int keeper;
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    keeper = u->keeper;
+    fleet_sim_isolate(sim, keeper, true);
+    if (ends) {
+        u->up = false;
+        upstream_deregister(&sim->nodes[keeper].upstreams, sim->now, u->id);
+    }
+    else {
+        u->leaving = true;
+        u->register_at = sim->now;
+    }
+    fleet_sim_run(sim, sim->now + LOST_PUSH_MS);
+    fleet_sim_isolate(sim, keeper, false);
+    /* What comparisons find is not looked for here. */
+    for (int n = 0; n < sim->count; n++) {
+        sim->nodes[n].fleet.compare_at = UINT64_MAX;
+    }
+    fleet_sim_run(sim, sim->now + FLEET_AGAIN_MS + LOST_PUSH_MS);
+    for (int n = 0; n < sim->count; n++) {
+        g_assert_cmpint(upstream_by_id(&sim->nodes[n].upstreams, u->id)->state,
+                        ==, state);
+    }
+    fleet_sim_free(sim);
+}
+
 /* A keeper that restarts at once still hears its upstreams: nobody may believe
  * that they are silent. */
 static void
@@ -662,6 +701,10 @@
                        knowns[i].name);
         g_test_add_data_func(path, &knowns[i], test_known);
     }
+    g_test_add_data_func("/fleet/upstream/leaving-push-lost", NULL,
+                         test_push_lost);
+    g_test_add_data_func("/fleet/upstream/gone-push-lost", "ends",
+                         test_push_lost);
     g_test_add_func("/fleet/upstream/keeper-restarts", test_keeper_restarts);
     g_test_add_func("/fleet/upstream/lost-together", test_lost_together);
     g_test_add_func("/fleet/upstream/repair", test_repair);
