--- a/fleet-owed.c
+++ b/fleet-owed.c
@@ -9,7 +9,7 @@
  * instead of 2.6, three changes in a row leave the leader in place, and its
  * rounds wait 11 ms at its link instead of 80 (simulated time). Of 2,300
  * requests 326 instead of 391 were late after a kill of all 96 nodes by the
- * share of the link alone (one play of each).
+ * share of the link alone (one run each).
  */
 #include "fleet-internal.h"
 
--- a/fleet.h
+++ b/fleet.h
@@ -58,7 +58,7 @@
               many it meets: what it sends does not grow with the fleet */
 #define FLEET_AGAIN_MS                                                        \
     300U /**< what takes an upstream out of use is pushed again so long       \
-            after: of 300 nodes one or the other misses a push, and                             \
+            after: of 300 nodes one or the other misses a push, and           \
             comparisons among 3,000 upstreams find it after up to 3 s */
 #define FLEET_JOINED_MS                                                       \
     100U /**< LEADER: between two messages to all about nodes that are new */
--- a/node.c
+++ b/node.c
@@ -45,8 +45,8 @@
 }
 
 /* Takes an operator's table that is committed. Only nodes with a disk read
- * documents: one of 4,245 routes takes 10 to 17 ms of a core, which is 0.4 s of
- * the smallest VM, in which it forwards nothing. */
+ * documents: one of 4,245 routes takes 10 to 17 ms of a core, which is 0.4 s
+ * of the smallest VM, in which it forwards nothing. */
 void
 node_take_table(struct node *node, const wire_routes *document)
 {
