--- a/fleet.h
+++ b/fleet.h
@@ -58,8 +58,8 @@
               many it meets: what it sends does not grow with the fleet */
 #define FLEET_AGAIN_MS                                                        \
     300U /**< what takes an upstream out of use is pushed again so long       \
-            after: of 300 nodes one or the other misses a push, and           \
-            comparisons among 3,000 upstreams find it after up to 3 s */
+            after: a node that misses both finds it by comparisons, three of  \
+            sixteen buckets at a time where 3,000 upstreams are known */
 #define FLEET_JOINED_MS                                                       \
     100U /**< LEADER: between two messages to all about nodes that are new */
 
