comments, docs: what a last reading of the change showed

Cause: the head of fleet.h told the old way of comparing, and a test's head told what was as what is.

--- a/fleet.h
+++ b/fleet.h
@@ -2,10 +2,11 @@
  * @file fleet.h
  * How the nodes of one deployment find each other and tell each other what
  * they know: members, the leader, the routing table in force and the
- * inventory of upstreams. Every node compares itself with the leader and
- * with a peer drawn by lot twice a second, and sends what the other lacks;
- * changes are pushed at once. Owns the members and the packed table; the
- * inventory is borrowed and changed only through upstream.h. Does no I/O.
+ * inventory of upstreams. Every node greets the leader and a peer drawn by
+ * lot twice a second, and asks for what it lacks, one node at a time; changes
+ * are pushed at once. What is large is owed to each node once. Owns the
+ * members and the packed table; the inventory is borrowed and changed only
+ * through upstream.h. Does no I/O.
  */
 #ifndef RIDGERIDGE_FLEET_H
 #define RIDGERIDGE_FLEET_H
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -10,12 +10,12 @@
  * ten times a second at each disk, and each disk answered each of these hellos
  * with all that the two inventories differed in: 110 MB a second on a link of
  * 12.5. Votes were lost in the same queue, so nodes went on looking. What
- * differed stayed so, since a disk keeps a third of the upstreams, nodes only
- * send what they hold and never ask for what they lack, and a pair of nodes
- * meets once in 150 s.
+ * differed stayed so: a disk kept a third of the upstreams, nodes only sent
+ * what they held and never asked for what they lacked, and in a fleet of 300 a
+ * pair of nodes met once in 150 s.
  *
- * What proved it: bytes by what they were for, of each disk, in a run of that
- * size; and this test.
+ * What proved it: bytes by what they were for, of each disk of 301 nodes with
+ * 3,000 upstreams; and this test, which shows the same with half of them.
  */
 #include <glib.h>
 
