--- a/tests/test-table.c
+++ b/tests/test-table.c
@@ -63,7 +63,7 @@
     return sim;
 }
 
-/* Starts a fleet as that of the incident. */
+/* Starts a fleet of 96 nodes or more, with the links of the smallest VMs. */
 static struct fleet_sim *
 start_many(int nodes, unsigned table_bytes, uint64_t seed)
 {
