loop: each handler's time is measured, so a standstill at work is noticed

Cause: lateness was judged by the deadline of the timer alone. A pause in the midst of a handler ended before the handler set its next deadline, so the wake-up did not count as late and first packets that had waited were forwarded, though their copies had opened the flow elsewhere. Ruled out: a wider or narrower tolerance; it would still look at the timer. A turn that is long by work of its own counts too: what waited in the socket meanwhile is as old.

--- a/loop.c
+++ b/loop.c
@@ -26,7 +26,9 @@
     ev_async wake;
     ev_timer timer;
     ev_check check;
-    uint64_t wake_at; /* time of the timer, 0: none */
+    ev_prepare prepare;
+    uint64_t wake_at; /* time of the timer, UINT64_MAX: none */
+    uint64_t due_at;  /* the loop was to be running again by then */
     uint64_t late_ms;
     loop_work late;
     void *late_data;
@@ -83,6 +85,22 @@
     return job;
 }
 
+/* The loop is running: calls the work for a late one first when it was to be
+ * so earlier. Each handler begins with it, so a standstill in the midst of one
+ * is noticed before the next takes what waited meanwhile. */
+static void
+note_running(void)
+{
+    uint64_t now = loop_now();
+    uint64_t due_at = loop_state.due_at;
+
+    loop_state.due_at = now;
+    if (loop_state.late != NULL && now > due_at &&
+        now - due_at > loop_state.late_ms) {
+        loop_state.late(loop_state.late_data);
+    }
+}
+
 /* Does all posted work. */
 static void
 on_wake(struct ev_loop *loop, ev_async *watcher, int events)
@@ -93,6 +111,7 @@
     (void)watcher;
     (void)events;
     while ((job = next_job()) != NULL) {
+        note_running();
         job->work(job->data);
         if (!job->waits) {
             g_free(job);
@@ -112,6 +131,8 @@
     (void)loop;
     (void)watcher;
     (void)events;
+    note_running();
+    loop_state.wake_at = UINT64_MAX;
     loop_state.tick(loop_state.tick_data);
 }
 
@@ -120,6 +141,7 @@
 loop_open_idle(loop_work tick, void *data)
 {
     loop_state.loop = ev_loop_new(EVFLAG_AUTO);
+    loop_state.wake_at = UINT64_MAX;
     loop_state.tick = tick;
     loop_state.tick_data = data;
     g_queue_init(&loop_state.jobs);
@@ -135,22 +157,36 @@
     (void)loop;
     (void)watcher;
     (void)events;
-    if (loop_now() > loop_state.wake_at + loop_state.late_ms) {
-        loop_state.late(loop_state.late_data);
-    }
+    note_running();
 }
 
-/* Calls work when the loop wakes up late. */
+/* The loop is about to wait, until its timer at the latest. */
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    note_running();
+    /* A deadline that was past already when it was set says nothing of how
+     * long this process stood still. */
+    loop_state.due_at = MAX(loop_state.due_at, loop_state.wake_at);
+}
+
+/* Calls work when the loop was not running for long. */
 void
 loop_on_late(loop_work work, void *data, uint64_t late_ms)
 {
     loop_state.late = work;
     loop_state.late_data = data;
     loop_state.late_ms = late_ms;
-    loop_state.wake_at = loop_now();
+    loop_state.due_at = loop_now();
     ev_check_init(&loop_state.check, on_check);
     ev_set_priority(&loop_state.check, EV_MAXPRI);
     ev_check_start(loop_state.loop, &loop_state.check);
+    ev_prepare_init(&loop_state.prepare, on_prepare);
+    ev_set_priority(&loop_state.prepare, EV_MINPRI);
+    ev_prepare_start(loop_state.loop, &loop_state.prepare);
 }
 
 /* Sets the timer to one time. */
@@ -160,9 +196,7 @@
     uint64_t now = loop_now();
     double wait = at > now ? (double)(at - now) / 1000.0 : 0.0;
 
-    /* A deadline that was past already when it was set says nothing of how
-     * long this process stood still. */
-    loop_state.wake_at = MAX(at, now);
+    loop_state.wake_at = at;
     ev_timer_stop(loop_state.loop, &loop_state.timer);
     ev_now_update(loop_state.loop);
     ev_timer_set(&loop_state.timer, wait, 0.0);
@@ -221,6 +255,7 @@
 
     (void)loop;
     (void)events;
+    note_running();
     watch->work(watch->data);
 }
 
@@ -245,6 +280,7 @@
 
     (void)loop;
     (void)events;
+    note_running();
     watch->work(watch->data);
 }
 
--- a/loop.h
+++ b/loop.h
@@ -32,9 +32,9 @@
 void loop_wake_at(uint64_t at);
 
 /**
- * Calls `work` before anything else when the loop wakes up more than
- * `late_ms` after the time of loop_wake_at(), or after that call when its time
- * was past already: the process stood still.
+ * Calls `work` before anything else when the process stood still for more than
+ * `late_ms`: the loop woke up so long after the time of loop_wake_at(), or so
+ * long after a handler began, the next one was to.
  */
 void loop_on_late(loop_work work, void *data, uint64_t late_ms);
 
--- a/tests/test-loop.c
+++ b/tests/test-loop.c
@@ -3,6 +3,7 @@
  * its own; time is real, so the margins are wide.
  */
 #include <glib.h>
+#include <unistd.h>
 
 #include "cases.h"
 #include "loop.h"
@@ -81,6 +82,49 @@
     g_assert_cmpuint(f.late, ==, f.c->late);
 }
 
+/* Two descriptors that can be read at once: the first handler stands still. */
+struct pair {
+    struct fixture f;
+    int fds[2][2];
+    unsigned called;
+};
+
+/* Stands still at first; then notes whether that was noticed before. */
+static void
+on_pair(void *data)
+{
+    struct pair *pair = data;
+
+    if (pair->called++ == 0) {
+        g_usleep(STALL_MS * 1000UL);
+        return;
+    }
+    g_assert_cmpuint(pair->f.late, ==, 1);
+    loop_stop();
+}
+
+/* What waited while one handler stood still is not taken by the next one of
+ * the same turn before the standstill is noticed. */
+static void
+test_between_handlers(void)
+{
+    struct pair pair = {.called = 0};
+
+    loop_open_idle(tick, &pair.f);
+    loop_on_late(count_late, &pair.f, LATE_MS);
+    for (int i = 0; i < 2; i++) {
+        g_assert_cmpint(pipe(pair.fds[i]), ==, 0);
+        g_assert_cmpint(write(pair.fds[i][1], "x", 1), ==, 1);
+        loop_watch(pair.fds[i][0], on_pair, &pair);
+    }
+    loop_run();
+    g_assert_cmpuint(pair.called, ==, 2);
+    for (int i = 0; i < 2; i++) {
+        (void)close(pair.fds[i][0]);
+        (void)close(pair.fds[i][1]);
+    }
+}
+
 /* Lists the tests. */
 int
 main(int argc, char **argv)
@@ -90,5 +134,6 @@
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     CASES_ADD("/loop/late/", lates, test_late)
+    g_test_add_func("/loop/late/between-handlers", test_between_handlers);
     return g_test_run();
 }
