fleet-relay: a node that has just begun does not take its fleet for a small one

Cause: a node that knows no more than 16 others sends changes to all of them itself. A node that believes an upstream silent ends its flows on two lost packets. Ruled out: lost messages (each was acknowledged), the relay's list of members. Change: only a node that knows all members sends to all.

--- a/fleet-relay.c
+++ b/fleet-relay.c
@@ -71,12 +71,15 @@
            !fleet->self.stopping;
 }
 
-/* Says whether this node sends changes to all others itself. */
+/* Says whether this node sends changes to all others itself. One that does not
+ * know all members yet may think a large fleet a small one: what it hears in
+ * its first second would reach a few nodes, and the others would call those
+ * upstreams silent. */
 static bool
 sends_to_all(const struct fleet *fleet)
 {
-    return g_hash_table_size(fleet->members) <= FEW ||
-           fault_is(FAULT_NO_RELAY);
+    return may_relay(fleet) && (g_hash_table_size(fleet->members) <= FEW ||
+                                fault_is(FAULT_NO_RELAY));
 }
 
 /* Says whether a node belongs to a range; in a fleet that needs no relay, all
--- a/tests/fleet-sim-net.c
+++ b/tests/fleet-sim-net.c
@@ -133,6 +133,9 @@
     if (kind == WIRE_SPREAD || kind == WIRE_SPREAD_ACK) {
         count_spread(sim, from, to, bytes->len);
     }
+    if (kind == WIRE_COMPARE || kind == WIRE_NEED || kind == WIRE_UPSTREAMS) {
+        sim->nodes[from].compared_sent += bytes->len;
+    }
     if (kind < WIRE_HELLO && sim->nodes[from].out_free_at > sim->now * 1000) {
         sim->vote_wait_us = MAX(
             sim->vote_wait_us, sim->nodes[from].out_free_at - sim->now * 1000);
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -38,6 +38,7 @@
     uint64_t bytes_sent;     /* to other nodes */
     uint64_t tables_sent;    /* of those, copies of the table, in bytes */
     uint64_t spread_sent;    /* of those, changes and acknowledgements */
+    uint64_t compared_sent;  /* to compare inventories, and what was lacked */
     uint64_t spread_between; /* of these, to other halls */
     uint64_t out_free_at;    /* deadline, in us: its link may send on */
     uint64_t in_free_at;     /* deadline, in us: its link may receive on */
--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -37,6 +37,12 @@
 #define CALM_MS 2000    /* then all know all */
 #define KNOWN_MS 1500U  /* a change is known everywhere within it */
 #define AWAY_MS 3000    /* in which a node is frozen or cut off */
+#define CHANGES 20      /* one after the other */
+#define CHANGE_MS 100   /* between two of them */
+#define COMPARED_BYTES                                                        \
+    10000U /* most that is sent to compare inventories meanwhile */
+#define MOVES_A_NODE 10 /* one node in so many is lost */
+#define MOVES_MS 9000   /* from their loss until nobody looks for them */
 #define SPREAD_BYTES                                                          \
     140U           /* of a message with one change, and its acknowledgement */
 #define LOOK_MS 20 /* between two looks at what nodes believe */
@@ -240,9 +246,90 @@
     fleet_sim_free(p.sim);
 }
 
+/* While changes are on their way, nodes that meet hold different inventories
+ * and lack nothing: they do not compare them. */
+static void
+test_on_their_way(void)
+{
+    static const struct scene each = {"each", CHANGES, 1, 0, TROUBLE_NONE};
+    static struct play p;
+    uint64_t before = 0;
+    uint64_t after = 0;
+
+    memset(&p, 0, sizeof(p));
+    begin(&p, &each);
+    for (int n = 0; n < p.sim->count; n++) {
+        before += p.sim->nodes[n].compared_sent;
+    }
+    for (int i = 0; i < CHANGES; i++) {
+        p.sim->upstreams[i].leaving = true;
+        p.sim->upstreams[i].register_at = p.sim->now;
+        fleet_sim_run(p.sim, p.sim->now + CHANGE_MS);
+    }
+    for (int n = 0; n < p.sim->count; n++) {
+        after += p.sim->nodes[n].compared_sent;
+    }
+    g_test_message("%lu bytes of comparisons for %d changes",
+                   (unsigned long)(after - before), CHANGES);
+    g_assert_cmpuint(count_unknown(&p), ==, 0);
+    g_assert_cmpuint(after - before, <=, COMPARED_BYTES);
+    fleet_sim_free(p.sim);
+}
+
+/* Counts the records that call an upstream silent. */
+static unsigned
+count_silent(const struct fleet_sim *sim)
+{
+    unsigned silent = 0;
+
+    for (int n = 0; n < sim->count; n++) {
+        const struct upstream_set *set = &sim->nodes[n].upstreams;
+
+        for (guint i = 0; sim->nodes[n].up && i < set->all->len; i++) {
+            const struct upstream *u = g_ptr_array_index(set->all, i);
+
+            silent += u->state == UPSTREAM_SILENT;
+        }
+    }
+    return silent;
+}
+
+/* Nodes that hear upstreams are lost, and these register elsewhere: what the
+ * fleet concludes from the silence of the lost nodes is not held against
+ * upstreams that live. A node that believes one silent may end its flows. */
+static void
+test_moves(const void *data)
+{
+    static const struct scene none = {"moves", 0, 1, 50, TROUBLE_NONE};
+    bool restart = data != NULL;
+    static struct play p;
+    unsigned silent = 0;
+    uint64_t until;
+
+    memset(&p, 0, sizeof(p));
+    begin(&p, &none);
+    trouble(&p);
+    for (int n = DISKS; n < NODES; n += MOVES_A_NODE) {
+        fleet_sim_kill(p.sim, n);
+        if (restart) {
+            fleet_sim_start(p.sim, n);
+        }
+    }
+    until = p.sim->now + MOVES_MS;
+    while (p.sim->now < until) {
+        fleet_sim_run(p.sim, p.sim->now + LOOK_MS);
+        silent = MAX(silent, count_silent(p.sim));
+    }
+    g_test_message("at most %u believed silent, %u at the end", silent,
+                   count_silent(p.sim));
+    g_assert_cmpuint(silent, ==, 0);
+    fleet_sim_free(p.sim);
+}
+
 /* What is left out, and the test that fails by it. */
 static const struct mutation mutations[] = {
     {"no-relay", FAULT_NO_RELAY, "/spread/once-a-hall"},
+    {"no-lasting", FAULT_NO_LASTING, "/spread/on-their-way"},
 };
 
 /* Lists the tests. */
@@ -256,6 +343,9 @@
     g_test_set_nonfatal_assertions();
     CASES_ADD("/spread/leaving/", scenes, test_leaving)
     g_test_add_func("/spread/once-a-hall", test_once_a_hall);
+    g_test_add_func("/spread/on-their-way", test_on_their_way);
+    g_test_add_data_func("/spread/moves/lost", NULL, test_moves);
+    g_test_add_data_func("/spread/moves/restarted", "restarted", test_moves);
     CASES_ADD("/spread/mutation/", mutations, mutation_test)
     return g_test_run();
 }
