fleet-inventory: only what differs lastingly is compared

Cause: while a change is on its way, all who meet hold different inventories, and each pair exchanged up to 4 KB of marks for nothing. Change: a bucket is compared once all that a node met for 0.3 s held it differently; the last one that held the same proves that nothing is lacking.

--- a/fleet-inventory.c
+++ b/fleet-inventory.c
@@ -29,6 +29,10 @@
 /* A fleet of no more members than this compares with its leader too; in a
  * larger one all would compare with it. */
 #define COMPARE_FEW 16U
+/* A bucket is compared once all that were met for so long held it differently:
+ * a change is on its way for 20 to 100 ms, and two nodes that meet meanwhile
+ * lack nothing. */
+#define LASTING_MS 300U
 /* Comparisons are not answered while copies wait so long for the link: whoever
  * asked meets another node half a second later. */
 #define BACKLOG_MS 500U
@@ -203,6 +207,33 @@
     g_free(records);
 }
 
+/* Notes in which buckets those who are met hold something else. */
+static void
+note_differing(struct fleet *fleet, uint64_t now, const wire_hello *hello)
+{
+    uint32_t own[WIRE_BUCKETS];
+
+    upstream_digests(fleet->upstreams, own);
+    for (uint32_t i = 0; i < WIRE_BUCKETS; i++) {
+        if (own[i] == hello->upstreams[i]) {
+            fleet->differs_since[i] = 0;
+        }
+        else if (fleet->differs_since[i] == 0) {
+            fleet->differs_since[i] = now;
+        }
+    }
+}
+
+/* Says whether a bucket differs, and not by a change on its way. */
+static bool
+is_lasting(const struct fleet *fleet, uint64_t now, uint32_t bucket)
+{
+    uint64_t since = fleet->differs_since[bucket];
+
+    return since != 0 &&
+           (now >= since + LASTING_MS || fault_is(FAULT_NO_LASTING));
+}
+
 /* Says whether to compare with the node of a hello now. One that knows
  * nothing, here or there, asks for all. */
 static bool
@@ -229,20 +260,27 @@
     uint32_t own[WIRE_BUCKETS];
     struct gathered g;
 
+    if (fleet_has_upstreams(hello)) {
+        note_differing(fleet, now, hello);
+    }
     if (same || !should_compare(fleet, now, hello)) {
         return;
     }
-    fleet->compare_at = now + FLEET_COMPARE_MS;
     upstream_digests(fleet->upstreams, own);
     open_gathered(&g, fleet->upstreams);
     for (uint32_t i = 0; i < WIRE_BUCKETS; i++) {
         uint32_t bucket = (first + i) % WIRE_BUCKETS;
 
         if (own[bucket] != hello->upstreams[bucket] &&
-            g.mark_count < COMPARE_MARKS) {
+            is_lasting(fleet, now, bucket) && g.mark_count < COMPARE_MARKS) {
             gather(fleet, now, bucket, false, &g);
         }
     }
+    if (g.buckets == 0) {
+        close_gathered(&g);
+        return;
+    }
+    fleet->compare_at = now + FLEET_COMPARE_MS;
     compare->node = fleet->self.address;
     compare->buckets = g.buckets;
     compare->list.list_val = g.marks;
--- a/fleet.h
+++ b/fleet.h
@@ -193,7 +193,10 @@
     uint64_t bytes_sent;             /**< of all messages to one node */
     struct fleet_relay relay;        /**< changes on their way to all */
     uint64_t compare_at;             /**< deadline: compare the inventory */
-    uint64_t seen_routes;            /**< highest version that was shown */
+    uint64_t differs_since[WIRE_BUCKETS]; /**< all that were met since then
+                                               held the bucket differently; 0:
+                                               the last one held the same */
+    uint64_t seen_routes;           /**< highest version that was shown */
     uint64_t ask_table_at;          /**< deadline: ask who shows a newer one */
     struct upstream_set *upstreams; /**< borrowed */
     uint64_t random;                /**< state of the generator */
