upstream: a node that began anew waits for word of upstreams that moved

Cause: a conclusion from silence by a copy whose age is not known: the word of the new node was lost, and the old one waited two intervals, as for an upstream that it hears, though this one may have turned to another node. Change: what this process has not heard itself is watched for four intervals, as that of lost nodes is.

--- a/fleet-members.c
+++ b/fleet-members.c
@@ -7,10 +7,6 @@
 #include "hash.h"
 #include "random.h"
 
-/* An upstream whose keeper is lost has this many intervals to be heard by
- * another node. */
-#define ADOPT_INTERVALS 4
-
 /* Digest of the members: who, and which start of it. */
 uint64_t
 fleet_members_digest(const struct fleet *fleet)
@@ -40,8 +36,7 @@
     if (fleet->leads_since == 0) {
         return;
     }
-    upstream_adopt(fleet->upstreams, address,
-                   now + ADOPT_INTERVALS * fleet->upstreams->interval_ms);
+    upstream_adopt(fleet->upstreams, now, address);
 }
 
 /* LEADER: a node is new, or began anew; all are told. */
--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -40,9 +40,8 @@
 #define CHANGES 20      /* one after the other */
 #define CHANGE_MS 100   /* between two of them */
 #define COMPARED_BYTES                                                        \
-    10000U /* most that is sent to compare inventories meanwhile */
-#define MOVES_A_NODE 10 /* one node in so many is lost */
-#define MOVES_MS 9000   /* from their loss until nobody looks for them */
+    10000U            /* most that is sent to compare inventories meanwhile */
+#define MOVES_MS 9000 /* from their loss until nobody looks for them */
 #define SPREAD_BYTES                                                          \
     140U           /* of a message with one change, and its acknowledgement */
 #define LOOK_MS 20 /* between two looks at what nodes believe */
@@ -294,14 +293,57 @@
     return silent;
 }
 
-/* Nodes that hear upstreams are lost, and these register elsewhere: what the
- * fleet concludes from the silence of the lost nodes is not held against
- * upstreams that live. A node that believes one silent may end its flows. */
+/* Nodes that hear upstreams are killed. */
+struct move {
+    const char *name;
+    int first;      /* of those that are killed */
+    int step;       /* from one to the next */
+    bool restart;   /* they start anew at once */
+    bool elsewhere; /* their upstreams register with other nodes */
+};
+
+static const struct move moves[] = {
+    {"lost", DISKS, 10, false, true},
+    {"restarted", DISKS, 10, true, false},
+    {"restarted-and-elsewhere", DISKS, 10, true, true},
+    {"all-restarted", 0, 1, true, false},
+    {"all-restarted-and-elsewhere", 0, 1, true, true},
+};
+
+/* Kills the nodes of a move, and starts them if it says so. */
+static void
+kill_nodes(struct play *p, const struct move *move)
+{
+    struct fleet_sim *sim = p->sim;
+
+    for (int n = move->first; n < NODES; n += move->step) {
+        fleet_sim_kill(sim, n);
+    }
+    for (int n = move->first; move->restart && n < NODES; n += move->step) {
+        fleet_sim_start(sim, n);
+    }
+    for (int i = 0; move->elsewhere && i < UPSTREAMS; i++) {
+        struct fleet_sim_upstream *u = &sim->upstreams[i];
+
+        if (u->keeper >= move->first &&
+            (u->keeper - move->first) % move->step == 0) {
+            u->keeper = -1;
+        }
+    }
+}
+
+/* Nodes that hear upstreams are lost or begin anew: what the fleet concludes
+ * from their silence is not held against upstreams that register all the time.
+ * A node that believes one silent ends its flows after two lost packets.
+ * Seen: after a loss of power of all nodes an upstream registered with another
+ * node than before. The one that had heard it last watched the record that it
+ * was given from a disk, and called it silent 1.1 s later; a third node, which
+ * had missed the new registration, reset an open flow, though its upstream
+ * lived. */
 static void
 test_moves(const void *data)
 {
     static const struct scene none = {"moves", 0, 1, 50, TROUBLE_NONE};
-    bool restart = data != NULL;
     static struct play p;
     unsigned silent = 0;
     uint64_t until;
@@ -309,12 +351,7 @@
     memset(&p, 0, sizeof(p));
     begin(&p, &none);
     trouble(&p);
-    for (int n = DISKS; n < NODES; n += MOVES_A_NODE) {
-        fleet_sim_kill(p.sim, n);
-        if (restart) {
-            fleet_sim_start(p.sim, n);
-        }
-    }
+    kill_nodes(&p, data);
     until = p.sim->now + MOVES_MS;
     while (p.sim->now < until) {
         fleet_sim_run(p.sim, p.sim->now + LOOK_MS);
@@ -344,8 +381,7 @@
     CASES_ADD("/spread/leaving/", scenes, test_leaving)
     g_test_add_func("/spread/once-a-hall", test_once_a_hall);
     g_test_add_func("/spread/on-their-way", test_on_their_way);
-    g_test_add_data_func("/spread/moves/lost", NULL, test_moves);
-    g_test_add_data_func("/spread/moves/restarted", "restarted", test_moves);
+    CASES_ADD("/spread/moves/", moves, test_moves)
     CASES_ADD("/spread/mutation/", mutations, mutation_test)
     return g_test_run();
 }
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -238,6 +238,55 @@
     upstream_close(&set);
 }
 
+/* A node that began anew watches what it heard before, for longer than what it
+ * hears: the upstream may have turned to another node meanwhile. */
+static void
+test_began_anew(void)
+{
+    struct upstream_set set;
+    wire_upstream record = {.id = 1,
+                            .sequence = 20,
+                            .state = UPSTREAM_READY,
+                            .address = 0x0a800001U,
+                            .port = 8080,
+                            .slots = 2,
+                            .keeper = SELF,
+                            .service = "feed",
+                            .hall = "hall"};
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    g_assert_true(upstream_merge(&set, NOW, &record));
+    upstream_tick(&set, NOW + 3 * INTERVAL_MS);
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_READY);
+    upstream_tick(&set, NOW + 5 * INTERVAL_MS);
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_SILENT);
+    upstream_close(&set);
+}
+
+/* What another node wrongly believes of an upstream that registers here is
+ * corrected, but not with each word of it. */
+static void
+test_contradiction(void)
+{
+    struct upstream_set set;
+    wire_upstream silent = {.id = 1,
+                            .sequence = 1,
+                            .state = UPSTREAM_SILENT,
+                            .slots = 2,
+                            .keeper = SELF,
+                            .service = "feed",
+                            .hall = "hall"};
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    register_there(&set, NOW, 1, 20, false);
+    g_array_set_size(set.changed, 0);
+    g_assert_false(upstream_merge(&set, NOW, &silent));
+    g_assert_false(upstream_merge(&set, NOW + 1, &silent));
+    g_assert_cmpuint(set.changed->len, ==, 1);
+    g_assert_cmpint(state_of(&set, 1), ==, UPSTREAM_READY);
+    upstream_close(&set);
+}
+
 /* Registrations that a node missed while it stood still prove nothing. */
 static void
 test_excuse(void)
@@ -309,7 +358,7 @@
             upstream_deregister(&set, now, id);
             break;
         case 2:
-            upstream_adopt(&set, 9, now + INTERVAL_MS);
+            upstream_adopt(&set, now, 9);
             break;
         case 3:
             upstream_take_doubt(&set, now, id, (uint32_t)step, INTERVAL_MS);
@@ -384,6 +433,8 @@
     CASES_ADD("/upstream/doubt/", words, test_word)
     g_test_add_func("/upstream/excuse", test_excuse);
     g_test_add_func("/upstream/kept", test_kept);
+    g_test_add_func("/upstream/began-anew", test_began_anew);
+    g_test_add_func("/upstream/contradiction", test_contradiction);
     g_test_add_func("/upstream/gone-is-forgotten", test_gone_is_forgotten);
     CASES_ADD("/upstream/mutation/", mutations, mutation_test)
     return g_test_run();
--- a/upstream.c
+++ b/upstream.c
@@ -13,6 +13,11 @@
  * false sign costs little: its flows go on, and the next one corrects it. */
 #define MISSED_INTERVALS 2
 
+/* The same for upstreams that this process has not heard itself: their node
+ * was lost or began anew, and they turn to another one, whose word must come.
+ */
+#define MOVED_INTERVALS 4
+
 /* An incarnation that is first heard of with no more registrations than this
  * has just begun: two may be lost on their way. */
 #define FRESH_SEQUENCE 3
@@ -199,6 +204,14 @@
     return now + MISSED_INTERVALS * set->interval_ms;
 }
 
+/* Deadline by which an upstream that this process has not heard must have
+ * registered, here or elsewhere. */
+static uint64_t
+moved_expiry(const struct upstream_set *set, uint64_t now)
+{
+    return now + MOVED_INTERVALS * set->interval_ms;
+}
+
 /* Says whether a state and sequence replace those that are believed. */
 static bool
 is_newer(const struct upstream *upstream, enum upstream_state state,
@@ -452,7 +465,7 @@
     /* What this node heard before it was restarted, it watches again. */
     upstream->expire_at =
         upstream->keeper == set->self && upstream->state < UPSTREAM_SILENT
-            ? next_expiry(set, now)
+            ? moved_expiry(set, now)
             : 0;
     if (upstream->expire_at != 0) {
         note_due(set, upstream->expire_at);
@@ -586,8 +599,10 @@
 
 /* Watches what a lost keeper watched. */
 void
-upstream_adopt(struct upstream_set *set, uint32_t keeper, uint64_t deadline)
+upstream_adopt(struct upstream_set *set, uint64_t now, uint32_t keeper)
 {
+    uint64_t deadline = moved_expiry(set, now);
+
     for (guint i = 0; i < set->all->len; i++) {
         struct upstream *upstream = g_ptr_array_index(set->all, i);
 
--- a/upstream.h
+++ b/upstream.h
@@ -187,11 +187,10 @@
 void upstream_excuse(struct upstream_set *set, uint64_t now, uint64_t gap);
 
 /**
- * Watches upstreams whose keeper is lost: unless another node hears them
- * before `deadline`, they are silent.
+ * Watches upstreams whose keeper is lost: unless another node hears them in
+ * time to turn to, they are silent.
  */
-void upstream_adopt(struct upstream_set *set, uint32_t keeper,
-                    uint64_t deadline);
+void upstream_adopt(struct upstream_set *set, uint64_t now, uint32_t keeper);
 
 /** Finds an incarnation by the token in a packet; NULL when unknown. */
 struct upstream *upstream_by_token(const struct upstream_set *set,
