tests: changes that relays took are lost with them, which fails

A relay acknowledges what it takes and passes it on up to 20 ms later. Found by reading the hand-over. Not mended yet.

--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -36,6 +36,7 @@
 #define OPERATE_MS 8000 /* an operator's call is answered within it */
 #define CALM_MS 2000    /* then all know all */
 #define KNOWN_MS 1500U  /* a change is known everywhere within it */
+#define TAKEN_MS 15     /* a relay passes on what it takes each 20 ms */
 #define AWAY_MS 3000    /* in which a node is frozen or cut off */
 #define CHANGES 20      /* one after the other */
 #define CHANGE_MS 100   /* between two of them */
@@ -53,7 +54,9 @@
     TROUBLE_JOINS,    /* sixty nodes have just been added */
     TROUBLE_DISKS,    /* all nodes with a disk are killed and stay away */
     TROUBLE_FREEZES,  /* the node with a disk in the first hall freezes */
-    TROUBLE_CUT       /* it is cut off */
+    TROUBLE_CUT,      /* it is cut off */
+    TROUBLE_TAKEN     /* nodes with a disk are killed TAKEN_MS after that
+                         moment, with what they took from others */
 };
 
 /* Upstreams that leave together. */
@@ -76,6 +79,8 @@
     {"disks-die", 30, 3, 50, TROUBLE_DISKS},
     {"disk-freezes", 30, 3, 50, TROUBLE_FREEZES},
     {"disk-cut", 30, 3, 50, TROUBLE_CUT},
+    {"taken-and-killed", 30, 3, 0, TROUBLE_TAKEN},
+    {"taken-and-killed-lossy", 30, 3, 50, TROUBLE_TAKEN},
 };
 
 /* A scene, and what is known in it. */
@@ -124,6 +129,7 @@
     sim->options.loss = p->scene->loss;
     switch (p->scene->at) {
     case TROUBLE_NONE:
+    case TROUBLE_TAKEN:
         return;
     case TROUBLE_RESTARTS:
         for (int n = DISKS + 1; n < NODES; n += 10) {
@@ -196,6 +202,12 @@
         p.sim->upstreams[i].leaving = true;
         p.sim->upstreams[i].register_at = p.began_at;
     }
+    if (p.scene->at == TROUBLE_TAKEN) {
+        fleet_sim_run(p.sim, p.sim->now + TAKEN_MS);
+        for (int n = 0; n < DISKS; n++) {
+            fleet_sim_kill(p.sim, n);
+        }
+    }
     while (p.sim->now < p.began_at + KNOWN_MS && count_unknown(&p) > 0) {
         fleet_sim_run(p.sim, p.sim->now + LOOK_MS);
     }
