fleet-relay: what takes an upstream out of use is told twice

Cause: a relay acknowledges what it takes before it passes it on; where it dies in the 20 ms between, nobody owes the change any more. Change: the node that heard such a change hands it over again after 0.5 s, to whoever relays then. A relay that did not answer in time is not asked to relay for 2 s, but is sent changes still: it may be alive.

--- a/fault.h
+++ b/fault.h
@@ -47,6 +47,7 @@
     FAULT_NO_PACE,        /**< copies of tables take all of a link */
     FAULT_NO_COMPARE,     /**< nodes that serve do not compare inventories */
     FAULT_NO_RESEND,      /**< changes that are lost are not sent again */
+    FAULT_NO_AGAIN,       /**< what a relay took is lost with it */
     FAULT_NO_LASTING,     /**< changes on their way are compared */
     FAULT_NO_RELAY,       /**< a node sends changes to all others itself */
     FAULT_FOUND_AGAIN,    /**< a founder is named though a leader was known */
--- a/fleet-deliver.c
+++ b/fleet-deliver.c
@@ -236,25 +236,34 @@
 /* Says whether a node is not worth sending to: it is no member, or did not
  * answer lately. */
 static bool
-is_mute(const struct fleet *fleet, uint64_t now, uint32_t to)
+is_mute(const struct fleet *fleet, uint64_t now,
+        const struct fleet_delivery *d)
 {
     const struct fleet_member *member =
-        g_hash_table_lookup(fleet->members, GUINT_TO_POINTER(to));
+        g_hash_table_lookup(fleet->members, GUINT_TO_POINTER(d->to));
 
-    return member == NULL || now < member->mute_until;
+    return member == NULL || now < member->mute_until ||
+           (d->reach != WIRE_REACH_NODE && now < member->relay_at);
 }
 
-/* Notes that a node does not answer. */
+/* Notes that a node does not answer. One that did not answer as a relay is
+ * soon replaced, and may be alive: it is sent changes still. */
 static void
-mute(struct fleet *fleet, uint64_t now, uint32_t to)
+mute(struct fleet *fleet, uint64_t now, const struct fleet_delivery *d)
 {
     struct fleet_member *member =
-        g_hash_table_lookup(fleet->members, GUINT_TO_POINTER(to));
+        g_hash_table_lookup(fleet->members, GUINT_TO_POINTER(d->to));
 
-    if (member != NULL && now >= member->mute_until) {
+    if (member == NULL) {
+        return;
+    }
+    if (d->reach != WIRE_REACH_NODE) {
+        member->relay_at = now + MUTE_MS;
+    }
+    else {
         member->mute_until = now + MUTE_MS;
-        fleet_act(fleet, FLEET_UNANSWERED)->to = to;
     }
+    fleet_act(fleet, FLEET_UNANSWERED)->to = d->to;
 }
 
 /* Sends a message, and counts what the link takes for it. */
@@ -291,9 +300,9 @@
         return false;
     }
     if (d->tries >= (passes_on ? RELAY_TRIES : NODE_TRIES)) {
-        mute(fleet, now, d->to);
+        mute(fleet, now, d);
     }
-    if (!is_mute(fleet, now, d->to)) {
+    if (!is_mute(fleet, now, d)) {
         send_once(fleet, now, d);
         return true;
     }
@@ -367,7 +376,7 @@
 
     if (member != NULL) {
         member->mute_until = 0;
-        member->begins_until = ack->passed ? 0 : now + BEGINS_MS;
+        member->relay_at = ack->passed ? 0 : now + BEGINS_MS;
     }
     for (guint i = 0; i < all->len; i++) {
         struct fleet_delivery *d =
--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -78,10 +78,6 @@
                        const wire_node *node);
 /** A change that this node heard is to be known everywhere. */
 void fleet_relay_tell(struct fleet *fleet, uint64_t now, uint64_t id);
-/** This node owes changes to a range and, by `reach`, to the other halls. */
-void fleet_relay_owe(struct fleet *fleet, uint64_t now, wire_reach reach,
-                     const struct fleet_range *range, const uint64_t *ids,
-                     guint count);
 /** This node's own changes wait until it finds a relay. */
 void fleet_relay_hold(struct fleet *fleet, uint64_t now, const uint64_t *ids,
                       guint count);
--- a/fleet-relay.c
+++ b/fleet-relay.c
@@ -29,6 +29,10 @@
 /* But to no fewer than so many, or the tree would be deep. */
 #define FAN_LEAST 4U
 
+/* What takes an upstream out of use is told once more after so long: a relay
+ * may die with what it has taken and not passed on, and whoever missed it goes
+ * on sending new flows there. */
+#define AGAIN_MS 500U
 /* A node that is new to its hall's relay is told the changes of so long
  * before: it may have been sent the inventory before a change and have become
  * known as a member after it. From its start to that takes up to 2 s. */
@@ -41,6 +45,7 @@
     struct fleet_relay *relay = &fleet->relay;
 
     relay->own = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    relay->told = g_array_new(FALSE, FALSE, sizeof(struct fleet_told));
     relay->passed = g_array_new(FALSE, FALSE, sizeof(struct fleet_passed));
     relay->recent = g_array_new(FALSE, FALSE, sizeof(struct fleet_recent));
     relay->number = number;
@@ -52,6 +57,7 @@
 fleet_relay_close(struct fleet *fleet)
 {
     g_array_free(fleet->relay.own, TRUE);
+    g_array_free(fleet->relay.told, TRUE);
     g_array_free(fleet->relay.passed, TRUE);
     g_array_free(fleet->relay.recent, TRUE);
     fleet_deliver_close(fleet);
@@ -121,7 +127,7 @@
         const struct fleet_member *member = value;
 
         if (is_within(fleet, range, &member->node) && !member->node.stopping &&
-            now >= member->mute_until && now >= member->begins_until &&
+            now >= member->mute_until && now >= member->relay_at &&
             (best == NULL || is_better(&member->node, best))) {
             best = &member->node;
         }
@@ -140,7 +146,7 @@
     relay->flush_at = relay->flush_at == 0 ? at : MIN(relay->flush_at, at);
 }
 
-/* Remembers a change for a while. */
+/* Remembers for a while that a change was passed on. */
 static void
 note_recent(struct fleet *fleet, uint64_t now, uint64_t id)
 {
@@ -189,23 +195,27 @@
 void
 fleet_relay_tell(struct fleet *fleet, uint64_t now, uint64_t id)
 {
-    note_recent(fleet, now, id);
+    const struct upstream *upstream = upstream_by_id(fleet->upstreams, id);
+    struct fleet_told told = {.id = id, .at = now + AGAIN_MS};
+
     g_array_append_val(fleet->relay.own, id);
+    if (upstream != NULL && upstream->state != UPSTREAM_READY &&
+        !fault_is(FAULT_NO_AGAIN)) {
+        g_array_append_val(fleet->relay.told, told);
+    }
     flush_soon(fleet, now);
 }
 
-/* This node owes changes to a range and, by `reach`, to the other halls. */
-void
-fleet_relay_owe(struct fleet *fleet, uint64_t now, wire_reach reach,
-                const struct fleet_range *range, const uint64_t *ids,
-                guint count)
+/* This node owes a change to a range and, by `reach`, to the other halls. */
+static void
+owe(struct fleet *fleet, uint64_t now, wire_reach reach,
+    const struct fleet_range *range, uint64_t id)
 {
-    for (guint i = 0; i < count; i++) {
-        struct fleet_passed passed = {
-            .id = ids[i], .range = *range, .halls = reach == WIRE_REACH_FLEET};
+    struct fleet_passed passed = {
+        .id = id, .range = *range, .halls = reach == WIRE_REACH_FLEET};
 
-        g_array_append_val(fleet->relay.passed, passed);
-    }
+    note_recent(fleet, now, id);
+    g_array_append_val(fleet->relay.passed, passed);
     flush_soon(fleet, now);
 }
 
@@ -236,7 +246,9 @@
         return;
     }
     if (sends_to_all(fleet) || to == fleet->self.address) {
-        fleet_relay_owe(fleet, now, WIRE_REACH_FLEET, &hall, ids, own->len);
+        for (guint i = 0; i < own->len; i++) {
+            owe(fleet, now, WIRE_REACH_FLEET, &hall, ids[i]);
+        }
     }
     else if (to != 0) {
         fleet_deliver_to_relay(fleet, now, to, &hall, WIRE_REACH_FLEET, ids,
@@ -248,6 +260,26 @@
     g_array_set_size(own, 0);
 }
 
+/* Takes what is due to be handed over once more. */
+static void
+take_told(struct fleet *fleet, uint64_t now)
+{
+    GArray *told = fleet->relay.told;
+    guint due = 0;
+
+    while (due < told->len) {
+        const struct fleet_told *change =
+            &g_array_index(told, struct fleet_told, due);
+
+        if (now < change->at) {
+            break;
+        }
+        g_array_append_val(fleet->relay.own, change->id);
+        due++;
+    }
+    g_array_remove_range(told, 0, due);
+}
+
 /* Orders addresses. */
 static gint
 by_address(gconstpointer a, gconstpointer b)
@@ -293,10 +325,10 @@
     return (guint)CLAMP(fan, FAN_LEAST, MAX(nodes, FAN_LEAST));
 }
 
-/* Owes changes to a range: to each of its nodes or, when these are more than
- * the link bears, to one of each part of it, which passes them on. The parts
- * have no gaps, so a node that this one does not know is told by one that
- * does. */
+/* Owes changes to a range: to each of its nodes, unless they were told lately,
+ * or, when these are more than the link bears, to one of each part of it,
+ * which passes them on. The parts have no gaps, so a node that this one does
+ * not know is told by one that does. */
 static void
 to_range(struct fleet *fleet, uint64_t now, const struct fleet_range *range,
          const uint64_t *ids, guint count)
@@ -457,9 +489,12 @@
 fleet_relay_due(const struct fleet *fleet)
 {
     const struct fleet_relay *relay = &fleet->relay;
+    uint64_t at = relay->flush_at != 0 ? relay->flush_at : UINT64_MAX;
 
-    return relay->flush_at == 0 || relay->unsent > 0 ? UINT64_MAX
-                                                     : relay->flush_at;
+    if (relay->told->len > 0) {
+        at = MIN(at, g_array_index(relay->told, struct fleet_told, 0).at);
+    }
+    return relay->unsent > 0 ? UINT64_MAX : at;
 }
 
 /* Lets what has gathered leave, when it is time to. */
@@ -471,6 +506,7 @@
     if (now < fleet_relay_due(fleet)) {
         return;
     }
+    take_told(fleet, now);
     if (relay->own->len > 0) {
         hand_over(fleet, now);
     }
@@ -533,9 +569,6 @@
         return;
     }
     for (u_int i = 0; passes_on && i < spread->list.list_len; i++) {
-        uint64_t id = spread->list.list_val[i].id;
-
-        note_recent(fleet, now, id);
-        fleet_relay_owe(fleet, now, spread->reach, &range, &id, 1);
+        owe(fleet, now, spread->reach, &range, spread->list.list_val[i].id);
     }
 }
--- a/fleet.h
+++ b/fleet.h
@@ -109,7 +109,13 @@
     bool halls;               /**< and to a relay of each other hall */
 };
 
-/** A change that was told lately. */
+/** A change that was heard here, and is to be handed over once more. */
+struct fleet_told {
+    uint64_t id; /**< of the upstream */
+    uint64_t at; /**< deadline */
+};
+
+/** A change that this node passed on. */
 struct fleet_recent {
     uint64_t id; /**< of the upstream */
     uint64_t at; /**< when */
@@ -133,6 +139,7 @@
 struct fleet_relay {
     GArray *own;         /**< uint64_t: upstreams whose change was heard here,
                               to be handed to a relay */
+    GArray *told;        /**< struct fleet_told, first due first */
     GArray *passed;      /**< struct fleet_passed */
     GArray *recent;      /**< struct fleet_recent, oldest first */
     uint64_t flush_at;   /**< deadline: these leave, once all that left before
@@ -154,12 +161,12 @@
     bool lacks_members; /**< its last hello showed another list */
     uint64_t routes;    /**< version that it showed last, 0: none */
     uint32_t upstreams[WIRE_BUCKETS]; /**< digests that it showed last */
-    uint64_t mute_until;   /**< deadline: it did not answer, and is not sent
-                                changes until then */
-    uint64_t begins_until; /**< deadline: it has just begun, and is not asked
-                                to relay until then */
-    uint64_t taken;        /**< number of its last message of changes */
-    uint64_t taken_bits;   /**< a bit for each of those up to it: taken */
+    uint64_t mute_until; /**< deadline: it did not answer, and is not sent
+                              changes until then */
+    uint64_t relay_at;   /**< deadline: it is not asked to relay before, since
+                              it did not answer in time or has just begun */
+    uint64_t taken;      /**< number of its last message of changes */
+    uint64_t taken_bits; /**< a bit for each of those up to it: taken */
 };
 
 /** What one node knows of the fleet. */
