--- a/fleet-deliver.c
+++ b/fleet-deliver.c
@@ -1,7 +1,7 @@
 /*
  * Changes of upstreams that are owed to nodes: each is sent until the node has
  * acknowledged it, at a pace that this node's link bears. A relay that does
- * not answer is replaced by the next one, or by this node.
+ * not answer is replaced by the next one.
  */
 #include "fleet-internal.h"
 
@@ -326,7 +326,6 @@
     if (now < relay->due_at) {
         return;
     }
-    /* What a replaced relay was owed may be added meanwhile. */
     relay->deliveries = g_array_sized_new(
         FALSE, FALSE, sizeof(struct fleet_delivery), before->len);
     relay->due_at = UINT64_MAX;
--- a/fleet-relay.c
+++ b/fleet-relay.c
@@ -1,11 +1,11 @@
 /*
  * Who passes changes of upstreams on. The node that hears a change hands it to
  * the relay of its data hall, which owes it to that hall and to one relay of
- * each other hall; so a record crosses between two halls once. Within a hall
- * it goes down a tree that is as wide as the sender's link bears. A relay is
- * no point of truth and is not elected: each node takes the one with the
- * largest link that has answered, and when none does, it does the work
- * itself. Two relays for a time cost bytes and nothing else.
+ * each other hall; so a record crosses between two halls once each time that
+ * it is told. Within a hall it goes down a tree that is as wide as the
+ * sender's link bears. A relay is no point of truth and is not elected: each
+ * node takes the one with the largest link that answers, which may be itself.
+ * Two relays for a time cost bytes and nothing else.
  */
 #include "fleet-internal.h"
 
@@ -28,7 +28,6 @@
 #define FAN_MS 20U
 /* But to no fewer than so many, or the tree would be deep. */
 #define FAN_LEAST 4U
-
 /* What takes an upstream out of use is told once more after so long: a relay
  * may die with what it has taken and not passed on, and whoever missed it goes
  * on sending new flows there. */
@@ -325,10 +324,10 @@
     return (guint)CLAMP(fan, FAN_LEAST, MAX(nodes, FAN_LEAST));
 }
 
-/* Owes changes to a range: to each of its nodes, unless they were told lately,
- * or, when these are more than the link bears, to one of each part of it,
- * which passes them on. The parts have no gaps, so a node that this one does
- * not know is told by one that does. */
+/* Owes changes to a range: to each of its nodes or, when these are more than
+ * the link bears, to one of each part of it, which passes them on. The parts
+ * have no gaps, so a node that this one does not know is told by one that
+ * does. */
 static void
 to_range(struct fleet *fleet, uint64_t now, const struct fleet_range *range,
          const uint64_t *ids, guint count)
