--- a/fleet.h
+++ b/fleet.h
@@ -59,7 +59,7 @@
               many it meets: what it sends does not grow with the fleet */
 #define FLEET_TAKEN_BITS                                                      \
     64U /**< last messages of changes of a node that are told from repeated   \
-             ones; a relay sends 50 a second, and repeats within 0.5 s */
+             ones; a relay sends 50 a second, and repeats within 0.7 s */
 #define FLEET_JOINED_MS                                                       \
     100U /**< LEADER: between two messages to all about nodes that are new */
 
--- a/node.c
+++ b/node.c
@@ -38,7 +38,7 @@
 #define STANDSTILL_MS 400U
 
 /* A change of an upstream that is older when this node is told it is late: all
- * nodes know one within 1.4 s where relays are lost and links lose 5%. */
+ * nodes know one within 1.1 s where relays are lost and links lose 5%. */
 #define TOLD_LATE_MS 1500U
 
 /* Says that a table cannot be used. */
