--- a/order.c
+++ b/order.c
@@ -129,13 +129,16 @@
                : g_byte_array_free_to_bytes(codec_encode_command(&command));
 }
 
-/* Replaces a long log by a snapshot. */
+/* Replaces a long log by a snapshot, unless something waits to be stored,
+ * which the snapshot would take out of the log: an entry is committed before
+ * it is stored where one voter is a quorum, or where a follower catches up. */
 static void
 compact(struct order *order)
 {
     GBytes *state;
 
-    if (order->applied < order->cons.snapshot.index + ORDER_COMPACT) {
+    if (order->actions->len > 0 ||
+        order->applied < order->cons.snapshot.index + ORDER_COMPACT) {
         return;
     }
     state = pack_state(order);
@@ -251,7 +254,6 @@
 void
 order_tick(struct order *order, uint64_t now)
 {
-    /* Here nothing waits to be stored, which a snapshot could drop. */
     compact(order);
     cons_tick(&order->cons, now);
     if (order->cons.role == CONS_LEADER) {
