--- a/tests/test-control.c
+++ b/tests/test-control.c
@@ -603,6 +603,42 @@
     g_test_fail();
 }
 
+/* A replica that is its own quorum commits an entry before its shell has
+ * stored it: the log is not made a snapshot meanwhile. */
+static void
+test_compact_while_saving(void)
+{
+    const uint32_t self = 1;
+    wire_voter voter = {.replica = self, .identity = self};
+    wire_config founders = {.voters = {.voters_len = 1, .voters_val = &voter}};
+    struct counters counters = {{0}};
+    struct control_core core;
+    uint64_t now = 1;
+
+    control_core_open(&core, now, self, self, &self, 1, &founders, 1, NULL,
+                      &counters);
+    for (unsigned i = 0; i < 3 * CONTROL_COMPACT; i++) {
+        wire_sign_off sign = {.bundle_version = i + 1, .operator_name = "one"};
+        size_t count;
+        const struct control_action *all;
+
+        now += 1000;
+        control_core_tick(&core, now);
+        control_core_clear(&core);
+        control_core_sign_off(&core, now, i + 1, &sign);
+        all = control_core_actions(&core, &count);
+        for (size_t j = 0; j < count; j++) {
+            if (all[j].kind == CONTROL_CONS &&
+                all[j].cons.kind == CONS_SAVE_ENTRIES) {
+                g_assert_nonnull(cons_entry_at(&core.cons, all[j].cons.index));
+            }
+        }
+        control_core_clear(&core);
+    }
+    g_assert_cmpuint(core.cons.snapshot.index, >, CONTROL_COMPACT);
+    control_core_close(&core);
+}
+
 /* Adds the tables. */
 int
 main(int argc, char **argv)
@@ -620,5 +656,7 @@
                        mutations[i].name);
         g_test_add_data_func(path, &mutations[i], test_mutation);
     }
+    g_test_add_func("/control/compact-while-saving",
+                    test_compact_while_saving);
     return g_test_run();
 }
