--- a/control-core.c
+++ b/control-core.c
@@ -180,7 +180,25 @@
     note_step(core, now);
 }
 
-/* Replaces a long log by a snapshot of the state. */
+/* Says whether entries of the log wait to be stored. */
+static bool
+is_saving(const struct control_core *core)
+{
+    for (guint i = 0; i < core->actions->len; i++) {
+        const struct control_action *action =
+            &g_array_index(core->actions, struct control_action, i);
+
+        if (action->kind == CONTROL_CONS &&
+            action->cons.kind == CONS_SAVE_ENTRIES) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Replaces a long log by a snapshot of the state, unless an entry waits to be
+ * stored: it may be committed already, and the snapshot would take it out of
+ * the log. */
 static void
 compact(struct control_core *core)
 {
@@ -188,7 +206,7 @@
     GByteArray *bytes;
     GBytes *state;
 
-    if (core->state.applied < first + CONTROL_COMPACT) {
+    if (core->state.applied < first + CONTROL_COMPACT || is_saving(core)) {
         return;
     }
     bytes = codec_encode_state(&core->state);
