--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -137,6 +137,10 @@
     "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":2,\"state\":\"" state     \
     "\",\"warmup_remaining_ms\":5,\"sequence\":4}"
 
+#define BORN(born)                                                            \
+    "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","          \
+    "\"slots\":2,\"state\":\"ready\",\"sequence\":4,\"born\":" born "}"
+
 static const struct registration_case registrations[] = {
     {"ready", "i-7f3a91c2", BODY("ready", "10.128.0.9:8080"), true},
     {"draining", "i-17ce7f0ee9", BODY("draining", "10.128.0.9:8080"), true},
@@ -153,8 +157,43 @@
     {"empty", "i-1", "", false},
     {"list", "i-1", "[]", false},
     {"deep", "i-1", "[[[[[[[[[[[[[[[[[[[[[[[[", false},
+    {"born", "i-1", BORN("1796000000000"), true},
+    {"born-text", "i-1", BORN("\"1796000000000\""), false},
+};
+
+/* Calls, and whether something is served there. */
+struct call_case {
+    const char *name;
+    const char *method;
+    const char *path;
+    bool served;
+};
+
+static const struct call_case calls[] = {
+    {"readiness", "GET", "/-/readiness", true},
+    {"register", "PUT", "/-/instances/i-7", true},
+    {"deregister", "DELETE", "/-/instances/i-7", true},
+    {"submit", "PUT", "/-/configuration", true},
+    {"read", "GET", "/-/configuration", true},
+    {"empty-a-hall", "POST", "/-/evacuation/cesson", true},
+    {"take-a-hall-back", "DELETE", "/-/evacuation/cesson", true},
+    {"put-on-a-hall", "PUT", "/-/evacuation/cesson", false},
+    {"post-a-table", "POST", "/-/configuration", false},
+    {"elsewhere", "GET", "/-/evacuations", false},
+    {"root", "GET", "/", false},
 };
 
+/* Tells one call. */
+static void
+test_call(const void *data)
+{
+    const struct call_case *c = data;
+    const char *rest = "";
+    enum platform_call call = platform_classify(c->method, c->path, &rest);
+
+    g_assert_cmpint(call != PLATFORM_UNKNOWN, ==, c->served);
+}
+
 /* Reads one registration. */
 static void
 test_registration(const void *data)
@@ -212,7 +251,9 @@
     char path[128];
 
     g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
     CASES_ADD("/platform/table/", tables, test_table)
+    CASES_ADD("/platform/call/", calls, test_call)
     CASES_ADD("/platform/registration/", registrations, test_registration)
     g_test_add_func("/platform/packet", test_packet);
     g_test_add_func("/platform/fuzz", test_fuzz);
