upstream: starts of one id are ordered by when they were born

Cause: an upstream may start again under its id, with counts from 1; its words were taken for late ones of the start before, until its sequence had passed the old one. Ways weighed: a sequence that holds both, born plus count (no change between nodes, but a node of the release before would take each registration for a late one and let the upstream fall silent); the start beside the sequence (taken). Change: born orders starts, sequence the words of one start. Another start clears what was seen of the one before, also its flows' counts; marks and records hold it, so a start that was missed is found by comparisons. A word that states no start changes nothing where one is known, but that an upstream leaves; an end that states none is refused (409) where a start has just begun. Open flows of the old start go to the new one, which resets them: a node cannot know which of the two had opened them, since a start takes flows before its word is known everywhere.

--- a/cons.c
+++ b/cons.c
@@ -403,6 +403,7 @@
     case WIRE_SPREAD:
     case WIRE_SPREAD_ACK:
     case WIRE_HALLS:
+    case WIRE_STORED:
         return;
     }
 }
--- a/entry-core.c
+++ b/entry-core.c
@@ -261,6 +261,7 @@
     case WIRE_SPREAD:
     case WIRE_SPREAD_ACK:
     case WIRE_HALLS:
+    case WIRE_STORED:
         counter_add(core->counters, COUNTER_MSGS_MALFORMED, 1);
         return;
     }
--- a/evidence-internal.h
+++ b/evidence-internal.h
@@ -11,7 +11,8 @@
  * send copies of a first packet the same way, and to notice lost upstreams. */
 struct evidence_flow {
     uint64_t key;          /**< hash of its addresses and ports */
-    uint64_t upstream;     /**< id of the incarnation */
+    uint64_t upstream;     /**< id of the upstream */
+    uint64_t born;         /**< start of it that was believed to run */
     uint64_t seen_at;      /**< last packet */
     uint64_t forget_at;    /**< deadline; 0: by rest */
     uint64_t opened_at;    /**< first packet that was forwarded */
@@ -37,7 +38,8 @@
                                  struct evidence_verdict *verdict);
 
 /* evidence-life.c */
-/** Upstream of a flow; NULL when its record is gone. */
+/** Upstream of a flow; NULL when its record is gone, or another start of it
+ * runs. */
 struct upstream *evidence_upstream_of(const struct evidence *ev,
                                       const struct evidence_flow *flow);
 /** Ends the work that a flow is thought to cause. */
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -57,12 +57,17 @@
     ev->trust_at = now + TRUST_MS;
 }
 
-/* Upstream of a flow; NULL when its record is gone. */
+/* Upstream of a flow; NULL when its record is gone, or another start of it is
+ * believed to run. Packets of the flow go there still: only the upstream knows
+ * which of its starts had opened it, since the word of a new one comes after
+ * it takes flows, and it resets those that it does not hold. */
 struct upstream *
 evidence_upstream_of(const struct evidence *ev,
                      const struct evidence_flow *flow)
 {
-    return upstream_by_id(ev->upstreams, flow->upstream);
+    struct upstream *upstream = upstream_by_id(ev->upstreams, flow->upstream);
+
+    return upstream != NULL && upstream->born == flow->born ? upstream : NULL;
 }
 
 /* Ends the work that a flow is thought to cause. */
--- a/evidence.c
+++ b/evidence.c
@@ -124,6 +124,7 @@
 attach(struct evidence_flow *flow, struct upstream *upstream, uint64_t now)
 {
     flow->upstream = upstream->id;
+    flow->born = upstream->born;
     flow->opened_at = now;
     flow->answered = false;
     flow->acknowledged = 0;
@@ -256,7 +257,7 @@
 {
     struct evidence_flow *flow = g_hash_table_lookup(ev->flows, &key);
 
-    if (flow == NULL || flow->upstream != upstream->id) {
+    if (flow == NULL || evidence_upstream_of(ev, flow) != upstream) {
         flow = bind_flow(ev, now, key, flow, upstream);
         flow->acknowledged =
             packet->length > 0 || packet->closing ? packet->acknowledged : 0;
--- a/fleet-kept.c
+++ b/fleet-kept.c
@@ -17,8 +17,8 @@
 fleet_save(const struct fleet *fleet, uint64_t now)
 {
     const struct upstream_set *set = fleet->upstreams;
-    wire_msg msg = {.kind = WIRE_KEPT};
-    wire_kept *kept = &msg.wire_msg_u.kept;
+    wire_msg msg = {.kind = WIRE_STORED};
+    wire_kept *kept = &msg.wire_msg_u.stored;
     GHashTableIter iter;
     gpointer key;
     GByteArray *bytes;
@@ -45,29 +45,68 @@
     return bytes;
 }
 
+/* Takes nodes that were stored. */
+static void
+load_nodes(struct fleet *fleet, uint64_t now, const u_int *nodes, u_int count)
+{
+    g_array_append_vals(fleet->unheard, nodes, count);
+    fleet->hello_at = now;
+}
+
+/* Takes what this release stored. */
+static void
+load_stored(struct fleet *fleet, uint64_t now, const wire_kept *stored)
+{
+    for (u_int i = 0; i < stored->list.list_len; i++) {
+        (void)upstream_merge(fleet->upstreams, now, &stored->list.list_val[i]);
+    }
+    load_nodes(fleet, now, stored->nodes.nodes_val, stored->nodes.nodes_len);
+}
+
+/* Takes what the releases before stored. */
+static void
+load_unborn(struct fleet *fleet, uint64_t now, const wire_kept_unborn *kept)
+{
+    for (u_int i = 0; i < kept->list.list_len; i++) {
+        const wire_upstream_unborn *from = &kept->list.list_val[i];
+        wire_upstream record = {.id = from->id,
+                                .sequence = from->sequence,
+                                .address = from->address,
+                                .port = from->port,
+                                .slots = from->slots,
+                                .state = from->state,
+                                .warm_ms = from->warm_ms,
+                                .keeper = from->keeper,
+                                .age_ms = from->age_ms,
+                                .service = from->service,
+                                .hall = from->hall};
+
+        (void)upstream_merge(fleet->upstreams, now, &record);
+    }
+    load_nodes(fleet, now, kept->nodes.nodes_val, kept->nodes.nodes_len);
+}
+
 /* Takes what was stored. */
 bool
 fleet_load(struct fleet *fleet, uint64_t now, const GByteArray *bytes)
 {
-    const wire_kept *kept;
+    bool is_taken = true;
     wire_msg msg;
 
     if (!codec_decode(bytes->data, bytes->len, &msg)) {
         return false;
     }
-    if (msg.kind != WIRE_KEPT) {
-        codec_free(&msg);
-        return false;
+    if (msg.kind == WIRE_STORED) {
+        load_stored(fleet, now, &msg.wire_msg_u.stored);
     }
-    kept = &msg.wire_msg_u.kept;
-    for (u_int i = 0; i < kept->list.list_len; i++) {
-        (void)upstream_merge(fleet->upstreams, now, &kept->list.list_val[i]);
+    else if (msg.kind == WIRE_KEPT) {
+        load_unborn(fleet, now, &msg.wire_msg_u.kept_unborn);
+    }
+    else {
+        is_taken = false;
     }
-    g_array_append_vals(fleet->unheard, kept->nodes.nodes_val,
-                        kept->nodes.nodes_len);
-    fleet->hello_at = now;
     codec_free(&msg);
-    return true;
+    return is_taken;
 }
 
 /* Greets the stored nodes that were not heard yet. */
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -78,6 +78,7 @@
     wire_msg msg = {.kind = WIRE_HELLO};
     wire_hello *hello = &msg.wire_msg_u.hello;
     wire_hall room[HALL_MAX];
+    wire_halls halls;
 
     hello->self = fleet->self;
     hello->flags = (reply ? WIRE_HELLO_REPLY : 0U) |
@@ -88,7 +89,8 @@
     hello->routes = fleet->routes.bundle_version;
     hello->members = fleet_members_digest(fleet);
     upstream_digests(fleet->upstreams, hello->upstreams);
-    hall_pack(&fleet->upstreams->halls, room, &hello->halls);
+    hall_pack(&fleet->upstreams->halls, room, &halls);
+    hello->halls = halls.revision != 0 ? &halls : NULL;
     fleet_send(fleet, to, &msg);
 }
 
--- a/fleet.c
+++ b/fleet.c
@@ -391,7 +391,7 @@
 note_shown(struct fleet_member *member, const wire_hello *hello)
 {
     member->routes = hello->routes;
-    member->halls = hello->halls.revision;
+    member->halls = hello->halls != NULL ? hello->halls->revision : 0;
     memcpy(member->upstreams, hello->upstreams, sizeof(member->upstreams));
 }
 
@@ -404,7 +404,9 @@
     uint32_t from = hello->self.address;
     struct fleet_member *member;
 
-    (void)take_halls(fleet, &hello->halls);
+    if (hello->halls != NULL) {
+        (void)take_halls(fleet, hello->halls);
+    }
     fleet_note_member(fleet, now, &hello->self, true);
     member = g_hash_table_lookup(fleet->members, GUINT_TO_POINTER(from));
     if (member == NULL) {
--- a/node-http.c
+++ b/node-http.c
@@ -224,8 +224,9 @@
     if (!upstream_register(&node->upstreams, loop_now(), &registration)) {
         counter_add(&node->counters, COUNTER_REGISTRATIONS_LATE, 1);
         log_event(LOG_INFO, "registration-late",
-                  "upstream=%llx sequence=%llu leaving=%d",
+                  "upstream=%llx born=%llu sequence=%llu leaving=%d",
                   (unsigned long long)registration.id,
+                  (unsigned long long)registration.born,
                   (unsigned long long)registration.sequence,
                   registration.leaving);
     }
@@ -245,13 +246,24 @@
 {
     struct node *node = call->node;
     struct status st = {STATUS_OK, ""};
+    uint64_t born;
     uint64_t id;
 
-    if (platform_read_id(text, &id, &st) != STATUS_OK) {
+    if (platform_read_id(text, &id, &st) != STATUS_OK ||
+        platform_read_end((const char *)call->body->data, call->body->len,
+                          &born, &st) != STATUS_OK) {
         counter_add(&node->counters, COUNTER_REGISTRATIONS_REFUSED, 1);
+        log_event(LOG_WARN, "end-refused", "reason=\"%s\"", st.message);
         return refuse(call, MHD_HTTP_BAD_REQUEST, st.message);
     }
-    upstream_deregister(&node->upstreams, loop_now(), id);
+    if (!upstream_deregister(&node->upstreams, loop_now(), id, born)) {
+        counter_add(&node->counters, COUNTER_REGISTRATIONS_LATE, 1);
+        log_event(LOG_INFO, "end-late", "upstream=%llx",
+                  (unsigned long long)id);
+        return refuse(call, MHD_HTTP_CONFLICT,
+                      "another start of this upstream has just begun; say by "
+                      "\"born\" which one ends");
+    }
     node_act(node);
     return answer(call, MHD_HTTP_OK, "application/json", "{}", 2);
 }
--- a/node-status.c
+++ b/node-status.c
@@ -48,6 +48,7 @@
     page_add_text(doc, "hall", u->hall);
     page_add_endpoint(doc, "at", u->address, u->port);
     page_add_text(doc, "state", upstream_state_name(u->state));
+    page_add_number(doc, "born", u->born);
     page_add_number(doc, "sequence", u->sequence);
     page_add_number(doc, "slots", u->slots);
     page_add_number(doc, "open_flows", u->open);
--- a/node.c
+++ b/node.c
@@ -167,10 +167,11 @@
 
         if (u != NULL) {
             log_event(LOG_INFO, "upstream",
-                      "upstream=%llx state=%s service=%s sequence=%llu "
-                      "doubted=%d",
+                      "upstream=%llx state=%s service=%s born=%llu "
+                      "sequence=%llu doubted=%d",
                       (unsigned long long)u->id, upstream_state_name(u->state),
                       upstream_service_name(&node->upstreams, u->service),
+                      (unsigned long long)u->born,
                       (unsigned long long)u->sequence,
                       u->doubts.decide_at != 0);
         }
--- a/tests/steer-servers.c
+++ b/tests/steer-servers.c
@@ -207,7 +207,7 @@
     struct server *server = model_server(m, s);
 
     server->alive = false;
-    upstream_deregister(&m->sets[server->keeper], m->now, server->id);
+    (void)upstream_deregister(&m->sets[server->keeper], m->now, server->id, 0);
     server_spread(m, server->keeper);
 }
 
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -85,7 +85,7 @@
         upstream_tick(&f->upstreams, NOW + 10 * INTERVAL_MS);
         return;
     case 'g':
-        upstream_deregister(&f->upstreams, NOW, 1);
+        (void)upstream_deregister(&f->upstreams, NOW, 1, 0);
         return;
     case 'u':
         fixture_register(f, NOW, 2, 1, false);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -447,6 +447,33 @@
     fleet_sim_free(sim);
 }
 
+/* What the release before stored of its fleet is read: one upstream, which did
+ * not say when it was born. A checksum stands before it. */
+static void
+test_kept_by_release_before(void)
+{
+    struct fleet_sim_options options = {
+        .nodes = 1, .disks = 1, .upstreams = 0, .seed = 1};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    const struct upstream *upstream;
+    GByteArray *bytes;
+    char *text;
+    gsize length;
+
+    g_assert_true(g_file_get_contents("tests/formats/relays/upstreams", &text,
+                                      &length, NULL));
+    bytes = g_byte_array_new_take((guint8 *)text, length);
+    g_byte_array_remove_range(bytes, 0, sizeof(uint64_t));
+    g_assert_true(fleet_load(&sim->nodes[0].fleet, sim->now, bytes));
+    upstream = upstream_by_id(&sim->nodes[0].upstreams, 0x5a);
+    g_assert_nonnull(upstream);
+    g_assert_cmpstr(upstream->hall, ==, "hall-1");
+    g_assert_cmpuint(upstream->sequence, ==, 1);
+    g_assert_cmpuint(upstream->born, ==, 0);
+    g_byte_array_unref(bytes);
+    fleet_sim_free(sim);
+}
+
 /* When a disk refuses, every operator who waits is owed an answer: those who
  * wait for a quorum, and those whose answer was not given yet. */
 static void
@@ -554,6 +581,8 @@
         g_test_add_data_func(path, &mutations[i], test_mutation);
     }
     g_test_add_func("/fleet/kept-of-another-kind", test_kept_of_another_kind);
+    g_test_add_func("/fleet/kept-by-release-before",
+                    test_kept_by_release_before);
     g_test_add_func("/fleet/recall", test_recall);
     g_test_add_func("/fleet/join-together", test_join_together);
     g_test_add_func("/fleet/unanswered", test_unanswered);
--- a/tests/test-inventory.c
+++ b/tests/test-inventory.c
@@ -100,7 +100,8 @@
     fleet_sim_isolate(sim, keeper, true);
     if (ends) {
         u->up = false;
-        upstream_deregister(&sim->nodes[keeper].upstreams, sim->now, u->id);
+        (void)upstream_deregister(&sim->nodes[keeper].upstreams, sim->now,
+                                  u->id, 0);
     }
     else {
         u->leaving = true;
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -72,6 +72,204 @@
     g_assert_cmpint(merge_in_order(c, 1), ==, c->state_after);
 }
 
+/* Words about one id, in any order of arrival: when the start was born, its
+ * sequence, and its state (r, l, s, g). Times are in ms since 1970 with the
+ * first digits left out. */
+struct start_word {
+    uint64_t born; /* 0: not stated, as an older program tells it */
+    uint64_t sequence;
+    char state;
+};
+
+struct start_case {
+    const char *name;
+    struct start_word words[3]; /* sequence 0: no more of them */
+    struct start_word after;    /* what is believed then */
+};
+
+static const struct start_case starts[] = {
+    {"counts-begin-anew", {{100, 20, 'r'}, {900, 1, 'r'}}, {900, 1, 'r'}},
+    {"late-word-of-the-old-start",
+     {{100, 20, 'r'}, {900, 1, 'r'}, {100, 21, 'l'}},
+     {900, 1, 'r'}},
+    {"old-start-ended",
+     {{100, 20, 'g'}, {900, 1, 'r'}, {100, 22, 'r'}},
+     {900, 1, 'r'}},
+    {"late-end-of-the-old-start",
+     {{900, 1, 'r'}, {100, 20, 'g'}, {900, 2, 'r'}},
+     {900, 2, 'r'}},
+    {"new-start-leaves", {{100, 20, 'r'}, {900, 3, 'l'}}, {900, 3, 'l'}},
+    {"old-start-silent",
+     {{100, 20, 's'}, {900, 1, 'r'}, {100, 20, 'r'}},
+     {900, 1, 'r'}},
+    {"three-starts",
+     {{100, 20, 'r'}, {900, 9, 'l'}, {1700, 1, 'r'}},
+     {1700, 1, 'r'}},
+};
+
+/* State by its letter. */
+static enum upstream_state
+state_by(char letter)
+{
+    return letter == 'r'   ? UPSTREAM_READY
+           : letter == 'l' ? UPSTREAM_LEAVING
+           : letter == 's' ? UPSTREAM_SILENT
+                           : UPSTREAM_GONE;
+}
+
+/* Merges a word that another node tells. */
+static bool
+merge_word(struct upstream_set *set, const struct start_word *word)
+{
+    wire_upstream record = {.id = 7,
+                            .sequence = word->sequence,
+                            .state = state_by(word->state),
+                            .slots = 1,
+                            .keeper = 9,
+                            .service = "feed",
+                            .hall = "hall",
+                            .born = word->born};
+
+    return upstream_merge(set, NOW, &record);
+}
+
+/* Merges the words in one order, so many times. */
+static void
+merge_starts(const struct start_case *c, const int order[3], int times)
+{
+    const struct upstream *u;
+    struct upstream_set set;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    for (int i = 0; i < 3 * times; i++) {
+        const struct start_word *word = &c->words[order[i % 3]];
+
+        if (word->sequence != 0) {
+            (void)merge_word(&set, word);
+        }
+    }
+    u = upstream_by_id(&set, 7);
+    g_assert_cmpuint(u->born, ==, c->after.born);
+    g_assert_cmpuint(u->sequence, ==, c->after.sequence);
+    g_assert_cmpint(u->state, ==, state_by(c->after.state));
+    upstream_close(&set);
+}
+
+/* The order of arrival makes no difference. */
+static void
+test_start(const void *data)
+{
+    static const int orders[][3] = {{0, 1, 2}, {0, 2, 1}, {1, 0, 2},
+                                    {1, 2, 0}, {2, 0, 1}, {2, 1, 0}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(orders); i++) {
+        merge_starts(data, orders[i], 2);
+    }
+}
+
+/* Words told by a program that does not know when upstreams were born, after
+ * what is believed. */
+static const struct start_case mixed[] = {
+    {"nothing-known-yet", {{0, 20, 'r'}}, {0, 20, 'r'}},
+    {"its-old-word-changes-nothing",
+     {{900, 1, 'r'}, {0, 20, 'r'}},
+     {900, 1, 'r'}},
+    {"its-silence-changes-nothing",
+     {{900, 3, 'r'}, {0, 20, 's'}},
+     {900, 3, 'r'}},
+    {"its-end-changes-nothing", {{900, 3, 'r'}, {0, 20, 'g'}}, {900, 3, 'r'}},
+    {"that-it-leaves-counts", {{900, 3, 'r'}, {0, 4, 'l'}}, {900, 3, 'l'}},
+    {"until-it-registers-again",
+     {{900, 3, 'r'}, {0, 20, 'l'}, {900, 4, 'r'}},
+     {900, 4, 'r'}},
+    {"a-late-leaving-does-not", {{900, 3, 'r'}, {0, 2, 'l'}}, {900, 3, 'r'}},
+    {"a-start-that-just-began", {{0, 20, 'r'}, {900, 1, 'r'}}, {900, 1, 'r'}},
+    {"after-an-end", {{0, 20, 'g'}, {900, 1, 'r'}}, {900, 1, 'r'}},
+    {"a-start-that-goes-on", {{0, 20, 'r'}, {900, 21, 'r'}}, {900, 21, 'r'}},
+    {"a-late-word", {{0, 20, 'r'}, {900, 19, 'l'}}, {0, 20, 'r'}},
+};
+
+/* Merges the words in their order. */
+static void
+test_mixed(const void *data)
+{
+    static const int in_order[3] = {0, 1, 2};
+
+    merge_starts(data, in_order, 1);
+}
+
+/* An upstream registers here, begins anew and says that it ends. */
+struct end_case {
+    const char *name;
+    uint64_t sequence; /* of the start that runs, born at 900 */
+    bool leaving;      /* it said so */
+    uint64_t born;     /* of the start that ends, 0: not stated */
+    bool is_taken;
+    char state; /* believed then */
+};
+
+static const struct end_case ends[] = {
+    {"its-own", 20, true, 900, true, 'g'},
+    {"its-own-not-stated", 20, true, 0, true, 'g'},
+    {"not-stated-without-leaving", 20, false, 0, true, 'g'},
+    {"of-an-earlier-start", 20, false, 100, true, 'r'},
+    {"of-an-earlier-start-that-left", 1, true, 100, true, 'l'},
+    {"not-stated-and-it-has-just-begun", 1, false, 0, false, 'r'},
+    {"not-stated-and-it-leaves-at-once", 1, true, 0, true, 'g'},
+    {"of-a-later-start", 20, false, 1700, true, 'g'},
+};
+
+/* Plays one case. */
+static void
+test_end(const void *data)
+{
+    const struct end_case *c = data;
+    struct upstream_registration r = {.id = 7,
+                                      .service = "feed",
+                                      .hall = "hall",
+                                      .slots = 1,
+                                      .born = 900,
+                                      .sequence = c->sequence,
+                                      .leaving = c->leaving};
+    struct upstream_set set;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    g_assert_true(upstream_register(&set, NOW, &r));
+    g_assert_cmpint(upstream_deregister(&set, NOW, 7, c->born), ==,
+                    c->is_taken);
+    g_assert_cmpint(upstream_by_id(&set, 7)->state, ==, state_by(c->state));
+    upstream_close(&set);
+}
+
+/* A start that registers here is told to others, whose marks differ until
+ * then; a registration that states no start is late once one is known. */
+static void
+test_start_is_spread(void)
+{
+    struct upstream_registration r = {.id = 7,
+                                      .service = "feed",
+                                      .hall = "hall",
+                                      .slots = 1,
+                                      .sequence = 20,
+                                      .born = 100};
+    struct upstream_set set;
+    uint32_t mark;
+
+    upstream_open(&set, SELF, INTERVAL_MS);
+    g_assert_true(upstream_register(&set, NOW, &r));
+    mark = upstream_by_id(&set, 7)->mark;
+    g_array_set_size(set.changed, 0);
+    r.born = 900;
+    r.sequence = 1;
+    g_assert_true(upstream_register(&set, NOW, &r));
+    g_assert_cmpuint(set.changed->len, ==, 1);
+    g_assert_cmpuint(upstream_by_id(&set, 7)->mark, !=, mark);
+    r.born = 0;
+    r.sequence = 30;
+    g_assert_false(upstream_register(&set, NOW, &r));
+    upstream_close(&set);
+}
+
 /* Registrations of two incarnations at one address: 1 began there first, was
  * heard up to `known`, and 2 registers there when 1 has crashed. Then one of
  * them registers once more. */
@@ -355,7 +553,7 @@
             register_there(&set, now, id, step, step % 3 == 0);
             break;
         case 1:
-            upstream_deregister(&set, now, id);
+            (void)upstream_deregister(&set, now, id, 0);
             break;
         case 2:
             upstream_adopt(&set, now, 9);
@@ -379,6 +577,10 @@
     {"silence", FAULT_NO_SILENCE, "/upstream/excuse"},
     {"excuse", FAULT_NO_EXCUSE, "/upstream/excuse"},
     {"replace", FAULT_NO_REPLACE, "/upstream/address/late-word-of-the-old"},
+    {"born", FAULT_NO_BORN, "/upstream/start/counts-begin-anew"},
+    {"born-late", FAULT_NO_BORN, "/upstream/start/late-word-of-the-old-start"},
+    {"born-end", FAULT_NO_BORN,
+     "/upstream/end/not-stated-and-it-has-just-begun"},
 };
 
 /* Tells one inventory what another one holds. */
@@ -405,7 +607,7 @@
     for (int i = 0; i < 2; i++) {
         upstream_open(&sets[i], SELF + (uint32_t)i, INTERVAL_MS);
     }
-    upstream_deregister(&sets[0], NOW, 7);
+    (void)upstream_deregister(&sets[0], NOW, 7, 0);
     for (uint64_t now = NOW; now <= until; now += UPSTREAM_GONE_MS / 5) {
         for (int i = 0; i < 2; i++) {
             upstream_tick(&sets[i], now);
@@ -428,6 +630,10 @@
     mutation_begin();
     g_test_init(&argc, &argv, NULL);
     CASES_ADD("/upstream/merge/", merges, test_merge)
+    CASES_ADD("/upstream/start/", starts, test_start)
+    CASES_ADD("/upstream/start/mixed/", mixed, test_mixed)
+    CASES_ADD("/upstream/end/", ends, test_end)
+    g_test_add_func("/upstream/start/spread", test_start_is_spread);
     CASES_ADD("/upstream/address/", addresses, test_address)
     g_test_add_func("/upstream/address/merged", test_address_merged);
     CASES_ADD("/upstream/doubt/", words, test_word)
--- a/upstream.c
+++ b/upstream.c
@@ -212,11 +212,33 @@
     return now + MOVED_INTERVALS * set->interval_ms;
 }
 
-/* Says whether a state and sequence replace those that are believed. */
+/* Says whether a word that states no start changes what is believed of an
+ * upstream whose start is known: it may be of an earlier start, told by an
+ * older program. It may take the upstream out of use, no more; the next
+ * registration puts right what was wrong. */
 static bool
-is_newer(const struct upstream *upstream, enum upstream_state state,
-         uint64_t sequence)
+takes_out_of_use(const struct upstream *upstream, enum upstream_state state,
+                 uint64_t sequence)
 {
+    return upstream->state == UPSTREAM_READY && state == UPSTREAM_LEAVING &&
+           sequence > upstream->sequence;
+}
+
+/* Says whether a word about a start replaces what is believed. Starts of one
+ * id are ordered by when they were born, words of one start by sequence, at
+ * the same sequence by state. */
+static bool
+is_newer(const struct upstream *upstream, uint64_t born,
+         enum upstream_state state, uint64_t sequence)
+{
+    if (born != upstream->born && !fault_is(FAULT_NO_BORN)) {
+        if (born == 0) {
+            return takes_out_of_use(upstream, state, sequence);
+        }
+        if (upstream->born != 0 || sequence <= FRESH_SEQUENCE) {
+            return born > upstream->born;
+        }
+    }
     if (upstream->state == UPSTREAM_GONE || state == UPSTREAM_GONE) {
         return upstream->state != UPSTREAM_GONE;
     }
@@ -234,11 +256,32 @@
     upstream->doubts.decide_at = 0;
 }
 
+/* Another start of an upstream: what was seen of the one before says nothing
+ * of it, and it knows none of its flows. */
+static void
+begin_start(struct upstream *upstream, uint64_t born)
+{
+    upstream->born = born;
+    upstream->sequence = 0;
+    upstream->changed_at = 0;
+    upstream->forget_at = 0;
+    upstream->suspect_until = 0;
+    upstream->alive_at = 0;
+    upstream->took_until = 0;
+    upstream->took_us = 0;
+    upstream->doubt_at = 0;
+    upstream->open = 0;
+    upstream->busy = 0;
+}
+
 /* Copies what a record says of an incarnation. */
 static void
 take_record(struct upstream_set *set, uint64_t now, struct upstream *upstream,
             const wire_upstream *record)
 {
+    if (record->born > upstream->born) {
+        begin_start(upstream, record->born);
+    }
     if (upstream->changed_at == 0 || upstream->keeper != record->keeper ||
         upstream->state != (enum upstream_state)record->state) {
         upstream->changed_at = now - MIN(record->age_ms, now);
@@ -250,7 +293,9 @@
     upstream->port = (uint16_t)record->port;
     upstream->slots = MAX(record->slots, 1);
     upstream->state = (enum upstream_state)record->state;
-    upstream->sequence = record->sequence;
+    if (record->born == upstream->born) {
+        upstream->sequence = record->sequence;
+    }
     upstream->keeper = record->keeper;
     upstream->warm_at = now + record->warm_ms;
     clear_doubts(upstream);
@@ -347,11 +392,12 @@
                             .keeper = set->self,
                             .warm_ms = r->warm_ms,
                             .service = (char *)r->service,
-                            .hall = (char *)r->hall};
+                            .hall = (char *)r->hall,
+                            .born = r->born};
     bool is_new = upstream == NULL;
     bool differs;
 
-    if ((!is_new && !is_newer(upstream, state, r->sequence)) ||
+    if ((!is_new && !is_newer(upstream, r->born, state, r->sequence)) ||
         is_late(set, upstream, r)) {
         return false;
     }
@@ -359,8 +405,8 @@
         replace_holder(set, now, &record, true);
         upstream = add_upstream(set, r->id);
     }
-    differs = is_new || upstream->state != state ||
-              upstream->keeper != set->self ||
+    differs = is_new || upstream->born != r->born ||
+              upstream->state != state || upstream->keeper != set->self ||
               upstream->address != r->address || upstream->port != r->port;
     take_record(set, now, upstream, &record);
     upstream->heard_at = now;
@@ -394,9 +440,20 @@
     return record->warm_ms != 0 ? record->warm_ms : UPSTREAM_GONE_MS;
 }
 
+/* Says whether a word that does not state which start ends may be an earlier
+ * one's, held up on its way: the one that runs has just begun, and one that
+ * ends as planned says so some seconds before. */
+static bool
+may_be_of_earlier_start(const struct upstream *upstream)
+{
+    return upstream->born != 0 && upstream->state == UPSTREAM_READY &&
+           upstream->sequence <= FRESH_SEQUENCE && !fault_is(FAULT_NO_BORN);
+}
+
 /* Takes an upstream's word that it ends. */
-void
-upstream_deregister(struct upstream_set *set, uint64_t now, uint64_t id)
+bool
+upstream_deregister(struct upstream_set *set, uint64_t now, uint64_t id,
+                    uint64_t born)
 {
     struct upstream *upstream = upstream_by_id(set, id);
 
@@ -404,11 +461,22 @@
         upstream = add_upstream(set, id);
         upstream->service = UPSTREAM_NO_SERVICE;
     }
-    if (upstream->state != UPSTREAM_GONE) {
-        upstream->changed_at = now;
-        mark_gone(set, upstream, now, UPSTREAM_GONE_MS);
-        note_change(set, upstream);
+    else if (born == 0 && may_be_of_earlier_start(upstream)) {
+        return false;
+    }
+    if (born != 0 && born < upstream->born) {
+        return true;
+    }
+    if (born > upstream->born) {
+        begin_start(upstream, born);
     }
+    else if (upstream->state == UPSTREAM_GONE) {
+        return true;
+    }
+    upstream->changed_at = now;
+    mark_gone(set, upstream, now, UPSTREAM_GONE_MS);
+    note_change(set, upstream);
+    return true;
 }
 
 /* Notes what another node told, for the log. */
@@ -447,8 +515,9 @@
     if (record->state > UPSTREAM_GONE) {
         return false;
     }
-    if (!is_new && !is_newer(upstream, (enum upstream_state)record->state,
-                             record->sequence)) {
+    if (!is_new &&
+        !is_newer(upstream, record->born, (enum upstream_state)record->state,
+                  record->sequence)) {
         contradict(set, now, upstream, record);
         return false;
     }
@@ -458,7 +527,8 @@
         replace_holder(set, now, record, false);
         upstream = add_upstream(set, record->id);
     }
-    differs = is_new || upstream->state != record->state ||
+    differs = is_new || upstream->born < record->born ||
+              upstream->state != record->state ||
               upstream->keeper != record->keeper ||
               upstream->address != record->address ||
               upstream->port != record->port;
@@ -635,8 +705,12 @@
 upstream_mark(const struct upstream *upstream)
 {
     uint64_t keeper = upstream->state == UPSTREAM_GONE ? 0 : upstream->keeper;
+    uint64_t start =
+        upstream->born == 0
+            ? upstream->id
+            : hash_pair(HASH_UPSTREAM, upstream->id, upstream->born);
 
-    return (uint32_t)hash_pair(HASH_UPSTREAM, upstream->id,
+    return (uint32_t)hash_pair(HASH_UPSTREAM, start,
                                (uint64_t)upstream->state << 32 | keeper);
 }
 
@@ -674,5 +748,6 @@
         .keeper = upstream->keeper,
         .age_ms = (u_int)MIN(now - upstream->changed_at, UINT32_MAX),
         .service = (char *)upstream_service_name(set, upstream->service),
-        .hall = (char *)upstream->hall};
+        .hall = (char *)upstream->hall,
+        .born = upstream->born};
 }
--- a/upstream.h
+++ b/upstream.h
@@ -1,8 +1,9 @@
 /**
  * @file upstream.h
  * The inventory of upstreams that register themselves, beside the bundle:
- * one record for each incarnation, merged by a rule that does not depend on
- * the order of arrival, so that every node ends with the same. Owns the
+ * one record for each id, of the latest start under it, merged by a rule that
+ * does not depend on the order of arrival, so that every node ends with the
+ * same. Owns the
  * records and the names of services; the counts of flows and what packets
  * tell in a record belong to evidence.c. Does no I/O: others spread what
  * `changed` lists.
@@ -51,6 +52,8 @@
     bool leaving;                        /**< it is about to end */
     uint32_t warm_ms;                    /**< how much longer it is slow */
     uint64_t sequence;                   /**< rises with each registration */
+    uint64_t born;                       /**< ms since 1970 by its own clock:
+                                              of this start; 0: not stated */
 };
 
 /** Nodes that got no answer of an upstream, as told to the one that hears it.
@@ -76,6 +79,8 @@
     uint16_t port;                    /**< UDP */
     uint32_t slots;                   /**< requests it runs at once */
     enum upstream_state state;        /**< what is believed */
+    uint64_t born;                    /**< start that is believed to run, ms
+                                           since 1970; 0: not stated */
     uint64_t sequence;                /**< of the registration believed */
     uint32_t keeper;                  /**< node that hears it, by address */
     uint64_t changed_at;              /**< a node heard its state and keeper,
@@ -162,8 +167,14 @@
 bool upstream_register(struct upstream_set *set, uint64_t now,
                        const struct upstream_registration *registration);
 
-/** Takes an upstream's word that it ends. */
-void upstream_deregister(struct upstream_set *set, uint64_t now, uint64_t id);
+/**
+ * Takes an upstream's word that it ends.
+ * @param born of the start that ends, 0: not stated
+ * @return false when it may be the late word of an earlier start: none is
+ *         stated, and the one that is believed to run has just begun
+ */
+bool upstream_deregister(struct upstream_set *set, uint64_t now, uint64_t id,
+                         uint64_t born);
 
 /** Takes a record of another node; true when it told something new. */
 bool upstream_merge(struct upstream_set *set, uint64_t now,
@@ -211,8 +222,8 @@
 /** Name of a state in logs and pages. */
 const char *upstream_state_name(enum upstream_state state);
 
-/** Hash of a record: who, what state, heard by whom. The sequence is left out,
- * since it rises all the time. */
+/** Hash of a record: who, which start, what state, heard by whom. The sequence
+ * is left out, since it rises all the time. */
 uint32_t upstream_mark(const struct upstream *upstream);
 
 /** Digests of the records, by bucket, so that two nodes can compare. */
