warmup: what cold upstreams get is bounded over all nodes

Taken: none while there are warm ones; else a few owners of each, by rendezvous hashing, one flow a second each. Change: services state time and rate with the table, the settings how far it may be passed; a third of the bound is given out, since views of who owns an upstream may differ threefold. Upstreams of a hall that is taken back count as cold for as long as their service says. One that turns cold though it was warm is told of. What cannot be sent is refused at once (all-cold). Without a bound cold ones weigh more, as before.

--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -2,7 +2,7 @@
  * The choice of an upstream for a new flow: each rule of it, in the order in
  * which they count. Reads the inventory and writes nothing.
  *
- * 1. Who may be chosen: evidence_takes_new().
+ * 1. Who may be chosen: evidence_takes_new(), may_get_more().
  * 2. What is wrong with it: rank_of(). The least rank wins.
  * 3. What it has to do: work_of(). The least work wins.
  * 4. Among equals the first from this node's own place on: place_of().
@@ -20,7 +20,12 @@
 #define WORK_SCALE 1000U
 
 /* What is wrong with an upstream; the least is best. */
-enum rank { RANK_GOOD, RANK_SUSPECT, RANK_SILENT };
+enum rank {
+    RANK_GOOD,
+    RANK_COLD, /* what it gets is bounded: only where no other is good */
+    RANK_SUSPECT,
+    RANK_SILENT
+};
 
 /* Says whether an upstream would take new flows but for its hall: one that is
  * ready, or silent. */
@@ -42,17 +47,54 @@
     return may_take_new(upstream) && !upstream->emptied;
 }
 
+/* Says whether what an upstream gets is bounded now. */
+static bool
+is_bounded(const struct evidence *ev, const struct upstream *upstream,
+           uint64_t now)
+{
+    return upstream_is_cold(upstream, now) &&
+           upstream_limit(ev->upstreams, upstream->service).bounded &&
+           !fault_is(FAULT_NO_WARMUP);
+}
+
+/* Says whether this node is an owner of an upstream; worked out once for each
+ * list of nodes. */
+static bool
+is_owner(const struct evidence *ev, struct upstream *upstream)
+{
+    uint32_t owners = upstream_limit(ev->upstreams, upstream->service).owners;
+
+    if (upstream->owned_of != ev->nodes.version) {
+        upstream->owned_of = ev->nodes.version;
+        upstream->owned = warmup_owns(&ev->nodes, owners, upstream->id);
+    }
+    return upstream->owned || fault_is(FAULT_ALL_OWN);
+}
+
+/* Says whether an upstream may get another new flow from this node. */
+static bool
+may_get_more(const struct evidence *ev, struct upstream *upstream,
+             uint64_t now)
+{
+    return !is_bounded(ev, upstream, now) ||
+           (now >= upstream->cold_next_at && is_owner(ev, upstream));
+}
+
 /* How much is wrong with an upstream. A silent one is the last resort, though
  * it may be that its registrations alone do not arrive. Taken as the others,
  * silent ones cost 0.054 and 0.009 of worth, in the mean of five days with
  * trouble on two loads (one play each). */
 static enum rank
-rank_of(const struct upstream *upstream, uint64_t now)
+rank_of(const struct evidence *ev, const struct upstream *upstream,
+        uint64_t now)
 {
     if (upstream->state == UPSTREAM_SILENT && !fault_is(FAULT_SILENT_EQUAL)) {
         return RANK_SILENT;
     }
-    return now < upstream->suspect_until ? RANK_SUSPECT : RANK_GOOD;
+    if (now < upstream->suspect_until) {
+        return RANK_SUSPECT;
+    }
+    return is_bounded(ev, upstream, now) ? RANK_COLD : RANK_GOOD;
 }
 
 /* Work at an upstream for each of its slots, in a scale that only compares:
@@ -74,7 +116,7 @@
         return 0;
     }
     work = work * WORK_SCALE / upstream->slots;
-    if (now < upstream->warm_at && !fault_is(FAULT_NO_COLD)) {
+    if (upstream_is_cold(upstream, now) && !fault_is(FAULT_NO_COLD)) {
         work = work * COLD_TENTHS / 10;
     }
     return work * evidence_slowness(ev, now, upstream);
@@ -111,17 +153,17 @@
 
 /* Says whether an upstream may be chosen. */
 static bool
-is_candidate(const struct upstream *upstream, uint16_t service,
-             const struct upstream *not_this)
+is_candidate(const struct evidence *ev, uint64_t now, uint16_t service,
+             struct upstream *upstream, const struct upstream *not_this)
 {
     return upstream->service == service && upstream != not_this &&
-           evidence_takes_new(upstream);
+           evidence_takes_new(upstream) && may_get_more(ev, upstream, now);
 }
 
 /* Counts the upstreams that may be chosen, and those that could be but for
- * their hall. */
+ * their hall, or since they are cold. */
 static void
-count_candidates(const struct evidence *ev, uint16_t service,
+count_candidates(const struct evidence *ev, uint64_t now, uint16_t service,
                  const struct upstream *not_this,
                  struct evidence_verdict *verdict)
 {
@@ -129,12 +171,22 @@
 
     verdict->candidates = 0;
     verdict->emptied = 0;
+    verdict->cold = 0;
     for (guint i = 0; i < all->len; i++) {
-        const struct upstream *u = g_ptr_array_index(all, i);
+        struct upstream *u = g_ptr_array_index(all, i);
 
-        verdict->candidates += is_candidate(u, service, not_this);
-        verdict->emptied +=
-            u->service == service && u->emptied && may_take_new(u);
+        if (u->service != service || u == not_this || !may_take_new(u)) {
+            continue;
+        }
+        if (u->emptied) {
+            verdict->emptied++;
+        }
+        else if (may_get_more(ev, u, now)) {
+            verdict->candidates++;
+        }
+        else {
+            verdict->cold++;
+        }
     }
 }
 
@@ -151,7 +203,7 @@
     guint best_place = 0;
     guint index = 0;
 
-    count_candidates(ev, service, not_this, verdict);
+    count_candidates(ev, now, service, not_this, verdict);
     if (verdict->candidates == 0) {
         return NULL;
     }
@@ -161,10 +213,10 @@
         uint64_t work;
         guint place;
 
-        if (!is_candidate(u, service, not_this)) {
+        if (!is_candidate(ev, now, service, u, not_this)) {
             continue;
         }
-        rank = rank_of(u, now);
+        rank = rank_of(ev, u, now);
         work = weigh(ev, u, now);
         place = place_of(ev, index++, verdict->candidates);
         if (best == NULL || rank < best_rank ||
--- a/evidence.c
+++ b/evidence.c
@@ -25,6 +25,8 @@
 /* An upstream that gave a sign of life this lately is alive: a first packet
  * without an answer was lost on its way. */
 #define ALIVE_MS 1000U
+#define MILLI 1000U
+
 /* Starts without a table. */
 void
 evidence_open(struct evidence *ev, struct upstream_set *upstreams,
@@ -35,6 +37,9 @@
     ev->counters = counters;
     ev->flow_max_ms = flow_max_ms;
     ev->table = route_new();
+    ev->overshoot_milli = MILLI;
+    ev->nodes.self = upstreams->self;
+    ev->nodes.all = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     ev->dropped = g_hash_table_new(g_direct_hash, g_direct_equal);
     ev->usual_us = g_array_new(FALSE, TRUE, sizeof(uint32_t));
     ev->flows =
@@ -49,6 +54,7 @@
     g_hash_table_destroy(ev->dropped);
     g_hash_table_destroy(ev->flows);
     g_array_free(ev->usual_us, TRUE);
+    g_array_free(ev->nodes.all, TRUE);
 }
 
 /* Remembers which routes a newer table drops, so that their flows end. */
@@ -73,6 +79,28 @@
     }
 }
 
+/* Takes what services bear while their upstreams are cold; those that state
+ * nothing any more have no bound. */
+static void
+apply_warmups(struct evidence *ev, const struct route_table *table)
+{
+    struct upstream_set *set = ev->upstreams;
+
+    g_array_set_size(set->limits, 0);
+    /* Who owns an upstream is worked out anew: there may be more owners. */
+    ev->nodes.version++;
+    for (guint i = 0; i < table->warmups->len; i++) {
+        const struct route_warmup *warmup =
+            &g_array_index(table->warmups, struct route_warmup, i);
+        struct warmup_limit limit =
+            warmup_limit_of(warmup->cold_ms, warmup->rate_milli,
+                            ev->overshoot_milli, ev->slack_milli);
+
+        upstream_set_limit(set, upstream_service(set, warmup->service),
+                           &limit);
+    }
+}
+
 /* Takes a table over. */
 bool
 evidence_apply(struct evidence *ev, struct route_table *table)
@@ -89,6 +117,7 @@
                 upstream_service(ev->upstreams, route->targets[j].service);
         }
     }
+    apply_warmups(ev, table);
     note_dropped(ev, table);
     route_free(ev->table);
     ev->table = table;
@@ -208,11 +237,24 @@
         counter_add(ev->counters, COUNTER_FLOWS_MOVED_OFF, 1);
     }
     flow = bind_flow(ev, now, verdict->flow, flow, upstream);
+    if (upstream_is_cold(upstream, now)) {
+        upstream->cold_next_at = now + WARMUP_PACE_MS;
+    }
     flow->seen_at = now;
     flow->forget_at = 0;
     forward_to(verdict, upstream, moves ? RULE_MOVED_OFF : RULE_LEAST_WORK);
 }
 
+/* Why there is no upstream for a new flow. */
+static enum ring_rule
+rule_of_none(const struct evidence_verdict *verdict)
+{
+    if (verdict->cold > 0) {
+        return RULE_ALL_COLD;
+    }
+    return verdict->emptied > 0 ? RULE_HALL_EMPTIED : RULE_NO_UPSTREAM;
+}
+
 /* Steers a packet that opens a flow. */
 static void
 steer_first(struct evidence *ev, uint64_t now,
@@ -241,7 +283,7 @@
     if (upstream == NULL) {
         counter_add(ev->counters, COUNTER_PACKETS_NO_UPSTREAM, 1);
         end_with(verdict, ev->settled ? EVIDENCE_REFUSE : EVIDENCE_HOLD,
-                 verdict->emptied > 0 ? RULE_HALL_EMPTIED : RULE_NO_UPSTREAM);
+                 rule_of_none(verdict));
         return;
     }
     open_flow(ev, now, flow, upstream, verdict);
--- a/evidence.h
+++ b/evidence.h
@@ -54,6 +54,8 @@
     uint64_t flow;                   /**< hash that names the flow in logs */
     uint32_t candidates;             /**< upstreams that were weighed */
     uint32_t emptied;                /**< passed over: their hall is emptied */
+    uint32_t cold;                   /**< passed over: they are cold, and this
+                                          node may not send to them now */
 };
 
 /** The steering of one entry. */
@@ -72,6 +74,12 @@
                                     upstream proves nothing */
     uint64_t answered_sent_at; /**< when the latest data that was answered
                                     had been forwarded, 0: none yet */
+    struct warmup_nodes nodes; /**< among which owners of cold upstreams are
+                                    found */
+    uint64_t overshoot_milli;  /**< how far the rate that a cold upstream
+                                    bears may be passed, in thousandths */
+    uint64_t slack_milli;      /**< and beyond that, in thousandths of a new
+                                    flow a second */
     uint32_t place;            /**< of this node among all, in parts of 2^32:
                                     where its choice among equals begins */
     bool settled;              /**< the inventory was compared with
--- a/fault.h
+++ b/fault.h
@@ -29,6 +29,8 @@
     FAULT_NO_LEASE,        /**< dispatch without a lease; untested */
     FAULT_NO_LEAST_WORK,   /**< choose the first from the own place on */
     FAULT_NO_PLACE,        /**< all nodes break ties alike */
+    FAULT_ALL_OWN,         /**< each node takes the bound for its own */
+    FAULT_NO_WARMUP,       /**< cold upstreams get flows without a bound */
     FAULT_NO_COLD,         /**< an upstream that starts weighs as others */
     FAULT_NO_TOOK,         /**< how long an upstream takes says nothing */
     FAULT_NO_SUSPICION,   /**< a first packet without an answer says nothing */
--- a/fleet-members.c
+++ b/fleet-members.c
@@ -48,6 +48,33 @@
     }
 }
 
+/* A node that began so lately is no owner: it may have been one a moment ago,
+ * and does not know to whom it sent. */
+#define OWNER_AFTER_MS 1100U
+
+/* Lists the nodes among which owners are found. */
+void
+fleet_list_owners(const struct fleet *fleet, uint64_t now, GArray *out)
+{
+    bool knows_all = fleet->relay.listed || fleet->leads_since != 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    if (!knows_all || fleet->self.stopping ||
+        now < fleet->started_at + OWNER_AFTER_MS) {
+        return;
+    }
+    g_array_append_val(out, fleet->self.address);
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct fleet_member *member = value;
+
+        if (!member->node.stopping) {
+            g_array_append_val(out, member->node.address);
+        }
+    }
+}
+
 /* Place of this node among all. */
 uint32_t
 fleet_place(const struct fleet *fleet)
--- a/fleet.c
+++ b/fleet.c
@@ -156,9 +156,9 @@
 
 /* Takes which halls are emptied from another node, or from the own voter. */
 static bool
-take_halls(struct fleet *fleet, const wire_halls *halls)
+take_halls(struct fleet *fleet, uint64_t now, const wire_halls *halls)
 {
-    if (!upstream_empty_halls(fleet->upstreams, halls)) {
+    if (!upstream_empty_halls(fleet->upstreams, now, halls)) {
         return false;
     }
     fleet_act(fleet, FLEET_HALLS);
@@ -167,13 +167,14 @@
 
 /* Takes committed orders about halls. */
 bool
-fleet_set_halls(struct fleet *fleet, const struct hall_set *halls)
+fleet_set_halls(struct fleet *fleet, uint64_t now,
+                const struct hall_set *halls)
 {
     wire_hall room[HALL_MAX];
     wire_halls packed;
 
     hall_pack(halls, room, &packed);
-    if (!take_halls(fleet, &packed)) {
+    if (!take_halls(fleet, now, &packed)) {
         return false;
     }
     if (fleet->leads_since != 0) {
@@ -405,7 +406,7 @@
     struct fleet_member *member;
 
     if (hello->halls != NULL) {
-        (void)take_halls(fleet, hello->halls);
+        (void)take_halls(fleet, now, hello->halls);
     }
     fleet_note_member(fleet, now, &hello->self, true);
     member = g_hash_table_lookup(fleet->members, GUINT_TO_POINTER(from));
@@ -483,7 +484,7 @@
         (void)fleet_set_routes(fleet, now, &msg->wire_msg_u.table);
         return;
     case WIRE_HALLS:
-        (void)take_halls(fleet, &msg->wire_msg_u.halls);
+        (void)take_halls(fleet, now, &msg->wire_msg_u.halls);
         return;
     case WIRE_TABLE_ASK:
         fleet_take_table_ask(fleet, &msg->wire_msg_u.table_ask);
--- a/fleet.h
+++ b/fleet.h
@@ -254,7 +254,8 @@
                       const wire_routes *routes);
 
 /** Takes committed orders about halls; true when they are newer. */
-bool fleet_set_halls(struct fleet *fleet, const struct hall_set *halls);
+bool fleet_set_halls(struct fleet *fleet, uint64_t now,
+                     const struct hall_set *halls);
 
 /** Nodes, this one with them, that are known to hold the emptied halls of this
  * node's list. Whole only at the leader, which all others greet. */
@@ -279,6 +280,10 @@
 /** Digest of the members: who, and which start of it. */
 uint64_t fleet_members_digest(const struct fleet *fleet);
 
+/** Lists the nodes among which owners of cold upstreams are found; none while
+ * this one does not know all, has just begun or stops. */
+void fleet_list_owners(const struct fleet *fleet, uint64_t now, GArray *out);
+
 /** Place of this node among all by address, in parts of 2^32. */
 uint32_t fleet_place(const struct fleet *fleet);
 
--- a/node-packets.c
+++ b/node-packets.c
@@ -119,14 +119,14 @@
 {
     const struct upstream *u = verdict->upstream;
 
-    log_event(
-        LOG_INFO, text->event,
-        "flow=%016llx caller=%s route=%s rule=%s upstream=%llx "
-        "busy=%u open=%u candidates=%u emptied=%u copies=%u version=%llu",
-        text->flow, text->caller, text->place, text->rule,
-        (unsigned long long)u->id, u->busy, u->open, verdict->candidates,
-        verdict->emptied, packet->first ? packet->acknowledged : 0,
-        text->version);
+    log_event(LOG_INFO, text->event,
+              "flow=%016llx caller=%s route=%s rule=%s upstream=%llx "
+              "busy=%u open=%u candidates=%u emptied=%u cold=%u copies=%u "
+              "version=%llu",
+              text->flow, text->caller, text->place, text->rule,
+              (unsigned long long)u->id, u->busy, u->open, verdict->candidates,
+              verdict->emptied, verdict->cold,
+              packet->first ? packet->acknowledged : 0, text->version);
 }
 
 /* Writes that an open flow ends, and what is believed of its upstream. */
--- a/node-settings.h
+++ b/node-settings.h
@@ -36,6 +36,11 @@
     uint64_t flow_max_ms;           /**< flows at rest so long may be
                                          forgotten, where no table says */
     uint64_t link_kbit_s;           /**< of this VM's link; 0: not known */
+    uint64_t cold_overshoot_milli;  /**< how far the rate that a cold upstream
+                                         bears may be passed, in thousandths of
+                                         it */
+    uint64_t cold_slack_milli;      /**< and beyond that, in thousandths of a
+                                         new flow a second */
     int log_level;                  /**< enum log_level */
     struct node_seed *seeds;        /**< whom to ask first */
     size_t seed_count;              /**< of seeds */
--- a/node-voter.c
+++ b/node-voter.c
@@ -48,7 +48,7 @@
         fleet_set_leader(&node->fleet, now, news->term, news->leader);
     }
     if (news->apply) {
-        (void)fleet_set_halls(&node->fleet, &news->halls);
+        (void)fleet_set_halls(&node->fleet, now, &news->halls);
         node_take_table(node, &news->routes);
     }
     if (news->has_answer) {
--- a/node.c
+++ b/node.c
@@ -394,6 +394,21 @@
     }
 }
 
+/* Says who may send to cold upstreams, where a service bounds it. */
+static void
+list_owners(struct node *node, uint64_t now)
+{
+    GArray *all;
+
+    if (node->upstreams.limits->len == 0) {
+        return;
+    }
+    all = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    fleet_list_owners(&node->fleet, now, all);
+    warmup_set_nodes(&node->evidence.nodes, all);
+    g_array_free(all, TRUE);
+}
+
 /* Lets time pass. */
 static void
 on_tick(void *data)
@@ -424,6 +439,7 @@
     evidence_tick(&node->evidence, now);
     fleet_tick(&node->fleet, now);
     node->evidence.place = fleet_place(&node->fleet);
+    list_owners(node, now);
     keep_upstreams(node, now);
     open_http_when_due(node, now);
     node_poll_http(node);
@@ -446,6 +462,8 @@
     upstream_open(&node->upstreams, options.address, s->interval_ms);
     evidence_open(&node->evidence, &node->upstreams, &node->counters,
                   s->flow_max_ms);
+    node->evidence.overshoot_milli = s->cold_overshoot_milli;
+    node->evidence.slack_milli = s->cold_slack_milli;
     evidence_distrust(&node->evidence, loop_now());
     fleet_open(&node->fleet, loop_now(), &options, &node->upstreams);
     take_seeds(node, s);
--- a/ring.h
+++ b/ring.h
@@ -65,6 +65,8 @@
       "the upstream that the packet names has ended")                         \
     X(HALL_EMPTIED, "hall-emptied",                                           \
       "every upstream that takes work is in a data hall that is emptied")     \
+    X(ALL_COLD, "all-cold",                                                   \
+      "every upstream that takes work is cold, and none may have more now")   \
     X(UPSTREAM_LOST, "upstream-lost",                                         \
       "another node missed it, and data sent again got no answer twice")
 
--- a/route-wire.c
+++ b/route-wire.c
@@ -37,6 +37,23 @@
     }
 }
 
+/* What services say of their upstreams; strings are borrowed. */
+static wire_warmup *
+pack_warmups(const struct route_table *table)
+{
+    wire_warmup *out = g_new0(wire_warmup, table->warmups->len);
+
+    for (guint i = 0; i < table->warmups->len; i++) {
+        struct route_warmup *warmup =
+            &g_array_index(table->warmups, struct route_warmup, i);
+
+        out[i] = (wire_warmup){.service = warmup->service,
+                               .cold_ms = warmup->cold_ms,
+                               .rate_milli = warmup->rate_milli};
+    }
+    return out;
+}
+
 /* Encodes a table. */
 GByteArray *
 route_encode(const struct route_table *table)
@@ -47,6 +64,7 @@
     GPtrArray *names = g_ptr_array_new();
     wire_table out = {.table_version = table->version,
                       .idle_ms = table->idle_ms};
+    wire_warmup *warmups = pack_warmups(table);
     GByteArray *bytes;
 
     for (guint i = 0; i < count; i++) {
@@ -55,6 +73,8 @@
     }
     out.routes.routes_val = routes;
     out.routes.routes_len = count;
+    out.warmups.warmups_val = warmups;
+    out.warmups.warmups_len = table->warmups->len;
     out.services.services_val = (wire_name *)names->pdata;
     out.services.services_len = names->len;
     bytes = codec_encode_table(&out);
@@ -62,6 +82,7 @@
         g_free(routes[i].targets.targets_val);
     }
     g_free(routes);
+    g_free(warmups);
     g_hash_table_destroy(places);
     g_ptr_array_free(names, TRUE);
     return bytes;
@@ -106,6 +127,20 @@
     return false;
 }
 
+/* Reads what services say of their upstreams. */
+static void
+read_warmups(const wire_table *from, struct route_table *out)
+{
+    for (u_int i = 0; i < from->warmups.warmups_len; i++) {
+        const wire_warmup *warmup = &from->warmups.warmups_val[i];
+        struct route_warmup read = {.cold_ms = warmup->cold_ms,
+                                    .rate_milli = warmup->rate_milli};
+
+        g_strlcpy(read.service, warmup->service, sizeof(read.service));
+        g_array_append_val(out->warmups, read);
+    }
+}
+
 /* Decodes a table. */
 struct route_table *
 route_decode(const void *bytes, size_t length)
@@ -123,6 +158,7 @@
     for (u_int i = 0; i < table.routes.routes_len && ok; i++) {
         ok = read_route(&table, &table.routes.routes_val[i], out);
     }
+    read_warmups(&table, out);
     codec_free_table(&table);
     if (!ok || out->version == 0) {
         route_free(out);
--- a/route.c
+++ b/route.c
@@ -26,6 +26,7 @@
     table->routes = g_array_new(FALSE, TRUE, sizeof(struct route));
     g_array_set_clear_func(table->routes, clear_route);
     table->by_place = g_hash_table_new(g_direct_hash, g_direct_equal);
+    table->warmups = g_array_new(FALSE, FALSE, sizeof(struct route_warmup));
     return table;
 }
 
@@ -36,6 +37,7 @@
     if (table != NULL) {
         g_array_free(table->routes, TRUE);
         g_hash_table_destroy(table->by_place);
+        g_array_free(table->warmups, TRUE);
         g_free(table);
     }
 }
--- a/route.h
+++ b/route.h
@@ -41,12 +41,21 @@
     uint64_t weight_sum;           /**< of the targets */
 };
 
+/** What a service says of its upstreams. */
+struct route_warmup {
+    char service[ROUTE_NAME_MAX + 1]; /**< its name */
+    uint64_t cold_ms;    /**< each is cold so long after its start */
+    uint64_t rate_milli; /**< new flows that a cold one bears, in thousandths
+                              a second; 0: no bound is stated */
+};
+
 /** One version. */
 struct route_table {
     uint64_t version;     /**< rises; 0: none yet */
     GArray *routes;       /**< struct route */
     GHashTable *by_place; /**< route_key() to index + 1 */
-    uint64_t idle_ms;     /**< a flow that rested so long may go */
+    GArray *warmups;  /**< struct route_warmup, of services that have one */
+    uint64_t idle_ms; /**< a flow that rested so long may go */
 };
 
 /** Makes an empty table. */
--- a/schema.c
+++ b/schema.c
@@ -218,6 +218,7 @@
         return read_text(r, field, value, path, out);
     case SCHEMA_SECONDS:
     case SCHEMA_RATE:
+    case SCHEMA_DECIMAL:
         return read_decimal(r, field, value, path, out);
     case SCHEMA_ENDPOINT:
         return read_endpoint(r, field, value, path, out);
@@ -250,7 +251,7 @@
         }
     }
     else if (field->type == SCHEMA_UINT || field->type == SCHEMA_SECONDS ||
-             field->type == SCHEMA_RATE) {
+             field->type == SCHEMA_RATE || field->type == SCHEMA_DECIMAL) {
         memcpy(out, &field->value, sizeof(field->value));
     }
     else if (field->type == SCHEMA_WORD) {
@@ -459,6 +460,8 @@
         return "seconds";
     case SCHEMA_RATE:
         return "megabits a second";
+    case SCHEMA_DECIMAL:
+        return "number";
     case SCHEMA_ENDPOINT:
         return "IPv4 address and port";
     case SCHEMA_IPV4:
@@ -485,7 +488,8 @@
     else if (f->type == SCHEMA_UINT) {
         (void)printf("%" PRIu64, f->value);
     }
-    else if (f->type == SCHEMA_SECONDS || f->type == SCHEMA_RATE) {
+    else if (f->type == SCHEMA_SECONDS || f->type == SCHEMA_RATE ||
+             f->type == SCHEMA_DECIMAL) {
         (void)printf("%g", (double)f->value / 1000.0);
     }
     else if (f->type == SCHEMA_WORD) {
--- a/schema.h
+++ b/schema.h
@@ -24,6 +24,8 @@
                           min and max; the default is in ms as well */
     SCHEMA_RATE,     /**< Mbit/s, a fraction allowed, into uint64_t kbit/s
                           within min and max */
+    SCHEMA_DECIMAL,  /**< number, a fraction allowed, into uint64_t
+                          thousandths within min and max */
     SCHEMA_ENDPOINT, /**< "address:port" into struct schema_endpoint */
     SCHEMA_IPV4,     /**< dotted quad into uint32_t, host order */
     SCHEMA_HEX,      /**< 2 * max hex digits into unsigned char[max] */
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -143,7 +143,7 @@
     const void *bytes;
     wire_command command;
 
-    (void)fleet_set_halls(&node->fleet, &node->order.halls);
+    (void)fleet_set_halls(&node->fleet, sim->now, &node->order.halls);
     if (node->order.routes == NULL) {
         return;
     }
--- a/tests/test-hall.c
+++ b/tests/test-hall.c
@@ -166,7 +166,7 @@
 
     apply(&set, orders);
     hall_pack(&set, room, &packed);
-    (void)upstream_empty_halls(&f->upstreams, &packed);
+    (void)upstream_empty_halls(&f->upstreams, NOW, &packed);
 }
 
 /* New flows and copies of a first packet. Upstream 1 is in hall "a", upstream
@@ -246,6 +246,37 @@
     fixture_close(&f);
 }
 
+/* Upstreams of a hall that is taken back count as cold for as long as their
+ * service says, also when a registration that was sent before says otherwise;
+ * and that is what other nodes are told. */
+static void
+test_back(void)
+{
+    static const struct warmup_limit limit = {.cold_ms = 2000};
+    const struct upstream *one;
+    wire_upstream told;
+    struct fixture f;
+
+    fixture_open(&f, 2);
+    one = upstream_by_id(&f.upstreams, 1);
+    upstream_set_limit(&f.upstreams, one->service, &limit);
+    empty(&f, "h");
+    g_strlcpy(upstream_by_id(&f.upstreams, 1)->hall, "h", HALL_NAME_MAX);
+    empty(&f, "hh");
+    g_assert_false(upstream_is_cold(one, NOW));
+    empty(&f, "ha");
+    g_assert_true(one->emptied);
+    empty(&f, "haH");
+    g_assert_false(one->emptied);
+    g_assert_true(upstream_is_cold(one, NOW));
+    g_assert_true(upstream_is_cold(one, NOW + 1999));
+    g_assert_false(upstream_is_cold(one, NOW + 2000));
+    g_assert_false(upstream_is_cold(upstream_by_id(&f.upstreams, 2), NOW + 1));
+    upstream_pack(&f.upstreams, NOW + 500, one, &told);
+    g_assert_cmpuint(told.warm_ms, ==, 1500);
+    fixture_close(&f);
+}
+
 /* A decision that is recomputed when halls are emptied. */
 struct verify_case {
     const char *name;
@@ -430,6 +461,7 @@
     CASES_ADD("/hall/flow/", flows, test_flow)
     CASES_ADD("/hall/verify/", verifies, test_verify)
     g_test_add_func("/hall/registers-there", test_registers_there);
+    g_test_add_func("/hall/back", test_back);
     g_test_add_func("/hall/old-folder", test_old_folder);
     g_test_add_func("/hall/snapshot", test_snapshot);
     g_test_add_func("/hall/room", test_room);
--- a/upstream.c
+++ b/upstream.c
@@ -40,6 +40,7 @@
     set->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
     set->by_token = g_hash_table_new(g_direct_hash, g_direct_equal);
     set->services = g_ptr_array_new_with_free_func(g_free);
+    set->limits = g_array_new(FALSE, TRUE, sizeof(struct warmup_limit));
     set->changed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     set->doubted = g_array_new(FALSE, FALSE, sizeof(struct upstream_doubt));
     set->told = g_array_new(FALSE, FALSE, sizeof(struct upstream_told));
@@ -55,6 +56,7 @@
     g_hash_table_destroy(set->by_token);
     g_ptr_array_free(set->all, TRUE);
     g_ptr_array_free(set->services, TRUE);
+    g_array_free(set->limits, TRUE);
     g_array_free(set->changed, TRUE);
     g_array_free(set->doubted, TRUE);
     g_array_free(set->told, TRUE);
@@ -86,6 +88,35 @@
                : "";
 }
 
+/* Sets what the upstreams of a service bear while they are cold. */
+void
+upstream_set_limit(struct upstream_set *set, uint16_t service,
+                   const struct warmup_limit *limit)
+{
+    if (service >= set->limits->len) {
+        g_array_set_size(set->limits, service + 1U);
+    }
+    g_array_index(set->limits, struct warmup_limit, service) = *limit;
+}
+
+/* What the upstreams of a service bear. */
+struct warmup_limit
+upstream_limit(const struct upstream_set *set, uint16_t service)
+{
+    static const struct warmup_limit none = {0};
+
+    return service < set->limits->len
+               ? g_array_index(set->limits, struct warmup_limit, service)
+               : none;
+}
+
+/* Says whether an upstream is cold. */
+bool
+upstream_is_cold(const struct upstream *upstream, uint64_t now)
+{
+    return now < upstream->warm_at || now < upstream->back_at;
+}
+
 /* Name of a state. */
 const char *
 upstream_state_name(enum upstream_state state)
@@ -279,6 +310,7 @@
     upstream->took_until = 0;
     upstream->took_us = 0;
     upstream->doubt_at = 0;
+    upstream->back_at = 0;
     upstream->open = 0;
     upstream->busy = 0;
 }
@@ -417,6 +449,7 @@
     }
     differs = is_new || upstream->born != r->born ||
               upstream->state != state || upstream->keeper != set->self ||
+              (r->warm_ms > 0 && now >= upstream->warm_at) ||
               upstream->address != r->address || upstream->port != r->port;
     take_record(set, now, upstream, &record);
     upstream->heard_at = now;
@@ -711,17 +744,29 @@
     }
 }
 
+/* Notes for an upstream whether its hall is emptied. */
+static void
+note_hall(struct upstream_set *set, uint64_t now, struct upstream *upstream)
+{
+    bool emptied = hall_is_emptied(&set->halls, upstream->hall);
+
+    if (upstream->emptied && !emptied) {
+        upstream->back_at =
+            now + upstream_limit(set, upstream->service).cold_ms;
+    }
+    upstream->emptied = emptied;
+}
+
 /* Takes which halls are emptied. */
 bool
-upstream_empty_halls(struct upstream_set *set, const wire_halls *halls)
+upstream_empty_halls(struct upstream_set *set, uint64_t now,
+                     const wire_halls *halls)
 {
     if (!hall_take(&set->halls, halls)) {
         return false;
     }
     for (guint i = 0; i < set->all->len; i++) {
-        struct upstream *upstream = g_ptr_array_index(set->all, i);
-
-        upstream->emptied = hall_is_emptied(&set->halls, upstream->hall);
+        note_hall(set, now, g_ptr_array_index(set->all, i));
     }
     return true;
 }
@@ -753,7 +798,8 @@
 left_ms(const struct upstream *upstream, uint64_t now)
 {
     bool gone = upstream->state == UPSTREAM_GONE;
-    uint64_t until = gone ? upstream->forget_at : upstream->warm_at;
+    uint64_t until =
+        gone ? upstream->forget_at : MAX(upstream->warm_at, upstream->back_at);
 
     return until > now ? (u_int)(until - now) : gone;
 }
--- a/upstream.h
+++ b/upstream.h
@@ -17,6 +17,7 @@
 
 #include "generated/wire.h"
 #include "hall.h"
+#include "warmup.h"
 
 #define UPSTREAM_NAME_MAX 63
 #define UPSTREAM_GONE_MS                                                      \
@@ -85,7 +86,17 @@
     uint32_t keeper;                  /**< node that hears it, by address */
     uint64_t changed_at;              /**< a node heard its state and keeper,
                                            by this node's clock */
-    uint64_t warm_at;                 /**< deadline: slow until then */
+    uint64_t warm_at;                 /**< deadline: cold until then, by its
+                                           own word */
+    uint64_t back_at;                 /**< deadline: counts as cold until then,
+                                           since its hall was taken back: it
+                                           may have gone cold before, and its
+                                           word comes later */
+    uint64_t cold_next_at;            /**< deadline: while it is cold, this
+                                           node may send it the next flow */
+    bool owned;                       /**< by this node, while it is cold, by
+                                           the nodes of `owned_of` */
+    uint64_t owned_of;                /**< version of the nodes, 0: none */
     uint64_t expire_at;               /**< deadline: silent then; 0: another
                                            node watches it */
     uint64_t heard_at;                /**< this process heard it register
@@ -132,6 +143,7 @@
     GHashTable *by_id;     /**< uint64_t to struct upstream */
     GHashTable *by_token;  /**< uint32_t to struct upstream */
     GPtrArray *services;   /**< names, by handle */
+    GArray *limits;        /**< struct warmup_limit, by service's handle */
     struct hall_set halls; /**< that operators have emptied */
     GArray *changed;       /**< uint64_t: ids to be spread */
     GArray *doubted;       /**< struct upstream_doubt: to be told */
@@ -159,6 +171,17 @@
 const char *upstream_service_name(const struct upstream_set *set,
                                   uint16_t service);
 
+/** Sets what the upstreams of a service bear while they are cold. */
+void upstream_set_limit(struct upstream_set *set, uint16_t service,
+                        const struct warmup_limit *limit);
+
+/** What the upstreams of a service bear; no bound where none was set. */
+struct warmup_limit upstream_limit(const struct upstream_set *set,
+                                   uint16_t service);
+
+/** Says whether an upstream is cold, or may be. */
+bool upstream_is_cold(const struct upstream *upstream, uint64_t now);
+
 /** Token of an incarnation: a hash of its id that is never 0. */
 uint32_t upstream_token(uint64_t id);
 
@@ -212,9 +235,12 @@
 
 /**
  * Takes which halls are emptied; their upstreams get no new flows from now on.
+ * Those of a hall that is taken back count as cold for as long as their
+ * service says.
  * @return false when the set is not newer than the one held
  */
-bool upstream_empty_halls(struct upstream_set *set, const wire_halls *halls);
+bool upstream_empty_halls(struct upstream_set *set, uint64_t now,
+                          const wire_halls *halls);
 
 /** Finds an incarnation by the token in a packet; NULL when unknown. */
 struct upstream *upstream_by_token(const struct upstream_set *set,
