platform: what names no usable upstream is refused with a reason

Cause: registrations may come from other writers. A sequence past 2^63 was taken as the highest there is, so nothing that upstream said later counted; no slots, the address 0.0.0.0, a warm-up time of null and text that is no UTF-8 were taken too. Change: refused, each with what to send instead; numbers to 2^53, which JSON holds exactly. A table of 96 registrations and ends, the corpus extended. A service that no table names is taken and gets no flow: a newer table may name it.

--- a/tests/fuzz-input.c
+++ b/tests/fuzz-input.c
@@ -25,6 +25,8 @@
     READER_MESSAGE,
     READER_SETTINGS,
     READER_ROUTES,
+    READER_END,
+    READER_HALL,
     READER_COUNT
 };
 
@@ -77,6 +79,7 @@
     struct status st = {STATUS_OK, ""};
     struct evidence_packet packet;
     uint64_t id;
+    uint64_t born;
     char *text;
 
     if (size < 1) {
@@ -107,6 +110,12 @@
     case READER_ROUTES:
         route_free(route_decode(bytes + 1, size - 1));
         break;
+    case READER_END:
+        (void)platform_read_end((const char *)bytes + 1, size - 1, &born, &st);
+        break;
+    case READER_HALL:
+        (void)hall_is_name(text);
+        break;
     case READER_COUNT:
         break;
     }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -90,6 +90,18 @@
     {"no-port", ROUTE("/x/", "\"service\":\"a\""), REST, false},
     {"port-too-large", ROUTE("/70000/", "\"service\":\"a\""), REST, false},
     {"text-after-the-port", ROUTE("/80/x", "\"service\":\"a\""), REST, false},
+    {"warmup", "",
+     "\"version\":7,\"services\":[{\"name\":\"a\",\"warmup_s\":2.5,"
+     "\"warmup_per_s\":3}]",
+     true},
+    {"warmup-text", "",
+     "\"version\":7,\"services\":[{\"name\":\"a\",\"warmup_s\":\"2\"}]",
+     false},
+    {"warmup-negative", "",
+     "\"version\":7,\"services\":[{\"name\":\"a\",\"warmup_per_s\":-1}]",
+     false},
+    {"warmup-of-no-service", "",
+     "\"version\":7,\"services\":[{\"warmup_s\":2}]", false},
     {"version-zero", "", "\"version\":0,\"services\":[]", false},
     {"version-negative", "", "\"version\":-1,\"services\":[]", false},
     {"version-past-2-53", "", "\"version\":9007199254740993,\"services\":[]",
@@ -137,10 +149,6 @@
     "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":2,\"state\":\"" state     \
     "\",\"warmup_remaining_ms\":5,\"sequence\":4}"
 
-#define BORN(born)                                                            \
-    "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","          \
-    "\"slots\":2,\"state\":\"ready\",\"sequence\":4,\"born\":" born "}"
-
 static const struct registration_case registrations[] = {
     {"ready", "i-7f3a91c2", BODY("ready", "10.128.0.9:8080"), true},
     {"draining", "i-17ce7f0ee9", BODY("draining", "10.128.0.9:8080"), true},
@@ -157,8 +165,326 @@
     {"empty", "i-1", "", false},
     {"list", "i-1", "[]", false},
     {"deep", "i-1", "[[[[[[[[[[[[[[[[[[[[[[[[", false},
-    {"born", "i-1", BORN("1796000000000"), true},
-    {"born-text", "i-1", BORN("\"1796000000000\""), false},
+    {"no-service", "i-1",
+     "{\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":2,\"state\":"
+     "\"ready\",\"sequence\":4}",
+     false},
+    {"no-address", "i-1",
+     "{\"service\":\"a\",\"zone\":\"z\",\"slots\":2,\"state\":\"ready\","
+     "\"sequence\":4}",
+     false},
+    {"no-zone", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"slots\":2,\"state\":"
+     "\"ready\",\"sequence\":4}",
+     false},
+    {"no-slots", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"state\":"
+     "\"ready\",\"sequence\":4}",
+     false},
+    {"no-state", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"sequence\":4}",
+     false},
+    {"no-sequence", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\"}",
+     false},
+    {"service-null", "i-1",
+     "{\"service\":null,\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"service-list", "i-1",
+     "{\"service\":[\"a\"],\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"service-object", "i-1",
+     "{\"service\":{\"of\":\"a\"},\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-null", "i-1",
+     "{\"service\":\"a\",\"address\":null,\"zone\":\"z\",\"slots\":2,"
+     "\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-list", "i-1",
+     "{\"service\":\"a\",\"address\":[\"10.0.0.9:80\"],\"zone\":\"z\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-object", "i-1",
+     "{\"service\":\"a\",\"address\":{\"of\":\"10.0.0.9:80\"},\"zone\":\"z\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"zone-null", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":null,\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"zone-list", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":[\"z\"],"
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"zone-object", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":{\"of\":\"z\"},"
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"slots-null", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "null,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"slots-list", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "[2],\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"slots-object", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "{\"of\":2},\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"state-null", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":null,\"sequence\":4}",
+     false},
+    {"state-list", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":[\"ready\"],\"sequence\":4}",
+     false},
+    {"state-object", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":{\"of\":\"ready\"},\"sequence\":4}",
+     false},
+    {"sequence-null", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":null}",
+     false},
+    {"sequence-list", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":[4]}",
+     false},
+    {"sequence-object", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":{\"of\":4}}",
+     false},
+    {"service-number", "i-1",
+     "{\"service\":7,\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":2,"
+     "\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"service-empty", "i-1",
+     "{\"service\":\"\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-number", "i-1",
+     "{\"service\":\"a\",\"address\":7,\"zone\":\"z\",\"slots\":2,\"state\":"
+     "\"ready\",\"sequence\":4}",
+     false},
+    {"address-empty", "i-1",
+     "{\"service\":\"a\",\"address\":\"\",\"zone\":\"z\",\"slots\":2,"
+     "\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"zone-number", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":7,\"slots\":2,"
+     "\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"zone-empty", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"state-number", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":7,\"sequence\":4}",
+     false},
+    {"state-empty", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"\",\"sequence\":4}",
+     false},
+    {"slots-text", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "\"4\",\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"slots-negative", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "-4,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"slots-fraction", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "4.5,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"slots-true", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "true,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"sequence-text", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":\"4\"}",
+     false},
+    {"sequence-negative", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":-4}",
+     false},
+    {"sequence-fraction", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4.5}",
+     false},
+    {"sequence-true", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":true}",
+     false},
+    {"slots-zero", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "0,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"slots-huge", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "99999999,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"sequence-huge", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":18446744073709551616}",
+     false},
+    {"service-nul", "i-1",
+     "{\"service\":\"a\\u0000b\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"service-too-long", "i-1",
+     "{\"service\":"
+     "\"ssssssssssssssssssssssssssssssssssssssssssssssssssssssssssssssss\","
+     "\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":2,\"state\":"
+     "\"ready\",\"sequence\":4}",
+     false},
+    {"zone-too-long", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":"
+     "\"zzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzz\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"state-capital", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"Ready\",\"sequence\":4}",
+     false},
+    {"state-with-space", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready \",\"sequence\":4}",
+     false},
+    {"address-without-port", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9\",\"zone\":\"z\",\"slots\":2,"
+     "\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-port-zero", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:0\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-port-too-large", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:70000\",\"zone\":\"z\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-all-zero", "i-1",
+     "{\"service\":\"a\",\"address\":\"0.0.0.0:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-ipv6", "i-1",
+     "{\"service\":\"a\",\"address\":\"[::1]:80\",\"zone\":\"z\",\"slots\":2,"
+     "\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-name", "i-1",
+     "{\"service\":\"a\",\"address\":\"host:80\",\"zone\":\"z\",\"slots\":2,"
+     "\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"address-text-after", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80/"
+     "\",\"zone\":\"z\",\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"warmup-text", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"warmup_remaining_ms\":\"5\"}",
+     false},
+    {"warmup-negative", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"warmup_remaining_ms\":-5}",
+     false},
+    {"warmup-fraction", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"warmup_remaining_ms\":5.5}",
+     false},
+    {"warmup-null", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"warmup_remaining_ms\":null}",
+     false},
+    {"born", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":1796000000000}",
+     true},
+    {"born-text", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":\"1796000000000\"}",
+     false},
+    {"born-fraction", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":1796000000000.5}",
+     false},
+    {"born-exponent", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":1.796e12}",
+     false},
+    {"born-negative", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":-1796000000000}",
+     false},
+    {"born-zero", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":0}",
+     false},
+    {"born-null", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":null}",
+     false},
+    {"born-true", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":true}",
+     false},
+    {"born-list", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":[1796000000000]}",
+     false},
+    {"born-past-2-53", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"born\":9007199254740993}",
+     false},
+    {"unknown-field", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"rack\":{\"row\":[1,2]},\"note\":"
+     "\"x\"}",
+     true},
+    {"service-nobody-named", "i-1",
+     "{\"service\":\"other\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     true},
+    {"unknown-version", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4,\"version\":17}",
+     true},
+    {"cut-short", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"read",
+     false},
+    {"text-after", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4}}",
+     false},
+    {"two-objects", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "2,\"state\":\"ready\",\"sequence\":4}{\"service\":\"a\",\"address\":"
+     "\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":2,\"state\":\"ready\","
+     "\"sequence\":4}",
+     false},
+    {"not-utf-8", "i-1",
+     "{\"service\":\"\xff\xfe\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+     "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+     false},
+    {"byte-order-mark", "i-1", "\xef\xbb\xbf{}", false},
+    {"text", "i-1", "\"ready\"", false},
+    {"number", "i-1", "4", false},
+    {"null", "i-1", "null", false},
+    {"empty-object", "i-1", "{}", false},
+    {"single-quotes", "i-1", "{'service':'a'}", false},
+    {"not-a-number", "i-1",
+     "{\"service\":\"a\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":"
+     "NaN,\"state\":\"ready\",\"sequence\":4}",
+     false},
 };
 
 /* Calls, and whether something is served there. */
@@ -233,7 +559,10 @@
             bytes[g_rand_int_range(rand, 0, (gint32)length)] =
                 (char)g_rand_int_range(rand, 0, 256);
         }
+        uint64_t born;
+
         (void)platform_read_registration("i-1", bytes, length, &r, &st);
+        (void)platform_read_end(bytes, length, &born, &st);
         route_free(platform_read_table(bytes, length, &st));
         (void)platform_read_packet((const uint8_t *)bytes, length, &packet);
         if (codec_decode(bytes, length / 4 * 4, &msg)) {
@@ -244,6 +573,42 @@
     g_rand_free(rand);
 }
 
+/* Bodies of an upstream's word that it ends. */
+struct end_case {
+    const char *name;
+    const char *body;
+    bool valid;
+    uint64_t born;
+};
+
+static const struct end_case ends[] = {
+    {"empty", "", true, 0},
+    {"no-field", "{}", true, 0},
+    {"unknown-field", "{\"why\":\"x\"}", true, 0},
+    {"born", "{\"born\":1796000000000}", true, 1796000000000},
+    {"born-text", "{\"born\":\"1796000000000\"}", false, 0},
+    {"born-fraction", "{\"born\":1.5}", false, 0},
+    {"born-null", "{\"born\":null}", false, 0},
+    {"list", "[1]", false, 0},
+    {"cut-short", "{\"born\":17", false, 0},
+};
+
+/* Reads one. */
+static void
+test_end(const void *data)
+{
+    const struct end_case *c = data;
+    struct status st = {STATUS_OK, ""};
+    uint64_t born;
+    enum status_kind kind =
+        platform_read_end(c->body, strlen(c->body), &born, &st);
+
+    g_assert_cmpint(kind == STATUS_OK, ==, c->valid);
+    if (c->valid) {
+        g_assert_cmpuint(born, ==, c->born);
+    }
+}
+
 /* Lists the tests. */
 int
 main(int argc, char **argv)
@@ -255,6 +620,7 @@
     CASES_ADD("/platform/table/", tables, test_table)
     CASES_ADD("/platform/call/", calls, test_call)
     CASES_ADD("/platform/registration/", registrations, test_registration)
+    CASES_ADD("/platform/end/", ends, test_end)
     g_test_add_func("/platform/packet", test_packet);
     g_test_add_func("/platform/fuzz", test_fuzz);
     return g_test_run();
