soak: halls are emptied and upstreams start again under their id

Cause: the soak knew neither orders about halls nor upstreams that come back. Change: its operator empties one hall after another and takes it back, and leaves one emptied at the end; no host there may get a new flow 1.5 s after the acknowledgement while all is calm. The safeguard that keeps new flows away can be left out of tests.

--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -44,7 +44,8 @@
 bool
 evidence_takes_new(const struct upstream *upstream)
 {
-    return may_take_new(upstream) && !upstream->emptied;
+    return may_take_new(upstream) &&
+           (!upstream->emptied || fault_is(FAULT_HALLS_IGNORED));
 }
 
 /* Says whether what an upstream gets is bounded now. */
@@ -178,7 +179,7 @@
         if (u->service != service || u == not_this || !may_take_new(u)) {
             continue;
         }
-        if (u->emptied) {
+        if (!evidence_takes_new(u)) {
             verdict->emptied++;
         }
         else if (may_get_more(ev, u, now)) {
--- a/fault.h
+++ b/fault.h
@@ -55,6 +55,7 @@
     FAULT_NO_LASTING,     /**< changes on their way are compared */
     FAULT_NO_RELAY,       /**< a node sends changes to all others itself */
     FAULT_FOUND_AGAIN,    /**< a founder is named though a leader was known */
+    FAULT_HALLS_IGNORED,  /**< emptied halls get new flows */
     FAULT_HALLS_UNORDERED, /**< any list of emptied halls replaces another */
     FAULT_HALLS_UNLOGGED,  /**< orders about halls are in memory alone */
     FAULT_NO_HALL_PUSH,    /**< emptied halls are told by hellos alone */
--- a/tests/test-hall.c
+++ b/tests/test-hall.c
@@ -445,6 +445,7 @@
     {"ordered", FAULT_HALLS_UNORDERED,
      "/hall/take/withdrawal-overtaken-by-its-order"},
     {"logged", FAULT_HALLS_UNLOGGED, "/hall/snapshot"},
+    {"kept-away", FAULT_HALLS_IGNORED, "/hall/flow/first-hall"},
 };
 
 /* Lists the tests. */
--- a/tools/soak/ask.c
+++ b/tools/soak/ask.c
@@ -19,6 +19,7 @@
 #define OPERATE_MS 200 /* between an operator's calls */
 #define ASK_MS 500     /* between questions of the fabric */
 #define ASK_MISSES 2   /* without an answer: a node is left out */
+#define HALL_TURNS 5   /* of the operator's turns one is about a hall */
 #define HOPS 3         /* redirects that an operator follows */
 
 /* What the fabric knows of a node. */
@@ -36,9 +37,14 @@
     uint64_t acked;   /* highest acknowledged */
     uint64_t put_at;  /* last acknowledgement */
     uint64_t read_at; /* last read that was answered */
-    unsigned puts, reads;
-    bool over;   /* threads end */
-    GMutex lock; /* of `acked`, `puts` and `put_at` */
+    unsigned puts, reads, hall_orders;
+    int hall;            /* that the operator empties */
+    bool emptied;        /* it is, or the order had no clear answer */
+    bool taking_back;    /* the order to take it back has no answer yet */
+    bool hold;           /* it stays so */
+    uint64_t emptied_at; /* that was acknowledged, 0: not, or taken back */
+    bool over;           /* threads end */
+    GMutex lock; /* of `acked`, `puts`, `put_at`, `hold`, `emptied_at` */
 } ask;
 
 /* Address of a node. */
@@ -115,7 +121,8 @@
 
 /* An operator's call, sent on to the leader as told. */
 static long
-operate(const char *method, const char *body, GString *answer)
+operate(const char *method, const char *path, const char *body,
+        GString *answer)
 {
     uint32_t at = node_address((int)(g_random_int() % (guint)ask.count));
     long status = 0;
@@ -124,8 +131,8 @@
         uint32_t where = 0;
 
         g_string_truncate(answer, 0);
-        status = soak_ask_call(method, at, ask.control_port,
-                               STANDIN_TABLE_PATH, body, answer, &where);
+        status = soak_ask_call(method, at, ask.control_port, path, body,
+                               answer, &where);
         if (status != 307 || where == 0) {
             break;
         }
@@ -147,7 +154,7 @@
     g_mutex_unlock(&ask.lock);
     if (g_random_int() % 2 == 0) {
         body = soak_table(ask.version = MAX(ask.version, acked) + 1);
-        if (operate("PUT", body, answer) == 200) {
+        if (operate("PUT", STANDIN_TABLE_PATH, body, answer) == 200) {
             g_mutex_lock(&ask.lock);
             ask.acked = MAX(ask.acked, ask.version);
             ask.puts++;
@@ -156,7 +163,7 @@
         }
         g_free(body);
     }
-    else if (operate("GET", NULL, answer) == 200) {
+    else if (operate("GET", STANDIN_TABLE_PATH, NULL, answer) == 200) {
         unsigned long long read = 0;
 
         (void)sscanf(answer->str, STANDIN_VERSION_FORMAT, &read);
@@ -170,6 +177,76 @@
     g_string_free(answer, TRUE);
 }
 
+/* Notes when the hall was emptied. */
+static void
+note_emptied(uint64_t at)
+{
+    g_mutex_lock(&ask.lock);
+    ask.emptied_at = at;
+    g_mutex_unlock(&ask.lock);
+}
+
+/* Empties a hall, or takes it back. One order without a clear answer is sent
+ * again until it has one. */
+static void
+order_hall(void)
+{
+    GString *answer = g_string_new(NULL);
+    char name[32];
+    char path[STANDIN_PATH_MAX];
+    bool hold;
+    bool done;
+
+    g_mutex_lock(&ask.lock);
+    hold = ask.hold;
+    done = ask.emptied_at != 0;
+    g_mutex_unlock(&ask.lock);
+    if (!ask.emptied) {
+        ask.hall = (int)(g_random_int() % SOAK_HALLS);
+        ask.emptied = true;
+        done = false;
+    }
+    (void)snprintf(name, sizeof(name), SOAK_HALL, ask.hall);
+    (void)snprintf(path, sizeof(path), STANDIN_HALL_PATH, name);
+    if (!done && !ask.taking_back) {
+        if (operate("POST", path, NULL, answer) == 200) {
+            ask.hall_orders++;
+            note_emptied(loop_now());
+        }
+    }
+    else if (ask.taking_back || !hold) {
+        ask.taking_back = true;
+        note_emptied(0);
+        if (operate("DELETE", path, NULL, answer) == 200) {
+            ask.hall_orders++;
+            ask.taking_back = false;
+            ask.emptied = false;
+        }
+    }
+    g_string_free(answer, TRUE);
+}
+
+/* When a hall was emptied. */
+uint64_t
+soak_ask_emptied_since(int hall)
+{
+    uint64_t at;
+
+    g_mutex_lock(&ask.lock);
+    at = hall == ask.hall ? ask.emptied_at : 0;
+    g_mutex_unlock(&ask.lock);
+    return at;
+}
+
+/* From now on a hall stays emptied. */
+void
+soak_ask_hold_hall(void)
+{
+    g_mutex_lock(&ask.lock);
+    ask.hold = true;
+    g_mutex_unlock(&ask.lock);
+}
+
 /* The operator's thread. */
 static gpointer
 run_operator(gpointer unused)
@@ -177,6 +254,9 @@
     (void)unused;
     while (!ask.over) {
         operate_once();
+        if (ask.hold || g_random_int() % HALL_TURNS == 0) {
+            order_hall();
+        }
         g_usleep(OPERATE_MS * 1000);
     }
     return NULL;
@@ -239,6 +319,9 @@
         soak_broken("at the end: no table was acknowledged for %llu ms",
                     (unsigned long long)(loop_now() - ask.put_at));
     }
+    if (ask.hold && ask.emptied_at == 0) {
+        soak_broken("at the end: no order about a hall was acknowledged");
+    }
     for (int n = 0; n < ask.count; n++) {
         if (!ask.node[n].ready) {
             soak_broken("at the end node %d is not ready", n);
@@ -250,6 +333,7 @@
 void
 soak_ask_report(void)
 {
-    printf("%u puts, %u reads, version %llu, ", ask.puts, ask.reads,
-           (unsigned long long)ask.acked);
+    printf("%u puts, %u reads, version %llu, %u orders about halls, ",
+           ask.puts, ask.reads, (unsigned long long)ask.acked,
+           ask.hall_orders);
 }
--- a/tools/soak/ask.h
+++ b/tools/soak/ask.h
@@ -23,6 +23,12 @@
 /* The node that the fabric sends a flow to, by a hash of the flow. */
 uint32_t soak_ask_route(uint32_t hash);
 
+/* When a hall was emptied, as acknowledged; 0: it is not, or is taken back. */
+uint64_t soak_ask_emptied_since(int hall);
+
+/* From now on the operator leaves a hall emptied. */
+void soak_ask_hold_hall(void);
+
 /* Asks operator and fabric to end. */
 void soak_ask_end(void);
 
--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -31,6 +31,7 @@
 #define COPY_2_MS 600 /* and once more */
 #define GIVE_UP_MS 1400 /* then the flow is given up */
 #define DRAIN_MS 3000   /* a confirmed leaving is known everywhere */
+#define EMPTIED_MS 1500 /* an emptied hall is known everywhere */
 #define LEAVE_MS 6000   /* a leaving host ends after it */
 #define REUSE_MS 2000   /* then its address is used again */
 #define DATA_BYTES 100  /* of a request and of its answer */
@@ -42,6 +43,9 @@
 struct host {
     int fd;
     uint64_t id;
+    uint64_t born;  /* of this start, by the clock; 0: it does not say */
+    unsigned start; /* how often it has started */
+    bool keeps_id;  /* it starts again under its id */
     bool up;
     bool service_b;
     bool leaving;
@@ -65,7 +69,8 @@
     uint32_t token;
     int host;         /* that answered */
     uint64_t host_id; /* its incarnation */
-    uint32_t number;  /* of the upstream that opened it */
+    unsigned host_start;
+    uint32_t number; /* of the upstream that opened it */
     unsigned copies;
     uint64_t began_at;
     uint64_t data_at; /* deadline: send data */
@@ -118,6 +123,7 @@
                                                  .port = HOST_PORT,
                                                  .slots = 2,
                                                  .leaving = host->leaving,
+                                                 .born = host->born,
                                                  .sequence = ++host->sequence};
     char *body;
     GString *answer = g_string_new(NULL);
@@ -127,7 +133,8 @@
 
     g_strlcpy(registration.service, host->service_b ? "b" : "a",
               sizeof(registration.service));
-    g_strlcpy(registration.hall, "hall-0", sizeof(registration.hall));
+    (void)snprintf(registration.hall, sizeof(registration.hall), SOAK_HALL,
+                   index % SOAK_HALLS);
     body = standin_registration(&registration);
     standin_upstream_path(id, path);
     status = soak_ask_call(
@@ -171,7 +178,12 @@
 static void
 start_host(struct host *host)
 {
-    host->id = (uint64_t)below(0x7fffffff) << 8 | below(256) | 1;
+    if (!host->keeps_id) {
+        host->id = (uint64_t)below(0x7fffffff) << 8 | below(256) | 1;
+    }
+    host->born = loop_wall();
+    host->keeps_id = false;
+    host->start++;
     host->leaving = false;
     host->left_at = 0;
     host->end_at = 0;
@@ -252,6 +264,21 @@
             PLATFORM_HEAD_BYTES + length);
 }
 
+/* Checks that a host whose hall is emptied gets no new flow. */
+static void
+check_hall(const struct host *host, uint32_t node)
+{
+    uint64_t since =
+        soak_ask_emptied_since((int)(host - world.host) % SOAK_HALLS);
+
+    if (since != 0 && loop_now() > since + EMPTIED_MS && soak_is_calm(node)) {
+        soak_broken("a new flow came to %llx %llu ms after its hall was "
+                    "emptied",
+                    (unsigned long long)host->id,
+                    (unsigned long long)(loop_now() - since));
+    }
+}
+
 /* Checks a first packet that a host takes. */
 static void
 check_first(const struct host *host, const struct evidence_packet *p,
@@ -267,6 +294,7 @@
                     (unsigned long long)host->id,
                     (unsigned long long)(loop_now() - host->left_at));
     }
+    check_hall(host, node);
 }
 
 /* Checks a later packet that came to a host which does not hold its flow. */
@@ -280,7 +308,8 @@
         return;
     }
     own = &world.host[flow->host];
-    if (own != host && own->up && own->id == flow->host_id) {
+    if (own != host && own->up && own->id == flow->host_id &&
+        own->start == flow->host_start) {
         soak_broken("a packet of port %u came to %llx, its flow is at %llx",
                     p->source_port, (unsigned long long)host->id,
                     (unsigned long long)own->id);
@@ -344,7 +373,7 @@
     const struct host *own = &world.host[flow->host];
 
     if (flow->state == FLOW_OPEN && own->up && own->id == flow->host_id &&
-        !own->leaving) {
+        own->start == flow->host_start && !own->leaving) {
         soak_broken("a reset of port %u, whose flow is held by %llx",
                     flow->port, (unsigned long long)own->id);
     }
@@ -383,6 +412,7 @@
         flow->host = host_of_token(p.token);
         if (flow->host >= 0) {
             flow->host_id = world.host[flow->host].id;
+            flow->host_start = world.host[flow->host].start;
             flow->number = p.acknowledged;
             flow->state = FLOW_OPEN;
             flow->data_at = loop_now();
@@ -532,6 +562,11 @@
         host->up = false;
         host->start_at = now + REUSE_MS;
         return;
+    case SOAK_HOST_RESTARTS:
+        host->up = false;
+        host->keeps_id = true;
+        host->start_at = now + below(REUSE_MS);
+        return;
     case SOAK_HOST_PAUSES:
     case SOAK_HOST_FAULTS:
         host->paused_until = now + 500 + below(2500);
--- a/tools/soak/host.h
+++ b/tools/soak/host.h
@@ -11,6 +11,8 @@
 #include <stdint.h>
 
 #define SOAK_HOSTS 8
+#define SOAK_HALLS 3         /* data halls, of nodes and hosts by turns */
+#define SOAK_HALL "hall-%d"  /* name of one */
 #define SOAK_INTERVAL_MS 770 /* between registrations of a host */
 
 /* Opens hosts and callers; the first of their addresses are given. */
@@ -26,8 +28,9 @@
 
 /* What can happen to a host. */
 enum soak_host_fault {
-    SOAK_HOST_LEAVES,  /* it says so, ends, and is replaced */
-    SOAK_HOST_CRASHES, /* it is replaced */
+    SOAK_HOST_LEAVES,   /* it says so, ends, and is replaced */
+    SOAK_HOST_CRASHES,  /* it is replaced */
+    SOAK_HOST_RESTARTS, /* it crashes and starts again under its id */
     SOAK_HOST_PAUSES,
     SOAK_HOST_FAULTS
 };
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -527,6 +527,7 @@
     run_until(loop_now() + HEAL_MS, false);
     soak_host_fault(SOAK_HOST_LEAVES);
     soak_host_fault(SOAK_HOST_LEAVES);
+    soak_ask_hold_hall();
     run_until(loop_now() + LEAVING_MS, false);
     if (stop_asked) {
         tear_down();
