--- a/evidence.c
+++ b/evidence.c
@@ -89,6 +89,7 @@
     g_array_set_size(set->limits, 0);
     /* Who owns an upstream is worked out anew: there may be more owners. */
     ev->nodes.version++;
+    ev->bounded = false;
     for (guint i = 0; i < table->warmups->len; i++) {
         const struct route_warmup *warmup =
             &g_array_index(table->warmups, struct route_warmup, i);
@@ -98,6 +99,7 @@
 
         upstream_set_limit(set, upstream_service(set, warmup->service),
                            &limit);
+        ev->bounded = ev->bounded || limit.bounded;
     }
 }
 
--- a/evidence.h
+++ b/evidence.h
@@ -76,6 +76,7 @@
                                     had been forwarded, 0: none yet */
     struct warmup_nodes nodes; /**< among which owners of cold upstreams are
                                     found */
+    bool bounded;              /**< a service bounds what cold ones get */
     uint64_t overshoot_milli;  /**< how far the rate that a cold upstream
                                     bears may be passed, in thousandths */
     uint64_t slack_milli;      /**< and beyond that, in thousandths of a new
--- a/node.c
+++ b/node.c
@@ -400,7 +400,7 @@
 {
     GArray *all;
 
-    if (node->upstreams.limits->len == 0) {
+    if (!node->evidence.bounded) {
         return;
     }
     all = g_array_new(FALSE, FALSE, sizeof(uint32_t));
