evidence-reach: packets pass halls that are cut off by a third one

Change: one missed packet makes a hall doubtful; its nodes are asked, the answer of one ends the doubt after some ms. Until then open flows go by nodes of halls that have answered since, new ones keep away for 0.5 s after each miss. The soak cuts halls from each other now, and lets upstreams start again under their id, by draws of their own.

--- a/cons.c
+++ b/cons.c
@@ -404,6 +404,7 @@
     case WIRE_SPREAD_ACK:
     case WIRE_HALLS:
     case WIRE_STORED:
+    case WIRE_CARRY:
         return;
     }
 }
--- a/counter.h
+++ b/counter.h
@@ -66,6 +66,8 @@
       "dropped: named no upstream, or one not known here")                    \
     X(PACKETS_HELD, "packets_held_total",                                     \
       "held until the table and the inventory are known")                     \
+    X(PACKETS_CARRIED, "packets_carried_total",                               \
+      "sent by a detour: their upstream's data hall is cut off from here")    \
     X(PACKETS_STALE, "packets_stale_total",                                   \
       "first packets dropped: they waited while the process stood still")     \
     X(WAKEUPS, "wakeups_total", "times that the loop of a node was due")      \
--- a/entry-core.c
+++ b/entry-core.c
@@ -262,6 +262,7 @@
     case WIRE_SPREAD_ACK:
     case WIRE_HALLS:
     case WIRE_STORED:
+    case WIRE_CARRY:
         counter_add(core->counters, COUNTER_MSGS_MALFORMED, 1);
         return;
     }
--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -24,6 +24,7 @@
     RANK_GOOD,
     RANK_COLD, /* what it gets is bounded: only where no other is good */
     RANK_SUSPECT,
+    RANK_CUT, /* nothing gets to its hall, nor by a detour */
     RANK_SILENT
 };
 
@@ -92,6 +93,9 @@
     if (upstream->state == UPSTREAM_SILENT && !fault_is(FAULT_SILENT_EQUAL)) {
         return RANK_SILENT;
     }
+    if (evidence_is_avoided(ev, now, upstream->hall_hash)) {
+        return RANK_CUT;
+    }
     if (now < upstream->suspect_until) {
         return RANK_SUSPECT;
     }
--- a/evidence-internal.h
+++ b/evidence-internal.h
@@ -37,6 +37,20 @@
                                  const struct upstream *not_this,
                                  struct evidence_verdict *verdict);
 
+/* evidence-reach.c */
+/** An upstream answered: its hall is reached. */
+void evidence_reach_answered(struct evidence *ev, uint64_t now,
+                             const struct upstream *upstream);
+/** A flow opened whose first packet was sent straight at `sent_at`. */
+void evidence_reach_opened(struct evidence *ev, uint64_t now,
+                           const struct upstream *upstream, uint64_t sent_at);
+/** Says whether new flows keep away from a hall. */
+bool evidence_is_avoided(const struct evidence *ev, uint64_t now,
+                         uint32_t hall);
+/** An upstream left a packet unanswered. */
+void evidence_reach_missed(struct evidence *ev, uint64_t now,
+                           const struct upstream *upstream);
+
 /* evidence-life.c */
 /** Upstream of a flow; NULL when its record is gone, or another start of it
  * runs. */
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -146,6 +146,7 @@
               struct upstream *upstream)
 {
     ev->answered_sent_at = MAX(ev->answered_sent_at, flow->sent_at);
+    evidence_reach_answered(ev, now, upstream);
     if (flow->sent_at != 0) {
         note_took(ev, now, flow, upstream);
     }
@@ -225,6 +226,7 @@
             ev->answered_sent_at > flow->resent_at ? flow->proofs + 1 : 0;
         flow->resent_at = now;
         if (flow->proofs > 0) {
+            evidence_reach_missed(ev, now, upstream);
             note_doubt(ev, now, flow, upstream);
         }
     }
@@ -251,6 +253,9 @@
                struct evidence_flow *flow, struct upstream *upstream)
 {
     flow->seen_at = now;
+    if (!flow->answered) {
+        evidence_reach_opened(ev, now, upstream, flow->opened_at);
+    }
     flow->answered = true;
     if (packet->acknowledged != flow->acknowledged) {
         flow->acknowledged = packet->acknowledged;
--- a/evidence.c
+++ b/evidence.c
@@ -41,6 +41,7 @@
     ev->nodes.self = upstreams->self;
     ev->nodes.all = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     ev->dropped = g_hash_table_new(g_direct_hash, g_direct_equal);
+    ev->halls = g_array_new(FALSE, FALSE, sizeof(struct evidence_hall));
     ev->usual_us = g_array_new(FALSE, TRUE, sizeof(uint32_t));
     ev->flows =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -53,6 +54,7 @@
     route_free(ev->table);
     g_hash_table_destroy(ev->dropped);
     g_hash_table_destroy(ev->flows);
+    g_array_free(ev->halls, TRUE);
     g_array_free(ev->usual_us, TRUE);
     g_array_free(ev->nodes.all, TRUE);
 }
@@ -204,7 +206,7 @@
  * answer, the token and the flow may part. Suspects an upstream that let the
  * one before go without an answer. */
 static bool
-stays(uint64_t now, const struct evidence_flow *flow,
+stays(struct evidence *ev, uint64_t now, const struct evidence_flow *flow,
       const struct evidence_packet *packet, struct upstream *upstream)
 {
     if (upstream == NULL || upstream->state != UPSTREAM_READY ||
@@ -218,6 +220,7 @@
     if (fault_is(FAULT_NO_MOVE)) {
         return true;
     }
+    evidence_reach_missed(ev, now, upstream);
     if (!fault_is(FAULT_NO_SUSPICION)) {
         upstream->suspect_until = now + SUSPECT_MS;
     }
@@ -270,7 +273,7 @@
     const struct route_target *target = route_pick(route, verdict->flow);
     struct upstream *upstream;
 
-    if (flow != NULL && stays(now, flow, packet, before)) {
+    if (flow != NULL && stays(ev, now, flow, packet, before)) {
         flow->seen_at = now;
         forward_to(verdict, before, RULE_SAME_AGAIN);
         return;
@@ -332,6 +335,7 @@
         return;
     }
     forward_to(verdict, upstream, RULE_EVIDENCE);
+    verdict->detour = evidence_is_cut(ev, now, upstream->hall_hash);
 }
 
 /* Steers a packet of a flow that is open, or thought to be. */
--- a/evidence.h
+++ b/evidence.h
@@ -36,6 +36,20 @@
     bool reset;                /**< reset by the caller */
 };
 
+/** Whether a data hall is reached by this entry's packets. */
+struct evidence_hall {
+    uint32_t hall;        /**< hash of its name */
+    uint64_t answered_at; /**< an upstream there answered last, 0: never */
+    uint64_t heard_at;    /**< a node there answered this one last, 0: never */
+    uint64_t proved_at;   /**< the same, when the hall was doubted */
+    uint64_t cut_at;      /**< doubted since */
+    uint64_t cut_until;   /**< deadline: packets of open flows take a detour,
+                               0: they do not */
+    uint64_t avoid_until; /**< deadline: new flows keep away */
+    bool asks;            /**< its nodes are to be asked at once */
+    bool logged;          /**< that it is cut off */
+};
+
 /** What to do with a packet. */
 enum evidence_action {
     EVIDENCE_FORWARD, /**< to `upstream`, with its token */
@@ -51,6 +65,9 @@
     enum ring_rule rule;             /**< why */
     const struct upstream *upstream; /**< FORWARD: to which; of a flow that
                                           ends: where it was; else NULL */
+    bool detour;                     /**< FORWARD of an open flow's packet: by
+                                          a node of another hall, since this
+                                          one does not reach the upstream's */
     uint64_t flow;                   /**< hash that names the flow in logs */
     uint32_t candidates;             /**< upstreams that were weighed */
     uint32_t emptied;                /**< passed over: their hall is emptied */
@@ -65,6 +82,7 @@
     GHashTable *dropped;       /**< route_key() of routes that were dropped */
     GHashTable *flows;         /**< hash to struct evidence_flow */
     struct counters *counters; /**< borrowed */
+    GArray *halls;             /**< struct evidence_hall */
     GArray *usual_us;          /**< uint32_t, by service's handle: the median
                                     time of an answer, 0: not known */
     uint64_t sweep_at;         /**< deadline: forget flows that ended */
@@ -107,6 +125,18 @@
  * so for some seconds the silence of an upstream proves nothing. */
 void evidence_distrust(struct evidence *ev, uint64_t now);
 
+/** A node of a data hall answered this one, so its packets get there. */
+void evidence_hear_hall(struct evidence *ev, uint64_t now, uint32_t hall);
+
+/** Says whether packets of open flows to a data hall take a detour: it seems
+ * cut off. */
+bool evidence_is_cut(const struct evidence *ev, uint64_t now, uint32_t hall);
+
+/** Says whether packets to the hall `cut` may go by a node of the hall `by`.
+ */
+bool evidence_may_carry(const struct evidence *ev, uint64_t now, uint32_t cut,
+                        uint32_t by);
+
 /** Forgets flows that ended or rested too long. */
 void evidence_tick(struct evidence *ev, uint64_t now);
 
--- a/fault.h
+++ b/fault.h
@@ -41,6 +41,7 @@
     FAULT_NO_EXCUSE,      /**< nor does a standstill of this node */
     FAULT_NO_REPLACE,     /**< nor another incarnation at an address */
     FAULT_NO_BORN,        /**< starts of one id are ordered by sequence */
+    FAULT_NO_REACH,       /**< halls that are cut off are not noticed */
     FAULT_NO_MOVE,        /**< copies of a first packet go the same way */
     FAULT_NO_DOUBT,       /**< nodes do not tell of unanswered data */
     FAULT_NO_HOLD,        /**< packets are not held until enough is known */
--- a/fleet-members.c
+++ b/fleet-members.c
@@ -7,6 +7,9 @@
 #include "hash.h"
 #include "random.h"
 
+/* Members of a hall that are asked at a time. */
+#define PROBED 3
+
 /* Digest of the members: who, and which start of it. */
 uint64_t
 fleet_members_digest(const struct fleet *fleet)
@@ -144,6 +147,45 @@
     return 0;
 }
 
+/* A member of a hall that takes packets for others. */
+const wire_node *
+fleet_carrier(const struct fleet *fleet, uint64_t now, uint32_t hall,
+              uint64_t seed)
+{
+    const wire_node *best = NULL;
+    uint64_t best_rank = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct fleet_member *member = value;
+        uint64_t rank = hash_pair(HASH_RANK, member->node.address, seed);
+
+        if (member->node.hall == hall && !member->node.stopping &&
+            now >= member->mute_until && (best == NULL || rank > best_rank)) {
+            best = &member->node;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+/* Asks members of a hall whether they hear this node; several, since one may
+ * be down. */
+void
+fleet_probe_hall(struct fleet *fleet, uint64_t now, uint32_t hall)
+{
+    for (int i = 0; i < PROBED; i++) {
+        const wire_node *node =
+            fleet_carrier(fleet, now, hall, random_next(&fleet->random));
+
+        if (node != NULL) {
+            fleet_send_hello(fleet, node->address, false);
+        }
+    }
+}
+
 /* LEADER: watches upstreams whose keeper is no member; after a loss of power
  * on all nodes their records come from disks. */
 static void
--- a/fleet.h
+++ b/fleet.h
@@ -284,6 +284,14 @@
  * this one does not know all, has just begun or stops. */
 void fleet_list_owners(const struct fleet *fleet, uint64_t now, GArray *out);
 
+/** A member of a hall, drawn by `seed`, that takes packets for others; NULL
+ * when there is none. */
+const wire_node *fleet_carrier(const struct fleet *fleet, uint64_t now,
+                               uint32_t hall, uint64_t seed);
+
+/** Asks members of a hall, drawn by lot, whether they hear this node. */
+void fleet_probe_hall(struct fleet *fleet, uint64_t now, uint32_t hall);
+
 /** Place of this node among all by address, in parts of 2^32. */
 uint32_t fleet_place(const struct fleet *fleet);
 
--- /dev/null
+++ b/node-carry.c
@@ -0,0 +1,166 @@
+/*
+ * Detours: packets of open flows whose upstream's data hall is cut off from
+ * this node go by a node of another hall, which sends them straight on. Asks
+ * nodes of that hall all the while whether they hear this one; the answer of
+ * one ends the detour.
+ */
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "codec.h"
+#include "log.h"
+#include "loop.h"
+#include "node.h"
+#include "platform/platform.h"
+
+/* Between two questions to a hall that is cut off. */
+#define PROBE_MS 250U
+/* Copies of a packet go by another node after so long: the one before may be
+ * down. Copies come 0.2 s apart. */
+#define TURN_MS 150U
+
+/* A node by which a packet may take a detour to the hall `cut`; 0: none. */
+static uint32_t
+carrier_of(const struct node *node, uint64_t now, uint32_t cut, uint64_t seed)
+{
+    const GArray *halls = node->evidence.halls;
+    uint32_t own = node->fleet.self.hall;
+
+    for (guint i = 0; i < halls->len; i++) {
+        guint at = (guint)((seed + i) % halls->len);
+        uint32_t by = g_array_index(halls, struct evidence_hall, at).hall;
+        const wire_node *carrier =
+            by != own && evidence_may_carry(&node->evidence, now, cut, by)
+                ? fleet_carrier(&node->fleet, now, by, seed)
+                : NULL;
+
+        if (carrier != NULL) {
+            return carrier->address;
+        }
+    }
+    return 0;
+}
+
+/* Sends a packet by a node of another hall. */
+bool
+node_carry(struct node *node, uint64_t now,
+           const struct evidence_verdict *verdict, const uint8_t *packet,
+           size_t length)
+{
+    uint32_t by = carrier_of(node, now, verdict->upstream->hall_hash,
+                             verdict->flow + now / TURN_MS);
+    wire_msg msg = {.kind = WIRE_CARRY};
+    wire_carry *carry = &msg.wire_msg_u.carry;
+    GByteArray *bytes;
+
+    if (by == 0) {
+        return false;
+    }
+    carry->upstream = verdict->upstream->id;
+    carry->packet.packet_val = (char *)packet;
+    carry->packet.packet_len = (u_int)length;
+    bytes = codec_encode(&msg);
+    node_send_to_peer(node, by, bytes->data, bytes->len);
+    g_byte_array_unref(bytes);
+    counter_add(&node->counters, COUNTER_PACKETS_CARRIED, 1);
+    return true;
+}
+
+/* Sends a packet on that took a detour by this node, and nowhere else: so it
+ * never goes round. */
+void
+node_take_carried(struct node *node, const wire_carry *carry)
+{
+    const struct upstream *u =
+        upstream_by_id(&node->upstreams, carry->upstream);
+    uint8_t bytes[PLATFORM_PREFIX_BYTES + WIRE_PACKET_MAX];
+    size_t length = carry->packet.packet_len;
+    struct sockaddr_in to = {.sin_family = AF_INET};
+
+    if (u == NULL || u->state == UPSTREAM_GONE) {
+        counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
+        return;
+    }
+    to.sin_port = htons(u->port);
+    to.sin_addr.s_addr = htonl(u->address);
+    platform_write_prefix(bytes, u->id);
+    memcpy(bytes + PLATFORM_PREFIX_BYTES, carry->packet.packet_val, length);
+    if (sendto(node->packets_fd, bytes, PLATFORM_PREFIX_BYTES + length,
+               MSG_DONTWAIT, (struct sockaddr *)&to, sizeof(to)) < 0) {
+        log_event(LOG_WARN, "packet-send-failed", "lost=1 carried=1");
+    }
+}
+
+/* Asks all halls whether they hear this node: the one that is doubted, and
+ * those by which its packets may go. */
+static void
+ask_halls(struct node *node, uint64_t now)
+{
+    const GArray *halls = node->evidence.halls;
+
+    for (guint i = 0; i < halls->len; i++) {
+        fleet_probe_hall(&node->fleet, now,
+                         g_array_index(halls, struct evidence_hall, i).hall);
+    }
+    node->probe_at = now + PROBE_MS;
+}
+
+/* Logs a hall that is cut off, once its nodes had time to answer, or reached
+ * again. */
+static void
+log_hall(struct evidence_hall *hall, uint64_t now)
+{
+    bool cut = now < hall->cut_until && now >= hall->cut_at + PROBE_MS;
+
+    if (cut && !hall->logged) {
+        log_event(LOG_WARN, "hall-cut-off", "hall=%08x avoided=%d", hall->hall,
+                  now < hall->avoid_until);
+    }
+    else if (hall->logged && now >= hall->cut_until) {
+        log_event(LOG_WARN, "hall-reached", "hall=%08x", hall->hall);
+    }
+    else {
+        return;
+    }
+    hall->logged = cut;
+}
+
+/* Asks about halls that are doubted, and logs what becomes of them. */
+void
+node_watch_halls(struct node *node, uint64_t now)
+{
+    GArray *halls = node->evidence.halls;
+    bool asks = false;
+    bool any = false;
+
+    for (guint i = 0; i < halls->len; i++) {
+        struct evidence_hall *hall =
+            &g_array_index(halls, struct evidence_hall, i);
+
+        log_hall(hall, now);
+        asks = asks || hall->asks;
+        any = any || now < hall->cut_until;
+        hall->asks = false;
+    }
+    if (!any) {
+        node->probe_at = 0;
+    }
+    else if (asks || now >= node->probe_at) {
+        ask_halls(node, now);
+    }
+}
+
+/* Says whether a hall is to be asked. */
+bool
+node_asks_halls(const struct node *node)
+{
+    const GArray *halls = node->evidence.halls;
+
+    for (guint i = 0; i < halls->len; i++) {
+        if (g_array_index(halls, struct evidence_hall, i).asks) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/node-packets.c
+++ b/node-packets.c
@@ -247,8 +247,11 @@
     log_verdict(node, &packet, &verdict);
     switch (verdict.action) {
     case EVIDENCE_FORWARD:
-        platform_write_prefix(bytes, verdict.upstream->id);
         platform_mark_packet(head, verdict.upstream->token);
+        if (verdict.detour && node_carry(node, now, &verdict, head, length)) {
+            break;
+        }
+        platform_write_prefix(bytes, verdict.upstream->id);
         put_out(verdict.upstream->address, verdict.upstream->port, bytes,
                 PLATFORM_PREFIX_BYTES + length);
         break;
@@ -333,7 +336,7 @@
             break;
         }
     }
-    if (node->upstreams.doubted->len > 0) {
+    if (node->upstreams.doubted->len > 0 || node_asks_halls(node)) {
         node_act(node);
     }
 }
--- a/node-peers.c
+++ b/node-peers.c
@@ -126,6 +126,18 @@
     g_byte_array_unref(whole);
 }
 
+/* The answer to a hello proves that packets go to its sender's hall and back.
+ */
+static void
+hear_hall(struct node *node, const wire_msg *msg)
+{
+    const wire_hello *hello = &msg->wire_msg_u.hello;
+
+    if (msg->kind == WIRE_HELLO && (hello->flags & WIRE_HELLO_REPLY) != 0) {
+        evidence_hear_hall(&node->evidence, loop_now(), hello->self.hall);
+    }
+}
+
 /* Takes one message. */
 static void
 take_message(struct node *node, const guint8 *bytes, size_t length)
@@ -139,6 +151,9 @@
     if (msg.kind == WIRE_PART) {
         take_part(node, &msg.wire_msg_u.part);
     }
+    else if (msg.kind == WIRE_CARRY) {
+        node_take_carried(node, &msg.wire_msg_u.carry);
+    }
     else if (is_for_voter(msg.kind)) {
         GByteArray *copy = g_byte_array_sized_new((guint)length);
 
@@ -146,6 +161,7 @@
         node_voter_receive(node, copy);
     }
     else {
+        hear_hall(node, &msg);
         fleet_receive(&node->fleet, loop_now(), &msg);
     }
     codec_free(&msg);
--- a/node.c
+++ b/node.c
@@ -255,6 +255,7 @@
         {"http", node_http_deadline(node)},
         {"settings", node->settings_at},
         {"open-http", node->http_at != 0 ? open_at : UINT64_MAX},
+        {"halls", node->probe_at != 0 ? node->probe_at : UINT64_MAX},
         {"end", node->end_at != 0 ? node->end_at : UINT64_MAX},
     };
     struct due first = all[0];
@@ -292,6 +293,7 @@
     log_upstreams(node);
     log_doubts(node);
     log_told(node);
+    node_watch_halls(node, loop_now());
     fleet_spread(&node->fleet, loop_now());
     act_fleet(node);
     if (node->evidence.settled != node->fleet.settled ||
--- a/node.h
+++ b/node.h
@@ -56,6 +56,8 @@
     uint64_t last_token;   /**< of the call suspended last */
     uint64_t kept_changes; /**< of the inventory, that are stored */
     uint64_t kept_members; /**< digest of the members that are stored */
+    uint64_t probe_at;     /**< deadline: ask data halls that are cut off, 0:
+                                none is */
     uint64_t keep_at;      /**< deadline: the inventory may be stored */
     bool stale;            /**< packets are those that waited while
                                 it stood still */
@@ -84,6 +86,19 @@
 /** Steers once more the packets that were held. */
 void node_release_packets(struct node *node);
 
+/* node-carry.c */
+/** Sends a caller's packet to its upstream by a node of another hall; false
+ * when there is none. */
+bool node_carry(struct node *node, uint64_t now,
+                const struct evidence_verdict *verdict, const uint8_t *packet,
+                size_t length);
+/** Sends on a packet that takes a detour by this node. */
+void node_take_carried(struct node *node, const wire_carry *carry);
+/** Asks about data halls that are doubted, and logs what becomes of them. */
+void node_watch_halls(struct node *node, uint64_t now);
+/** Says whether node_watch_halls() has a hall to ask at once. */
+bool node_asks_halls(const struct node *node);
+
 /* node-peers.c */
 /** Opens the socket between nodes. */
 enum status_kind node_open_peers(struct node *node, struct status *st);
--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 
 #include "ask.h"
+#include "link.h"
 #include "loop.h"
 #include "platform/standin/standin.h"
 #include "soak.h"
@@ -330,6 +331,8 @@
         meant = meant << 8 | bytes[i];
     }
     if (!host->up || loop_now() < host->paused_until ||
+        soak_link_is_cut((int)(node & 255) - 1,
+                         (int)(host - world.host) % SOAK_HALLS) ||
         !platform_read_packet(bytes + PLATFORM_PREFIX_BYTES,
                               length - PLATFORM_PREFIX_BYTES, &p)) {
         return;
--- a/tools/soak/host.h
+++ b/tools/soak/host.h
@@ -28,11 +28,11 @@
 
 /* What can happen to a host. */
 enum soak_host_fault {
-    SOAK_HOST_LEAVES,   /* it says so, ends, and is replaced */
-    SOAK_HOST_CRASHES,  /* it is replaced */
-    SOAK_HOST_RESTARTS, /* it crashes and starts again under its id */
+    SOAK_HOST_LEAVES,  /* it says so, ends, and is replaced */
+    SOAK_HOST_CRASHES, /* it is replaced */
     SOAK_HOST_PAUSES,
-    SOAK_HOST_FAULTS
+    SOAK_HOST_FAULTS,  /* those before are drawn by lot */
+    SOAK_HOST_RESTARTS /* it crashes and starts again under its id */
 };
 
 /* Harms a host drawn by lot, unless it is down, paused or leaves. */
--- a/tools/soak/link.c
+++ b/tools/soak/link.c
@@ -2,6 +2,7 @@
  * The proxy between the soak's nodes. Each node tells the others an address at
  * which the proxy listens; the sender of a datagram is known by its own one.
  */
+#include "host.h"
 #include "link.h"
 
 #include <arpa/inet.h>
@@ -25,6 +26,8 @@
     uint32_t nodes;            /* address of the first */
     uint16_t port;             /* of nodes and proxy */
     GArray *held;              /* struct held */
+    int cut_halls[2];          /* that do not reach each other */
+    uint64_t cut_until;        /* deadline: they do again */
     GRand *rand;               /* of datagrams that are lost */
 } links;
 
@@ -50,6 +53,26 @@
     return &links.link[n];
 }
 
+/* Cuts two halls from each other. */
+void
+soak_link_cut_halls(int one, int other, uint64_t until)
+{
+    links.cut_halls[0] = one;
+    links.cut_halls[1] = other;
+    links.cut_until = until;
+}
+
+/* Says whether a node is cut from a hall now. */
+bool
+soak_link_is_cut(int n, int hall)
+{
+    int own = n % SOAK_HALLS;
+
+    return loop_now() < links.cut_until &&
+           ((own == links.cut_halls[0] && hall == links.cut_halls[1]) ||
+            (own == links.cut_halls[1] && hall == links.cut_halls[0]));
+}
+
 /* Passes a datagram between nodes, or holds, or loses it. */
 static void
 pass(int from, int to, const uint8_t *bytes, size_t length)
@@ -59,7 +82,7 @@
     unsigned delay = a->delay_ms + b->delay_ms;
     struct held held = {.at = loop_now() + delay, .to = to};
 
-    if (a->cut_out || b->cut_in ||
+    if (a->cut_out || b->cut_in || soak_link_is_cut(from, to % SOAK_HALLS) ||
         (unsigned)g_rand_int_range(links.rand, 0, 100) < a->loss + b->loss) {
         return;
     }
--- a/tools/soak/link.h
+++ b/tools/soak/link.h
@@ -27,6 +27,12 @@
 /* A node's link, to be harmed or healed. */
 struct soak_link *soak_link_of(int n);
 
+/* Cuts two halls from each other until a time: nodes, and nodes from hosts. */
+void soak_link_cut_halls(int one, int other, uint64_t until);
+
+/* Says whether a node is cut from a hall now. */
+bool soak_link_is_cut(int n, int hall);
+
 /* Adds the sockets to poll. */
 nfds_t soak_link_poll(struct pollfd *fds);
 
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -81,7 +81,10 @@
     struct node_process node[SOAK_NODES_MAX];
     GRand *rand; /* of faults, so that a seed draws the same ones */
     uint64_t began_at;
+    GRand *more_rand;   /* of faults that came later, so that they leave the
+                           others of a seed as they were */
     uint64_t fault_at;  /* deadline: the next fault */
+    uint64_t more_at;   /* deadline: the next of the later ones */
     uint64_t harmed_at; /* last moment of any fault */
     unsigned faults, broken;
 } soak;
@@ -401,6 +404,27 @@
     }
 }
 
+/* Lets a host start again under its id, or cuts two halls from each other. */
+static void
+inject_more(uint64_t now)
+{
+    int one = g_rand_int_range(soak.more_rand, 0, SOAK_HALLS);
+    uint64_t for_ms = (uint64_t)g_rand_int_range(soak.more_rand, 500, 3000);
+
+    soak.more_at =
+        now + (uint64_t)g_rand_int_range(soak.more_rand, 1000, 4000);
+    if (g_rand_int_range(soak.more_rand, 0, 2) == 0) {
+        soak_host_fault(SOAK_HOST_RESTARTS);
+        soak.faults++;
+        return;
+    }
+    note("cut hall %d from hall %d for %llu ms", one, (one + 1) % SOAK_HALLS,
+         (unsigned long long)for_ms);
+    soak_link_cut_halls(one, (one + 1) % SOAK_HALLS, now + for_ms);
+    soak.harmed_at = MAX(soak.harmed_at, now + for_ms);
+    soak.faults++;
+}
+
 /* Ends faults that are over, and looks after the processes. */
 static void
 look_after(uint64_t now)
@@ -454,6 +478,9 @@
         if (faults && now >= soak.fault_at) {
             inject(now);
         }
+        if (faults && now >= soak.more_at) {
+            inject_more(now);
+        }
     }
 }
 
@@ -463,6 +490,7 @@
 {
     soak.net = 16 + seed % 200;
     soak.rand = g_rand_new_with_seed(seed);
+    soak.more_rand = g_rand_new_with_seed(seed + 1000000);
     soak.began_at = loop_now();
     (void)snprintf(soak.folder, sizeof(soak.folder), "build/soak-%u", seed);
     (void)g_mkdir_with_parents(soak.folder, 0700);
--- a/upstream.c
+++ b/upstream.c
@@ -329,6 +329,7 @@
     }
     upstream->service = upstream_service(set, record->service);
     g_strlcpy(upstream->hall, record->hall, sizeof(upstream->hall));
+    upstream->hall_hash = (uint32_t)hash_name(upstream->hall);
     upstream->emptied = hall_is_emptied(&set->halls, upstream->hall);
     upstream->address = record->address;
     upstream->port = (uint16_t)record->port;
--- a/upstream.h
+++ b/upstream.h
@@ -75,6 +75,7 @@
     uint32_t mark;                    /**< upstream_mark() in its digest */
     uint16_t service;                 /**< handle of its service's name */
     char hall[UPSTREAM_NAME_MAX + 1]; /**< data hall */
+    uint32_t hall_hash;               /**< of its name, as nodes tell theirs */
     bool emptied;                     /**< its hall is: it gets no new flows */
     uint32_t address;                 /**< IPv4, host order */
     uint16_t port;                    /**< UDP */
