--- a/upstream.c
+++ b/upstream.c
@@ -1,30 +1,14 @@
 /*
- * Records of upstreams that register themselves: merging, expiry, digests.
- * Knows nothing of packets, members or sockets.
+ * Records of upstreams that register themselves: which word about one holds,
+ * merging, digests, halls. Knows nothing of packets, members or sockets.
  */
-#include "upstream.h"
+#include "upstream-internal.h"
 
 #include <string.h>
 
 #include "fault.h"
 #include "hash.h"
 
-/* Registrations that may stay away before an upstream counts as silent. A
- * false sign costs little: its flows go on, and the next one corrects it. */
-#define MISSED_INTERVALS 2
-
-/* The same for upstreams that this process has not heard itself: their node
- * was lost or began anew, and they turn to another one, whose word must come.
- */
-#define MOVED_INTERVALS 4
-
-/* Before such an upstream counts as silent, others are asked for what they
- * know of it, and have so long to answer: the way there and back, behind
- * queues of 40 ms at both ends, and a lost message of two. Two records of
- * 180,000 were called silent for some ms, of upstreams that registered, where
- * 300 nodes began anew and links lost 5%; none with the question. */
-#define ANSWER_MS 250U
-
 /* An incarnation that is first heard of with no more registrations than this
  * has just begun: two may be lost on their way. */
 #define FRESH_SEQUENCE 3
@@ -160,8 +144,8 @@
 /* Brings the digest up to what is believed of an upstream. Kept with each
  * change, it costs nothing for a hello: a leader of 300 nodes sends 600 of
  * them a second. */
-static void
-update_digest(struct upstream_set *set, struct upstream *upstream)
+void
+upstream_update_digest(struct upstream_set *set, struct upstream *upstream)
 {
     uint32_t mark = upstream_mark(upstream);
 
@@ -170,15 +154,15 @@
 }
 
 /* Notes a deadline of a record. */
-static void
-note_due(struct upstream_set *set, uint64_t at)
+void
+upstream_note_due(struct upstream_set *set, uint64_t at)
 {
     set->due_at = MIN(set->due_at, at);
 }
 
 /* Notes that a record must be spread. */
-static void
-note_change(struct upstream_set *set, const struct upstream *upstream)
+void
+upstream_note_change(struct upstream_set *set, const struct upstream *upstream)
 {
     set->change_count++;
     g_array_append_val(set->changed, upstream->id);
@@ -237,21 +221,6 @@
     g_ptr_array_remove(set->all, upstream);
 }
 
-/* Deadline by which the next registration must have come. */
-static uint64_t
-next_expiry(const struct upstream_set *set, uint64_t now)
-{
-    return now + MISSED_INTERVALS * set->interval_ms;
-}
-
-/* Deadline by which an upstream that this process has not heard must have
- * registered, here or elsewhere. */
-static uint64_t
-moved_expiry(const struct upstream_set *set, uint64_t now)
-{
-    return now + MOVED_INTERVALS * set->interval_ms;
-}
-
 /* Says whether a word that states no start changes what is believed of an
  * upstream whose start is known: it may be of an earlier start, told by an
  * older program. It may take the upstream out of use, no more; the next
@@ -288,14 +257,6 @@
     return state > upstream->state;
 }
 
-/* Forgets doubts: it answered, or registered. */
-static void
-clear_doubts(struct upstream *upstream)
-{
-    upstream->doubts.count = 0;
-    upstream->doubts.decide_at = 0;
-}
-
 /* Another start of an upstream: what was seen of the one before says nothing
  * of it, and it knows none of its flows. */
 static void
@@ -341,8 +302,8 @@
     upstream->keeper = record->keeper;
     upstream->warm_at = now + record->warm_ms;
     upstream->asked = false;
-    clear_doubts(upstream);
-    update_digest(set, upstream);
+    upstream_clear_doubts(upstream);
+    upstream_update_digest(set, upstream);
 }
 
 /* Says whether an incarnation is believed to run. */
@@ -370,24 +331,6 @@
     return NULL;
 }
 
-/* Believes that an upstream does not answer. One that leaves goes on leaving:
- * a silent one gets new flows as a last resort. */
-static void
-fall_silent(struct upstream_set *set, uint64_t now, struct upstream *upstream,
-            bool spread)
-{
-    upstream->expire_at = 0;
-    if (upstream->state != UPSTREAM_READY || fault_is(FAULT_NO_SILENCE)) {
-        return;
-    }
-    upstream->state = UPSTREAM_SILENT;
-    upstream->changed_at = now;
-    update_digest(set, upstream);
-    if (spread) {
-        note_change(set, upstream);
-    }
-}
-
 /* An incarnation that has just begun proves that the one before it at its
  * address has ended, up to two intervals before its silence does. */
 static void
@@ -402,7 +345,7 @@
     if (holder == NULL || fault_is(FAULT_NO_REPLACE)) {
         return;
     }
-    fall_silent(set, now, holder, spread);
+    upstream_fall_silent(set, now, holder, spread);
 }
 
 /* Says whether a registration is an ended incarnation's that was held up on
@@ -454,10 +397,10 @@
               upstream->address != r->address || upstream->port != r->port;
     take_record(set, now, upstream, &record);
     upstream->heard_at = now;
-    upstream->expire_at = next_expiry(set, now);
-    note_due(set, upstream->expire_at);
+    upstream->expire_at = upstream_next_expiry(set, now);
+    upstream_note_due(set, upstream->expire_at);
     if (differs) {
-        note_change(set, upstream);
+        upstream_note_change(set, upstream);
     }
     return true;
 }
@@ -470,8 +413,8 @@
     upstream->state = UPSTREAM_GONE;
     upstream->expire_at = 0;
     upstream->forget_at = now + MIN(keep_ms, UPSTREAM_GONE_MS);
-    update_digest(set, upstream);
-    note_due(set, upstream->forget_at);
+    upstream_update_digest(set, upstream);
+    upstream_note_due(set, upstream->forget_at);
 }
 
 /* How much longer a record that another node told as gone is kept: as long as
@@ -519,7 +462,7 @@
     }
     upstream->changed_at = now;
     mark_gone(set, upstream, now, UPSTREAM_GONE_MS);
-    note_change(set, upstream);
+    upstream_note_change(set, upstream);
     return true;
 }
 
@@ -543,7 +486,7 @@
         upstream->keeper == set->self && upstream->heard_at != 0 &&
         now >= upstream->contradict_at) {
         upstream->contradict_at = now + set->interval_ms;
-        note_change(set, upstream);
+        upstream_note_change(set, upstream);
     }
 }
 
@@ -580,10 +523,10 @@
     /* What this node heard before it was restarted, it watches again. */
     upstream->expire_at =
         upstream->keeper == set->self && upstream->state < UPSTREAM_SILENT
-            ? moved_expiry(set, now)
+            ? upstream_moved_expiry(set, now)
             : 0;
     if (upstream->expire_at != 0) {
-        note_due(set, upstream->expire_at);
+        upstream_note_due(set, upstream->expire_at);
     }
     if (upstream->state == UPSTREAM_GONE) {
         mark_gone(set, upstream, now, keep_of(record));
@@ -595,156 +538,6 @@
     return differs;
 }
 
-/* Drops doubts that are too old, and that of a node which speaks again. */
-static void
-drop_doubts(struct upstream_doubts *doubts, uint64_t now, uint32_t node)
-{
-    for (uint32_t i = doubts->count; i > 0; i--) {
-        if (now >= doubts->until[i - 1] || doubts->nodes[i - 1] == node) {
-            doubts->count--;
-            doubts->nodes[i - 1] = doubts->nodes[doubts->count];
-            doubts->until[i - 1] = doubts->until[doubts->count];
-        }
-    }
-}
-
-/* Adds a doubt; with enough of them, what is to be believed is decided soon.
- */
-static void
-add_doubt(struct upstream_doubts *doubts, uint64_t now, uint32_t node)
-{
-    drop_doubts(doubts, now, node);
-    if (doubts->count < UPSTREAM_DOUBTERS) {
-        doubts->nodes[doubts->count] = node;
-        doubts->until[doubts->count] = now + UPSTREAM_DOUBT_MS;
-        doubts->count++;
-    }
-    if (doubts->count == UPSTREAM_DOUBTERS && doubts->decide_at == 0) {
-        doubts->decide_at = now + UPSTREAM_DOUBT_WAIT_MS;
-    }
-}
-
-/* Takes a node's doubt, unless the upstream registered since that data was
- * sent. */
-void
-upstream_take_doubt(struct upstream_set *set, uint64_t now, uint64_t id,
-                    uint32_t node, uint32_t quiet_ms)
-{
-    struct upstream *upstream = upstream_by_id(set, id);
-
-    if (upstream == NULL || upstream->state != UPSTREAM_READY ||
-        upstream->keeper != set->self) {
-        return;
-    }
-    if (quiet_ms == 0) {
-        clear_doubts(upstream);
-    }
-    else if (now > upstream->heard_at + quiet_ms) {
-        add_doubt(&upstream->doubts, now, node);
-        if (upstream->doubts.decide_at != 0) {
-            note_due(set, upstream->doubts.decide_at);
-        }
-    }
-}
-
-/* Next deadline of a record; UINT64_MAX when it has none. */
-static uint64_t
-due_at(const struct upstream *upstream)
-{
-    uint64_t decide_at = upstream->doubts.decide_at;
-
-    if (upstream->state == UPSTREAM_GONE) {
-        return upstream->forget_at;
-    }
-    if (upstream->expire_at == 0) {
-        return UINT64_MAX;
-    }
-    return decide_at != 0 ? MIN(decide_at, upstream->expire_at)
-                          : upstream->expire_at;
-}
-
-/* Asks others for an upstream that is watched and that this process never
- * heard; false when they were asked before, or there is no need to. */
-static bool
-ask_others(struct upstream_set *set, uint64_t now, struct upstream *upstream)
-{
-    if (upstream->asked || upstream->heard_at != 0 ||
-        upstream->doubts.decide_at != 0 || fault_is(FAULT_NO_QUESTION)) {
-        return false;
-    }
-    upstream->asked = true;
-    upstream->expire_at = now + ANSWER_MS;
-    note_due(set, upstream->expire_at);
-    g_array_append_val(set->unsure, upstream->token);
-    return true;
-}
-
-/* Lets time pass. Registrations put deadlines off, so the records are looked
- * at only once the earliest that was ever noted is over: about once in half of
- * an interval instead of at each wake-up. */
-void
-upstream_tick(struct upstream_set *set, uint64_t now)
-{
-    if (now < set->due_at) {
-        return;
-    }
-    set->due_at = UINT64_MAX;
-    for (guint i = set->all->len; i > 0; i--) {
-        struct upstream *upstream = g_ptr_array_index(set->all, i - 1);
-
-        if (now < due_at(upstream)) {
-            note_due(set, due_at(upstream));
-        }
-        else if (upstream->state == UPSTREAM_GONE) {
-            upstream_drop(set, upstream);
-        }
-        else if (!ask_others(set, now, upstream)) {
-            fall_silent(set, now, upstream, true);
-        }
-    }
-}
-
-/* No deadline is earlier. */
-uint64_t
-upstream_deadline(const struct upstream_set *set)
-{
-    return set->due_at;
-}
-
-/* Puts off what is to be noticed. */
-void
-upstream_excuse(struct upstream_set *set, uint64_t now, uint64_t gap)
-{
-    if (fault_is(FAULT_NO_EXCUSE)) {
-        return;
-    }
-    for (guint i = 0; i < set->all->len; i++) {
-        struct upstream *upstream = g_ptr_array_index(set->all, i);
-
-        if (upstream->expire_at != 0) {
-            upstream->expire_at =
-                MAX(upstream->expire_at + gap, next_expiry(set, now));
-        }
-    }
-}
-
-/* Watches what a lost keeper watched. */
-void
-upstream_adopt(struct upstream_set *set, uint64_t now, uint32_t keeper)
-{
-    uint64_t deadline = moved_expiry(set, now);
-
-    for (guint i = 0; i < set->all->len; i++) {
-        struct upstream *upstream = g_ptr_array_index(set->all, i);
-
-        if (upstream->keeper == keeper && upstream->expire_at == 0 &&
-            upstream->state < UPSTREAM_SILENT) {
-            upstream->expire_at = deadline;
-            note_due(set, deadline);
-        }
-    }
-}
-
 /* Notes for an upstream whether its hall is emptied. */
 static void
 note_hall(struct upstream_set *set, uint64_t now, struct upstream *upstream)
