upstream-watch: two signs of silence make an upstream lost, its flows end with their data

Change: registrations that stay away and three nodes without an answer, in any order and while no node has seen an answer for a second, make an upstream lost. Data for it ends its flow at once, unless it answered this node in the last 2 s. Nodes that see a silent upstream answer say so.

--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -34,7 +34,8 @@
 may_take_new(const struct upstream *upstream)
 {
     return (upstream->state == UPSTREAM_READY ||
-            (upstream->state == UPSTREAM_SILENT &&
+            ((upstream->state == UPSTREAM_SILENT ||
+              upstream->state == UPSTREAM_LOST) &&
              !fault_is(FAULT_NO_LAST_RESORT))) &&
            upstream->named;
 }
@@ -90,7 +91,7 @@
 rank_of(const struct evidence *ev, const struct upstream *upstream,
         uint64_t now)
 {
-    if (upstream->state == UPSTREAM_SILENT && !fault_is(FAULT_SILENT_EQUAL)) {
+    if (upstream->state != UPSTREAM_READY && !fault_is(FAULT_SILENT_EQUAL)) {
         return RANK_SILENT;
     }
     if (evidence_is_avoided(ev, now, upstream->hall_hash)) {
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -25,6 +25,12 @@
 /* An upstream is doubted in a message at most so often; its flows' copies come
  * 0.2 s apart and more. */
 #define DOUBT_PAUSE_MS 200U
+/* That a silent upstream answers is told at most so often: it speaks against
+ * its loss for a second. */
+#define VOUCH_PAUSE_MS 500U
+/* An upstream that gave a sign of life here so lately is not lost for this
+ * node, whatever others say. */
+#define LIVES_MS 2000U
 /* What packets told of upstreams within this time says whether this node's
  * own link works. */
 #define LATELY_MS 1000U
@@ -153,10 +159,12 @@
     flow->sent_at = 0;
     upstream->suspect_until = 0;
     upstream->alive_at = now;
-    if (upstream->doubt_at != 0) {
+    if (upstream->doubt_at != 0 ||
+        (upstream->state == UPSTREAM_SILENT && now >= upstream->vouch_at)) {
         struct upstream_doubt answered = {.id = upstream->id};
 
         upstream->doubt_at = 0;
+        upstream->vouch_at = now + VOUCH_PAUSE_MS;
         g_array_append_val(ev->upstreams->doubted, answered);
     }
     evidence_set_idle(ev, flow);
@@ -198,7 +206,9 @@
         .id = upstream->id, .quiet_ms = (uint32_t)(now - flow->sent_at)};
 
     if (fault_is(FAULT_NO_DOUBT) || now < ev->trust_at ||
-        now < upstream->doubt_at || upstream->state != UPSTREAM_READY ||
+        now < upstream->doubt_at ||
+        (upstream->state != UPSTREAM_READY &&
+         upstream->state != UPSTREAM_SILENT) ||
         upstream->alive_at > flow->sent_at) {
         return;
     }
@@ -269,6 +279,29 @@
     }
 }
 
+/* Says whether a flow's upstream is lost for everybody: its registrations stay
+ * away, three nodes got no answer, none saw one since, nor did this one for a
+ * while. Then data ends its flow at once, without copies of its own. Buys the
+ * callers of long flows an end before they notice: of the requests late while
+ * a quarter of the upstreams was dark, those that began 1.6 s after it. */
+static bool
+is_lost_for_all(const struct evidence_flow *flow,
+                const struct upstream *upstream, uint64_t now)
+{
+    return upstream->state == UPSTREAM_LOST && flow->sent_at != 0 &&
+           now > upstream->alive_at + LIVES_MS;
+}
+
+/* Says whether another node missed an upstream. */
+static bool
+is_missed_elsewhere(const struct evidence *ev, const struct upstream *upstream)
+{
+    return (upstream->state == UPSTREAM_SILENT ||
+            upstream->state == UPSTREAM_LOST) &&
+           (upstream->keeper != ev->upstreams->self ||
+            upstream->doubts.decide_at != 0 || upstream->doubts.proved);
+}
+
 /* Says whether a flow's upstream is lost. A reset of a flow that could go on
  * breaks it, so what this node sees alone is not enough: its own link, queue
  * or standstill looks the same (seen: eight living upstreams called lost
@@ -285,10 +318,11 @@
                  const struct evidence_flow *flow,
                  const struct upstream *upstream)
 {
-    bool others_say = upstream->keeper != ev->upstreams->self ||
-                      upstream->doubts.decide_at != 0;
-
-    return !fault_is(FAULT_NO_LOST) && upstream->state == UPSTREAM_SILENT &&
-           others_say && now >= ev->trust_at && flow->sent_at != 0 &&
-           flow->proofs >= LOST_PROOFS && upstream->alive_at <= flow->sent_at;
+    if (fault_is(FAULT_NO_LOST) || now < ev->trust_at) {
+        return false;
+    }
+    return is_lost_for_all(flow, upstream, now) ||
+           (is_missed_elsewhere(ev, upstream) && flow->sent_at != 0 &&
+            flow->proofs >= LOST_PROOFS &&
+            upstream->alive_at <= flow->sent_at);
 }
--- a/evidence-reach.c
+++ b/evidence-reach.c
@@ -87,7 +87,7 @@
     struct evidence_hall *hall = hall_of(ev, upstream->hall_hash);
 
     if (fault_is(FAULT_NO_REACH) || now < ev->trust_at ||
-        upstream->state == UPSTREAM_SILENT ||
+        upstream->state != UPSTREAM_READY ||
         (hall->proved_at != 0 && now < hall->proved_at + PROVED_MS)) {
         return;
     }
--- a/node.c
+++ b/node.c
@@ -172,8 +172,7 @@
                       (unsigned long long)u->id, upstream_state_name(u->state),
                       upstream_service_name(&node->upstreams, u->service),
                       (unsigned long long)u->born,
-                      (unsigned long long)u->sequence,
-                      u->doubts.decide_at != 0);
+                      (unsigned long long)u->sequence, u->doubts.proved);
         }
     }
 }
--- a/tests/test-steer.c
+++ b/tests/test-steer.c
@@ -61,6 +61,8 @@
     play(&c->scene, &with);
     fault_trials[c->fault] = true;
     play(&c->scene, &without);
+    g_test_message("%s: failed %u -> %u, late %u -> %u", c->name, with.failed,
+                   without.failed, with.late, without.late);
     fault_trials[c->fault] = false;
     if (c->failed_times != 0) {
         g_assert_cmpuint(without.failed, >, c->failed_times * with.failed);
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -380,6 +380,7 @@
  *   a b c  that node says that data was unanswered for 200 ms
  *   A      a says that it answered after all
  *   r      it registers again; l the same, and that it leaves
+ *   w      nothing happens
  *   k      another node hears it from now on */
 struct word_case {
     const char *name;
@@ -399,6 +400,19 @@
     {"registers-again-later", "a40 b41 c42 r60", UPSTREAM_READY},
     {"leaves", "l1 a40 b41 c42", UPSTREAM_LEAVING},
     {"heard-by-another-node", "k1 a40 b41 c42", UPSTREAM_READY},
+    {"no-registration", "w160", UPSTREAM_SILENT},
+    {"three-and-no-registration", "a40 b41 c42 w160", UPSTREAM_LOST},
+    {"no-registration-and-three-later", "w156 a170 b171 c172", UPSTREAM_LOST},
+    {"no-registration-and-two", "w156 a170 b171", UPSTREAM_SILENT},
+    {"no-registration-and-one-thrice", "w156 a170 a171 a172", UPSTREAM_SILENT},
+    {"three-answered-and-no-registration", "a40 b41 c42 A100 w160",
+     UPSTREAM_SILENT},
+    {"no-registration-answered-and-three", "w156 A168 a170 b171 c172",
+     UPSTREAM_SILENT},
+    {"no-registration-answered-long-ago-and-three", "w156 A158 a270 b271 c272",
+     UPSTREAM_LOST},
+    {"lost-and-registers", "a40 b41 c42 w160 r170", UPSTREAM_READY},
+    {"lost-and-leaves", "a40 b41 c42 w160 l170", UPSTREAM_LEAVING},
 };
 
 /* Plays one case. */
@@ -418,6 +432,9 @@
 
         now = NOW + 10 * g_ascii_strtoull(*at + 1, NULL, 10);
         upstream_tick(&set, now);
+        if (letter == 'w') {
+            continue;
+        }
         if (letter == 'r' || letter == 'l') {
             register_there(&set, now, 1, ++sequence, letter == 'l');
         }
@@ -584,6 +601,8 @@
 static const struct mutation mutations[] = {
     {"silence", FAULT_NO_SILENCE, "/upstream/excuse"},
     {"excuse", FAULT_NO_EXCUSE, "/upstream/excuse"},
+    {"second-sign", FAULT_NO_SECOND_SIGN,
+     "/upstream/doubt/three-and-no-registration"},
     {"replace", FAULT_NO_REPLACE, "/upstream/address/late-word-of-the-old"},
     {"born", FAULT_NO_BORN, "/upstream/start/counts-begin-anew"},
     {"born-late", FAULT_NO_BORN, "/upstream/start/late-word-of-the-old-start"},
--- a/upstream-watch.c
+++ b/upstream-watch.c
@@ -16,6 +16,9 @@
  */
 #define MOVED_INTERVALS 4
 
+/* An answer that a node saw speaks against a loss for so long. */
+#define REFUTED_MS 1000U
+
 /* Before such an upstream counts as silent, others are asked for what they
  * know of it, and have so long to answer: the way there and back, behind
  * queues of 40 ms at both ends, and a lost message of two. Two records of
@@ -44,6 +47,21 @@
 {
     upstream->doubts.count = 0;
     upstream->doubts.decide_at = 0;
+    upstream->doubts.proved = false;
+    upstream->missed = false;
+}
+
+/* Changes what is believed of an upstream, and tells others. */
+static void
+believe(struct upstream_set *set, uint64_t now, struct upstream *upstream,
+        enum upstream_state state, bool spread)
+{
+    upstream->state = state;
+    upstream->changed_at = now;
+    upstream_update_digest(set, upstream);
+    if (spread) {
+        upstream_note_change(set, upstream);
+    }
 }
 
 /* Believes that an upstream does not answer. One that leaves goes on leaving:
@@ -52,15 +70,8 @@
 upstream_fall_silent(struct upstream_set *set, uint64_t now,
                      struct upstream *upstream, bool spread)
 {
-    upstream->expire_at = 0;
-    if (upstream->state != UPSTREAM_READY || fault_is(FAULT_NO_SILENCE)) {
-        return;
-    }
-    upstream->state = UPSTREAM_SILENT;
-    upstream->changed_at = now;
-    upstream_update_digest(set, upstream);
-    if (spread) {
-        upstream_note_change(set, upstream);
+    if (upstream->state == UPSTREAM_READY && !fault_is(FAULT_NO_SILENCE)) {
+        believe(set, now, upstream, UPSTREAM_SILENT, spread);
     }
 }
 
@@ -93,6 +104,16 @@
     }
 }
 
+/* A node saw an answer: what others doubted is refuted for a while. */
+static void
+drop_all_doubts(struct upstream_doubts *doubts, uint64_t now)
+{
+    doubts->count = 0;
+    doubts->decide_at = 0;
+    doubts->proved = false;
+    doubts->refuted_at = now;
+}
+
 /* Takes a node's doubt, unless the upstream registered since that data was
  * sent. */
 void
@@ -101,12 +122,13 @@
 {
     struct upstream *upstream = upstream_by_id(set, id);
 
-    if (upstream == NULL || upstream->state != UPSTREAM_READY ||
-        upstream->keeper != set->self) {
+    if (upstream == NULL || upstream->keeper != set->self ||
+        (upstream->state != UPSTREAM_READY &&
+         upstream->state != UPSTREAM_SILENT)) {
         return;
     }
     if (quiet_ms == 0) {
-        upstream_clear_doubts(upstream);
+        drop_all_doubts(&upstream->doubts, now);
     }
     else if (now > upstream->heard_at + quiet_ms) {
         add_doubt(&upstream->doubts, now, node);
@@ -120,16 +142,17 @@
 static uint64_t
 due_at(const struct upstream *upstream)
 {
-    uint64_t decide_at = upstream->doubts.decide_at;
+    uint64_t at = UINT64_MAX;
 
     if (upstream->state == UPSTREAM_GONE) {
         return upstream->forget_at;
     }
-    if (upstream->expire_at == 0) {
-        return UINT64_MAX;
+    if (upstream->expire_at != 0) {
+        at = upstream->expire_at;
     }
-    return decide_at != 0 ? MIN(decide_at, upstream->expire_at)
-                          : upstream->expire_at;
+    return upstream->doubts.decide_at != 0
+               ? MIN(at, upstream->doubts.decide_at)
+               : at;
 }
 
 /* Asks others for an upstream that is watched and that this process never
@@ -148,6 +171,42 @@
     return true;
 }
 
+/* Notes which signs of silence there are now. */
+static void
+note_signs(uint64_t now, struct upstream *upstream)
+{
+    struct upstream_doubts *doubts = &upstream->doubts;
+
+    if (upstream->expire_at != 0 && now >= upstream->expire_at) {
+        upstream->missed = true;
+        upstream->expire_at = 0;
+    }
+    if (doubts->decide_at != 0 && now >= doubts->decide_at) {
+        doubts->proved = true;
+        doubts->decide_at = 0;
+    }
+}
+
+/* Concludes from the signs: one of them makes an upstream silent, both make it
+ * lost. Its registrations may stay away since it is cut from control alone,
+ * and three nodes may lack answers since they are cut from it: neither ends
+ * flows of others. Both at once, while no node has seen an answer for a
+ * second, leave nobody for whom it lives. */
+static void
+conclude(struct upstream_set *set, uint64_t now, struct upstream *upstream)
+{
+    const struct upstream_doubts *doubts = &upstream->doubts;
+
+    if (upstream->missed || doubts->proved) {
+        upstream_fall_silent(set, now, upstream, true);
+    }
+    if (upstream->state == UPSTREAM_SILENT && upstream->missed &&
+        doubts->proved && now > doubts->refuted_at + REFUTED_MS &&
+        !fault_is(FAULT_NO_SECOND_SIGN)) {
+        believe(set, now, upstream, UPSTREAM_LOST, true);
+    }
+}
+
 /* Lets time pass. Registrations put deadlines off, so the records are looked
  * at only once the earliest that was ever noted is over: about once in half of
  * an interval instead of at each wake-up. */
@@ -168,7 +227,9 @@
             upstream_drop(set, upstream);
         }
         else if (!ask_others(set, now, upstream)) {
-            upstream_fall_silent(set, now, upstream, true);
+            note_signs(now, upstream);
+            conclude(set, now, upstream);
+            upstream_note_due(set, due_at(upstream));
         }
     }
 }
--- a/upstream.c
+++ b/upstream.c
@@ -112,6 +112,8 @@
         return "leaving";
     case UPSTREAM_SILENT:
         return "silent";
+    case UPSTREAM_LOST:
+        return "lost";
     case UPSTREAM_GONE:
         return "gone";
     }
@@ -272,6 +274,7 @@
     upstream->took_us = 0;
     upstream->doubt_at = 0;
     upstream->back_at = 0;
+    upstream->vouch_at = 0;
     upstream->open = 0;
     upstream->busy = 0;
 }
@@ -482,9 +485,9 @@
 contradict(struct upstream_set *set, uint64_t now, struct upstream *upstream,
            const wire_upstream *record)
 {
-    if (record->state == UPSTREAM_SILENT && is_alive(upstream) &&
-        upstream->keeper == set->self && upstream->heard_at != 0 &&
-        now >= upstream->contradict_at) {
+    if ((record->state == UPSTREAM_SILENT || record->state == UPSTREAM_LOST) &&
+        is_alive(upstream) && upstream->keeper == set->self &&
+        upstream->heard_at != 0 && now >= upstream->contradict_at) {
         upstream->contradict_at = now + set->interval_ms;
         upstream_note_change(set, upstream);
     }
--- a/upstream.h
+++ b/upstream.h
@@ -38,8 +38,10 @@
 enum upstream_state {
     UPSTREAM_READY,   /**< takes new flows */
     UPSTREAM_LEAVING, /**< keeps its flows, takes no new ones */
-    UPSTREAM_SILENT,  /**< its registrations stayed away */
-    UPSTREAM_GONE     /**< it said that it ends; never comes back */
+    UPSTREAM_SILENT,  /**< its registrations stayed away, or several nodes
+                           got no answer */
+    UPSTREAM_LOST, /**< both, and nobody saw an answer: its open flows end */
+    UPSTREAM_GONE  /**< it said that it ends; never comes back */
 };
 
 /** What an upstream says when it registers. */
@@ -65,6 +67,8 @@
     uint32_t count;                    /**< of both */
     uint64_t decide_at;                /**< deadline: silent then, if the
                                             doubts stand; 0: too few */
+    bool proved;                       /**< they stood */
+    uint64_t refuted_at;               /**< a node said that it answers */
 };
 
 /** One incarnation. */
@@ -98,8 +102,10 @@
     bool owned;                       /**< by this node, while it is cold, by
                                            the nodes of `owned_of` */
     uint64_t owned_of;                /**< version of the nodes, 0: none */
-    uint64_t expire_at;               /**< deadline: silent then; 0: another
-                                           node watches it */
+    uint64_t expire_at;               /**< deadline: its registrations stayed
+                                           away then; 0: another node watches
+                                           it */
+    bool missed;                      /**< they stayed away */
     uint64_t heard_at;                /**< this process heard it register
                                            last; 0: never */
     bool asked;                       /**< others were asked whether it has
@@ -109,6 +115,9 @@
     struct upstream_doubts doubts;    /**< told to this node */
     uint64_t doubt_at;                /**< deadline: this node's own doubt may
                                            be told again; 0: it has none */
+    uint64_t vouch_at;                /**< deadline: that it answers, though it
+                                           is thought silent, may be told again
+                                           */
     uint64_t forget_at;               /**< GONE: dropped then */
     uint64_t suspect_until;           /**< no new flows until then, if there
                                            are others: a first packet went
