node-operator: what operators order stands in a file of its own

Change: operators' calls and their answers move; a window that slides is counted by one function of the tests. No behaviour changes.

--- a/node-http.c
+++ b/node-http.c
@@ -1,9 +1,9 @@
 /*
  * A node's HTTP: the fabric asks whether it is ready, upstreams register,
- * operators send and read tables, and counters are served. On libmicrohttpd
- * inside the loop, since an operator's call waits for a quorum and a thread
- * for each call costs too much on the smallest VMs (ulfius, which is built
- * on it, can't suspend a call).
+ * and counters are served; what operators order is node-operator.c's. On
+ * libmicrohttpd inside the loop, since an operator's call waits for a quorum
+ * and a thread for each call costs too much on the smallest VMs (ulfius, which
+ * is built on it, can't suspend a call).
  */
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -13,38 +13,20 @@
 #include "library.h"
 #include "log.h"
 #include "loop.h"
+#include "node-http.h"
 #include "node-status.h"
 #include "page.h"
 #include "platform/platform.h"
 
 #define IDLE_CONNECTION_S 10U /* callers keep none open longer unused */
 #define ANSWER_MAX 256        /* bytes of the answer to a registration */
-#define REDIRECT_PATH_MAX 300 /* bytes of a path that a redirect repeats */
 #define FLOWS_PATH "/v1/flows/"
 #define COUNTERS_MAX 65536 /* bytes of the page of counters */
-#define RETRY_AFTER_S "1"  /* an election takes about that long */
-
-/* What an operator's call that waits for the voter does. */
-enum call_kind { CALL_READ, CALL_TABLE, CALL_HALL };
-
-/* One call. */
-struct call {
-    struct node *node;
-    struct MHD_Connection *connection;
-    GByteArray *body;
-    bool too_large;           /* the body is past PLATFORM_BODY_MAX */
-    bool registers;           /* is a registration */
-    enum call_kind kind;      /* of an operator's call */
-    uint64_t token;           /* 0: not suspended */
-    uint64_t began_us;        /* for its duration */
-    struct MHD_Response *out; /* set when it is resumed */
-    unsigned code;            /* of `out` */
-};
 
 /* Queues an answer. */
-static enum MHD_Result
-answer(struct call *call, unsigned code, const char *type, const char *body,
-       size_t length)
+enum MHD_Result
+node_http_answer(struct call *call, unsigned code, const char *type,
+                 const char *body, size_t length)
 {
     struct MHD_Response *out = library_microhttpd.new_response(
         length, (void *)body, MHD_RESPMEM_MUST_COPY);
@@ -54,7 +36,8 @@
         (void)library_microhttpd.add_header(out, "Content-Type", type);
     }
     if (code == MHD_HTTP_SERVICE_UNAVAILABLE) {
-        (void)library_microhttpd.add_header(out, "Retry-After", RETRY_AFTER_S);
+        (void)library_microhttpd.add_header(out, "Retry-After",
+                                            NODE_HTTP_RETRY_S);
     }
     result = library_microhttpd.queue(call->connection, code, out);
     library_microhttpd.free_response(out);
@@ -62,8 +45,8 @@
 }
 
 /* Answers with a reason. */
-static enum MHD_Result
-refuse(struct call *call, unsigned code, const char *reason)
+enum MHD_Result
+node_http_refuse(struct call *call, unsigned code, const char *reason)
 {
     char body[STATUS_MESSAGE_MAX + 64];
     json_object *doc = json_object_new_object();
@@ -73,132 +56,8 @@
     text = json_object_to_json_string(doc);
     g_strlcpy(body, text, sizeof(body));
     json_object_put(doc);
-    return answer(call, code, "application/json", body, strlen(body));
-}
-
-/* Sends an operator to the leader, or tells when to come back. */
-static enum MHD_Result
-redirect(struct call *call, const char *path)
-{
-    struct node *node = call->node;
-    char place[ADDRESS_TEXT];
-    char location[ADDRESS_TEXT + REDIRECT_PATH_MAX];
-    struct MHD_Response *out;
-    enum MHD_Result result;
-
-    if (node->fleet.leader == 0 ||
-        node->fleet.leader == node->fleet.self.address) {
-        counter_add(&node->counters, COUNTER_TABLES_UNCONFIRMED, 1);
-        log_event(LOG_WARN, "operator-unanswered", "path=%s reason=no-leader",
-                  path);
-        return refuse(call, MHD_HTTP_SERVICE_UNAVAILABLE,
-                      "no leader is known; send it again to any node");
-    }
-    (void)snprintf(
-        location, sizeof(location), "http://%s%s",
-        address_format(node->fleet.leader, node->settings.control.port, place),
-        path);
-    counter_add(&node->counters, COUNTER_REDIRECTS, 1);
-    out = library_microhttpd.new_response(0, NULL, MHD_RESPMEM_PERSISTENT);
-    (void)library_microhttpd.add_header(out, "Location", location);
-    result = library_microhttpd.queue(call->connection,
-                                      MHD_HTTP_TEMPORARY_REDIRECT, out);
-    library_microhttpd.free_response(out);
-    return result;
-}
-
-/* Suspends a call until the voter answers. */
-static uint64_t
-suspend(struct call *call)
-{
-    struct node *node = call->node;
-
-    call->token = ++node->last_token;
-    g_hash_table_insert(node->calls, &call->token, call);
-    library_microhttpd.suspend(call->connection);
-    return call->token;
-}
-
-/* An operator sends a table. */
-static enum MHD_Result
-submit(struct call *call, const char *path)
-{
-    struct node *node = call->node;
-    struct status st = {STATUS_OK, ""};
-    const char *text = (const char *)call->body->data;
-    struct route_table *table =
-        platform_read_table(text, call->body->len, &st);
-    wire_routes packed = {0};
-    uint64_t token;
-
-    if (table == NULL) {
-        counter_add(&node->counters, COUNTER_TABLES_INVALID, 1);
-        log_event(LOG_WARN, "table-refused", "bytes=%u reason=\"%s\"",
-                  call->body->len, st.message);
-        return refuse(call, MHD_HTTP_BAD_REQUEST, st.message);
-    }
-    packed.bundle_version = table->version;
-    route_free(table);
-    if (node->fleet.leads_since == 0) {
-        return redirect(call, path);
-    }
-    if (node_pack(text, call->body->len, &packed, &st) != STATUS_OK) {
-        log_event(LOG_WARN, "table-not-packed", "bytes=%u reason=\"%s\"",
-                  call->body->len, st.message);
-        return refuse(call,
-                      st.kind == STATUS_REFUSED ? MHD_HTTP_CONTENT_TOO_LARGE
-                                                : MHD_HTTP_SERVICE_UNAVAILABLE,
-                      st.message);
-    }
-    call->kind = CALL_TABLE;
-    token = suspend(call);
-    log_event(LOG_INFO, "table-received",
-              "call=%llu version=%llu bytes=%u held=%llu",
-              (unsigned long long)token,
-              (unsigned long long)packed.bundle_version, call->body->len,
-              (unsigned long long)node->fleet.routes.bundle_version);
-    node_voter_submit(node, token, &packed);
-    return MHD_YES;
-}
-
-/* An operator empties a hall, or takes it back. Any name is taken: a hall of
- * which this node knows no upstream may have some that others hear, or will
- * have some. */
-static enum MHD_Result
-submit_hall(struct call *call, const char *path, const char *hall,
-            bool emptied)
-{
-    struct node *node = call->node;
-    struct hall_order order = {.emptied = emptied, .wall = loop_wall()};
-    uint64_t token;
-
-    if (!hall_is_name(hall)) {
-        log_event(LOG_WARN, "hall-refused", "reason=\"not a name\"");
-        return refuse(call, MHD_HTTP_BAD_REQUEST,
-                      "the path names no data hall; send its name, of 1 to 63 "
-                      "letters, digits and dots, hyphens or the like");
-    }
-    if (node->fleet.leads_since == 0) {
-        return redirect(call, path);
-    }
-    g_strlcpy(order.hall, hall, sizeof(order.hall));
-    call->kind = CALL_HALL;
-    token = suspend(call);
-    log_event(LOG_INFO, "hall-ordered", "call=%llu hall=%s emptied=%d",
-              (unsigned long long)token, hall, emptied);
-    node_voter_submit_hall(node, token, &order);
-    return MHD_YES;
-}
-
-/* An operator asks for the table. */
-static enum MHD_Result
-read_table(struct call *call, const char *path)
-{
-    if (call->node->fleet.leads_since == 0) {
-        return redirect(call, path);
-    }
-    node_voter_read(call->node, suspend(call));
-    return MHD_YES;
+    return node_http_answer(call, code, "application/json", body,
+                            strlen(body));
 }
 
 /* An upstream registers. */
@@ -217,7 +76,7 @@
         counter_add(&node->counters, COUNTER_REGISTRATIONS_REFUSED, 1);
         log_event(LOG_WARN, "registration-refused", "reason=\"%s\"",
                   st.message);
-        return refuse(call, MHD_HTTP_BAD_REQUEST, st.message);
+        return node_http_refuse(call, MHD_HTTP_BAD_REQUEST, st.message);
     }
     counter_add(&node->counters, COUNTER_REGISTRATIONS, 1);
     call->registers = true;
@@ -232,12 +91,14 @@
     }
     node_act(node);
     if (node->unready_at != 0) {
-        return answer(call, MHD_HTTP_OK, "application/json", "{}", 2);
+        return node_http_answer(call, MHD_HTTP_OK, "application/json", "{}",
+                                2);
     }
     length = platform_write_registered(node->settings.control.address,
                                        node->settings.control.port, body,
                                        sizeof(body));
-    return answer(call, MHD_HTTP_OK, "application/json", body, length);
+    return node_http_answer(call, MHD_HTTP_OK, "application/json", body,
+                            length);
 }
 
 /* An upstream ends. */
@@ -254,18 +115,19 @@
                           &born, &st) != STATUS_OK) {
         counter_add(&node->counters, COUNTER_REGISTRATIONS_REFUSED, 1);
         log_event(LOG_WARN, "end-refused", "reason=\"%s\"", st.message);
-        return refuse(call, MHD_HTTP_BAD_REQUEST, st.message);
+        return node_http_refuse(call, MHD_HTTP_BAD_REQUEST, st.message);
     }
     if (!upstream_deregister(&node->upstreams, loop_now(), id, born)) {
         counter_add(&node->counters, COUNTER_REGISTRATIONS_LATE, 1);
         log_event(LOG_INFO, "end-late", "upstream=%llx",
                   (unsigned long long)id);
-        return refuse(call, MHD_HTTP_CONFLICT,
-                      "another start of this upstream has just begun; say by "
-                      "\"born\" which one ends");
+        return node_http_refuse(
+            call, MHD_HTTP_CONFLICT,
+            "another start of this upstream has just begun; say by "
+            "\"born\" which one ends");
     }
     node_act(node);
-    return answer(call, MHD_HTTP_OK, "application/json", "{}", 2);
+    return node_http_answer(call, MHD_HTTP_OK, "application/json", "{}", 2);
 }
 
 /* Serves the counters and histograms. */
@@ -282,8 +144,8 @@
     length += histogram_print(&node->histograms, text + length,
                               COUNTERS_MAX - length);
     length += page_print_process(text + length, COUNTERS_MAX - length);
-    result =
-        answer(call, MHD_HTTP_OK, "text/plain; version=0.0.4", text, length);
+    result = node_http_answer(call, MHD_HTTP_OK, "text/plain; version=0.0.4",
+                              text, length);
     g_free(text);
     return result;
 }
@@ -293,8 +155,8 @@
 serve_page(struct call *call, json_object *doc)
 {
     const char *text = json_object_to_json_string(doc);
-    enum MHD_Result result =
-        answer(call, MHD_HTTP_OK, "application/json", text, strlen(text));
+    enum MHD_Result result = node_http_answer(
+        call, MHD_HTTP_OK, "application/json", text, strlen(text));
 
     json_object_put(doc);
     return result;
@@ -314,8 +176,9 @@
     if (strncmp(path, FLOWS_PATH, prefix) == 0) {
         flow = g_ascii_strtoull(path + prefix, &end, 16);
         if (end == path + prefix || *end != '\0') {
-            return refuse(call, MHD_HTTP_BAD_REQUEST,
-                          "a flow is 16 hex digits, as the log names it");
+            return node_http_refuse(
+                call, MHD_HTTP_BAD_REQUEST,
+                "a flow is 16 hex digits, as the log names it");
         }
         return serve_page(call, node_explain(call->node, flow));
     }
@@ -333,32 +196,34 @@
         return serve_operators(call, path);
     }
     if (call->too_large) {
-        return refuse(call, MHD_HTTP_CONTENT_TOO_LARGE,
-                      "the body is larger than 4 MiB");
+        return node_http_refuse(call, MHD_HTTP_CONTENT_TOO_LARGE,
+                                "the body is larger than 4 MiB");
     }
     switch (platform_classify(method, path, &rest)) {
     case PLATFORM_READY:
-        return answer(call,
-                      node_is_ready(call->node) ? MHD_HTTP_OK
-                                                : MHD_HTTP_SERVICE_UNAVAILABLE,
-                      "text/plain", "", 0);
+        return node_http_answer(call,
+                                node_is_ready(call->node)
+                                    ? MHD_HTTP_OK
+                                    : MHD_HTTP_SERVICE_UNAVAILABLE,
+                                "text/plain", "", 0);
     case PLATFORM_REGISTER:
         return register_upstream(call, rest);
     case PLATFORM_DEREGISTER:
         return deregister_upstream(call, rest);
     case PLATFORM_SUBMIT:
-        return submit(call, path);
+        return node_operator_submit(call, path);
     case PLATFORM_READ:
-        return read_table(call, path);
+        return node_operator_read(call, path);
     case PLATFORM_EMPTY_HALL:
-        return submit_hall(call, path, rest, true);
+        return node_operator_order(call, path, rest, true);
     case PLATFORM_TAKE_HALL:
-        return submit_hall(call, path, rest, false);
+        return node_operator_order(call, path, rest, false);
     case PLATFORM_UNKNOWN:
         break;
     }
     counter_add(&call->node->counters, COUNTER_HTTP_MALFORMED, 1);
-    return refuse(call, MHD_HTTP_NOT_FOUND, "nothing is served here");
+    return node_http_refuse(call, MHD_HTTP_NOT_FOUND,
+                            "nothing is served here");
 }
 
 /* Which daemon this is. */
@@ -442,88 +307,6 @@
     *state = NULL;
 }
 
-/* The body that answers a call of an operator: a table, or why there is none.
- */
-static struct MHD_Response *
-make_body(const struct status *status, const char *text, size_t length)
-{
-    struct MHD_Response *out;
-    json_object *doc;
-
-    if (text != NULL) {
-        out = library_microhttpd.new_response(length, (void *)text,
-                                              MHD_RESPMEM_MUST_COPY);
-    }
-    else {
-        doc = json_object_new_object();
-        if (status->kind != STATUS_OK) {
-            page_add_text(doc, "error", status->message);
-        }
-        out = library_microhttpd.new_response(
-            strlen(json_object_to_json_string(doc)),
-            (void *)json_object_to_json_string(doc), MHD_RESPMEM_MUST_COPY);
-        json_object_put(doc);
-    }
-    (void)library_microhttpd.add_header(out, "Content-Type",
-                                        "application/json");
-    return out;
-}
-
-/* The code of an operator's answer. */
-static unsigned
-answer_code(bool ok, enum status_kind kind)
-{
-    if (ok) {
-        return MHD_HTTP_OK;
-    }
-    return kind == STATUS_REFUSED ? MHD_HTTP_CONFLICT
-                                  : MHD_HTTP_SERVICE_UNAVAILABLE;
-}
-
-/* Answers a call that waited for the voter. */
-void
-node_answer(struct node *node, uint64_t token, const struct status *status,
-            const wire_routes *table)
-{
-    struct call *call = g_hash_table_lookup(node->calls, &token);
-    bool ok = status->kind == STATUS_OK;
-    char *text = NULL;
-    uint64_t took_us = call != NULL ? loop_now_us() - call->began_us : 0;
-
-    log_event(ok ? LOG_INFO : LOG_WARN, "operator-answered",
-              "call=%llu result=%s took_ms=%llu reason=\"%s\"",
-              (unsigned long long)token, status_name(status->kind),
-              (unsigned long long)took_us / 1000, status->message);
-    if (call == NULL) {
-        return;
-    }
-    if (!ok) {
-        counter_add(&node->counters, COUNTER_TABLES_UNCONFIRMED, 1);
-    }
-    else if (call->kind != CALL_READ) {
-        counter_add(&node->counters,
-                    call->kind == CALL_TABLE ? COUNTER_TABLES_TAKEN
-                                             : COUNTER_HALL_ORDERS,
-                    1);
-    }
-    histogram_add(&node->histograms, HISTOGRAM_OPERATOR, took_us);
-    if (ok && table != NULL) {
-        /* A read: nothing is answered for a table that there is not. */
-        text = table->bundle_version != 0 ? node_unpack(table) : NULL;
-        ok = text != NULL;
-    }
-    call->code = answer_code(ok, status->kind);
-    call->out = make_body(status, text, text != NULL ? table->length : 0);
-    g_free(text);
-    if (!ok) {
-        (void)library_microhttpd.add_header(call->out, "Retry-After",
-                                            RETRY_AFTER_S);
-    }
-    (void)g_hash_table_remove(node->calls, &token);
-    library_microhttpd.resume(call->connection);
-    node_poll_http(node);
-}
-
 /* Lets a daemon do what is due. */
 static void
 on_daemon(void *data)
--- a/node.h
+++ b/node.h
@@ -106,7 +106,7 @@
 void node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
                        size_t length);
 
-/* node-http.c */
+/* node-http.c, node-operator.c */
 /** Opens HTTP for the fabric, operators and upstreams, and counters. */
 enum status_kind node_open_http(struct node *node, struct status *st);
 /** Closes HTTP; calls that wait are answered first. */
--- a/tests/test-warmup.c
+++ b/tests/test-warmup.c
@@ -14,6 +14,7 @@
 #include "fixture.h"
 #include "mutation.h"
 #include "platform/platform.h"
+#include "window.h"
 
 #define NODES 95
 #define FLOWS_A_NODE_S 16U /* new ones */
@@ -146,24 +147,6 @@
     }
 }
 
-/* Counts the most new flows that one upstream was sent in any second; `at` has
- * their times, in order. */
-static unsigned
-busiest_second(const GArray *at)
-{
-    unsigned most = 0;
-    guint first = 0;
-
-    for (guint i = 0; i < at->len; i++) {
-        while (g_array_index(at, uint64_t, first) + 1000 <=
-               g_array_index(at, uint64_t, i)) {
-            first++;
-        }
-        most = MAX(most, i - first + 1);
-    }
-    return most;
-}
-
 /* Callers open flows at all nodes while upstreams are cold. */
 static void
 test_bound(const void *data)
@@ -195,7 +178,7 @@
         }
     }
     for (unsigned id = 1; id <= scene->upstreams; id++) {
-        most = id <= scene->cold ? MAX(most, busiest_second(at[id])) : most;
+        most = id <= scene->cold ? MAX(most, window_most(at[id], 1000)) : most;
         g_array_free(at[id], TRUE);
     }
     g_test_message("at most %u new flows in a second", most);
--- a/tools/bench-warmup.c
+++ b/tools/bench-warmup.c
@@ -13,6 +13,7 @@
 
 #include "random.h"
 #include "warmup.h"
+#include "window.h"
 
 #define COLD_MS 2000U
 #define BOUND 9U /* of 9.5: 3 a second, times 1.5, and 5 */
@@ -243,23 +244,6 @@
     }
 }
 
-/* Most new flows in a second. */
-static unsigned
-worst_second(const GArray *times)
-{
-    unsigned most = 0;
-    guint first = 0;
-
-    for (guint i = 0; i < times->len; i++) {
-        while (g_array_index(times, uint64_t, first) + 1000 <=
-               g_array_index(times, uint64_t, i)) {
-            first++;
-        }
-        most = MAX(most, i - first + 1);
-    }
-    return most;
-}
-
 /* Sums up. */
 static struct outcome
 sum_up(void)
@@ -272,7 +256,7 @@
 
     for (unsigned u = 0; u < m.upstreams; u++) {
         if (is_cold(u)) {
-            out.worst = MAX(out.worst, worst_second(m.times[u]));
+            out.worst = MAX(out.worst, window_most(m.times[u], 1000));
             cold += m.times[u]->len;
         }
         else {
