evidence-sick: upstreams that answer far too soon are passed over

Cause: upstreams that answer with errors register as well as others, and their liveness is good; a tenth of the saves sent meanwhile failed, and a save is not sent twice.

--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -18,13 +18,22 @@
 #define COLD_TENTHS 16U
 /* Work for each slot is compared in this many parts of one. */
 #define WORK_SCALE 1000U
+/* At most one part in so many of a service's upstreams is passed over as sick.
+ */
+#define SICK_SHARE 4U
+/* So long after it counts as sick for all, an upstream does for flows that may
+ * not run twice: of 510 saves that failed in three spells of 5 to 6.5 s, in
+ * which a tenth of the upstreams failed all or half, 201 are left without it.
+ */
+#define PROBATION_MS 3000U
 
 /* What is wrong with an upstream; the least is best. */
 enum rank {
     RANK_GOOD,
     RANK_COLD, /* what it gets is bounded: only where no other is good */
     RANK_SUSPECT,
-    RANK_CUT, /* nothing gets to its hall, nor by a detour */
+    RANK_SICK, /* it fails what it is sent; others are tried first */
+    RANK_CUT,  /* nothing gets to its hall, nor by a detour */
     RANK_SILENT
 };
 
@@ -83,13 +92,34 @@
            (now >= upstream->cold_next_at && is_owner(ev, upstream));
 }
 
+/* Says whether an upstream counts as sick for a new flow. What may not run
+ * twice keeps away for a while longer: flows whose callers can try again show
+ * first whether it is well. */
+static bool
+seems_sick(const struct upstream *upstream, uint64_t now,
+           const struct evidence_verdict *verdict)
+{
+    return upstream->sick_until != 0 &&
+           now < upstream->sick_until + (verdict->once ? PROBATION_MS : 0);
+}
+
+/* The same, but where more than a quarter of a service is sick none counts:
+ * then quick answers are its way, or there is no better one. */
+static bool
+is_sick(const struct upstream *upstream, uint64_t now,
+        const struct evidence_verdict *verdict)
+{
+    return seems_sick(upstream, now, verdict) &&
+           verdict->sick * SICK_SHARE <= verdict->candidates;
+}
+
 /* How much is wrong with an upstream. A silent one is the last resort, though
  * it may be that its registrations alone do not arrive. Taken as the others,
  * silent ones cost 0.054 and 0.009 of worth, in the mean of five days with
  * trouble on two loads (one play each). */
 static enum rank
 rank_of(const struct evidence *ev, const struct upstream *upstream,
-        uint64_t now)
+        uint64_t now, const struct evidence_verdict *verdict)
 {
     if (upstream->state != UPSTREAM_READY && !fault_is(FAULT_SILENT_EQUAL)) {
         return RANK_SILENT;
@@ -97,6 +127,9 @@
     if (evidence_is_avoided(ev, now, upstream->hall_hash)) {
         return RANK_CUT;
     }
+    if (is_sick(upstream, now, verdict)) {
+        return RANK_SICK;
+    }
     if (now < upstream->suspect_until) {
         return RANK_SUSPECT;
     }
@@ -178,6 +211,7 @@
     verdict->candidates = 0;
     verdict->emptied = 0;
     verdict->cold = 0;
+    verdict->sick = 0;
     for (guint i = 0; i < all->len; i++) {
         struct upstream *u = g_ptr_array_index(all, i);
 
@@ -189,6 +223,7 @@
         }
         else if (may_get_more(ev, u, now)) {
             verdict->candidates++;
+            verdict->sick += seems_sick(u, now, verdict);
         }
         else {
             verdict->cold++;
@@ -222,7 +257,7 @@
         if (!is_candidate(ev, now, service, u, not_this)) {
             continue;
         }
-        rank = rank_of(ev, u, now);
+        rank = rank_of(ev, u, now, verdict);
         work = weigh(ev, u, now);
         place = place_of(ev, index++, verdict->candidates);
         if (best == NULL || rank < best_rank ||
--- a/evidence-internal.h
+++ b/evidence-internal.h
@@ -37,6 +37,17 @@
                                  const struct upstream *not_this,
                                  struct evidence_verdict *verdict);
 
+/* evidence-sick.c */
+/** How long answers of a route usually take. */
+struct evidence_usual {
+    uint32_t us;    /**< their median */
+    uint32_t count; /**< answers seen */
+};
+/** An upstream answered data of a route: notes whether far too soon. */
+void evidence_note_answer(struct evidence *ev, uint64_t now,
+                          const struct evidence_packet *packet,
+                          struct upstream *upstream, uint32_t took_us);
+
 /* evidence-reach.c */
 /** An upstream answered: its hall is reached. */
 void evidence_reach_answered(struct evidence *ev, uint64_t now,
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -101,8 +101,9 @@
 /* Data that was sent once was answered: notes how long that took, from here to
  * the caller's acknowledgement. */
 static void
-note_took(struct evidence *ev, uint64_t now, const struct evidence_flow *flow,
-          struct upstream *upstream)
+note_took(struct evidence *ev, uint64_t now,
+          const struct evidence_packet *packet,
+          const struct evidence_flow *flow, struct upstream *upstream)
 {
     uint32_t took_us = (uint32_t)(now - flow->sent_at) * 1000U + 500U;
     uint32_t *usual_us = usual_of(ev, upstream->service);
@@ -111,6 +112,7 @@
     if (flow->resent_at != flow->sent_at) {
         return;
     }
+    evidence_note_answer(ev, now, packet, upstream, took_us);
     upstream->took_us =
         upstream->took_us == 0
             ? took_us
@@ -148,13 +150,14 @@
 
 /* The caller got more bytes of its upstream: a sign of life. */
 static void
-note_progress(struct evidence *ev, uint64_t now, struct evidence_flow *flow,
+note_progress(struct evidence *ev, uint64_t now,
+              const struct evidence_packet *packet, struct evidence_flow *flow,
               struct upstream *upstream)
 {
     ev->answered_sent_at = MAX(ev->answered_sent_at, flow->sent_at);
     evidence_reach_answered(ev, now, upstream);
     if (flow->sent_at != 0) {
-        note_took(ev, now, flow, upstream);
+        note_took(ev, now, packet, flow, upstream);
     }
     flow->sent_at = 0;
     upstream->suspect_until = 0;
@@ -269,7 +272,7 @@
     flow->answered = true;
     if (packet->acknowledged != flow->acknowledged) {
         flow->acknowledged = packet->acknowledged;
-        note_progress(ev, now, flow, upstream);
+        note_progress(ev, now, packet, flow, upstream);
     }
     if (packet->length > 0) {
         note_data(ev, now, packet, flow, upstream);
--- a/evidence.c
+++ b/evidence.c
@@ -41,6 +41,8 @@
     ev->nodes.self = upstreams->self;
     ev->nodes.all = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     ev->dropped = g_hash_table_new(g_direct_hash, g_direct_equal);
+    ev->usual =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     ev->halls = g_array_new(FALSE, FALSE, sizeof(struct evidence_hall));
     ev->usual_us = g_array_new(FALSE, TRUE, sizeof(uint32_t));
     ev->flows =
@@ -54,6 +56,7 @@
     route_free(ev->table);
     g_hash_table_destroy(ev->dropped);
     g_hash_table_destroy(ev->flows);
+    g_hash_table_destroy(ev->usual);
     g_array_free(ev->halls, TRUE);
     g_array_free(ev->usual_us, TRUE);
     g_array_free(ev->nodes.all, TRUE);
@@ -273,6 +276,7 @@
     const struct route_target *target = route_pick(route, verdict->flow);
     struct upstream *upstream;
 
+    verdict->once = route->kind == ROUTE_ONCE;
     if (flow != NULL && stays(ev, now, flow, packet, before)) {
         flow->seen_at = now;
         forward_to(verdict, before, RULE_SAME_AGAIN);
--- a/evidence.h
+++ b/evidence.h
@@ -71,6 +71,9 @@
     uint64_t flow;                   /**< hash that names the flow in logs */
     uint32_t candidates;             /**< upstreams that were weighed */
     uint32_t emptied;                /**< passed over: their hall is emptied */
+    bool once;                       /**< a first packet of requests that may
+                                          not run twice */
+    uint32_t sick;                   /**< of the candidates, those that are */
     uint32_t cold;                   /**< passed over: they are cold, and this
                                           node may not send to them now */
 };
@@ -83,6 +86,7 @@
     GHashTable *flows;         /**< hash to struct evidence_flow */
     struct counters *counters; /**< borrowed */
     GArray *halls;             /**< struct evidence_hall */
+    GHashTable *usual;         /**< route_key() to struct evidence_usual */
     GArray *usual_us;          /**< uint32_t, by service's handle: the median
                                     time of an answer, 0: not known */
     uint64_t sweep_at;         /**< deadline: forget flows that ended */
--- a/fault.h
+++ b/fault.h
@@ -37,6 +37,7 @@
     FAULT_SILENT_EQUAL,   /**< silent upstreams are chosen as others are */
     FAULT_NO_LAST_RESORT, /**< silent upstreams get no flow at all */
     FAULT_NO_SILENCE,     /**< registrations that stay away say nothing */
+    FAULT_NO_SICK,        /**< answers that come too soon say nothing */
     FAULT_NO_SECOND_SIGN, /**< two signs of silence say no more than one */
     FAULT_NO_QUESTION,    /**< nor are others asked before */
     FAULT_NO_EXCUSE,      /**< nor does a standstill of this node */
--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -114,6 +114,9 @@
 void fleet_send(struct fleet *fleet, uint32_t to, wire_msg *msg);
 /** Sends an encoded message, which is shared. */
 void fleet_send_encoded(struct fleet *fleet, uint32_t to, GByteArray *bytes);
+/** Takes a node's word about an upstream that this one hears. */
+void fleet_take_doubt(struct fleet *fleet, uint64_t now,
+                      const wire_doubt *doubt);
 /** LEADER: tells all members which halls are emptied. */
 void fleet_push_halls(struct fleet *fleet);
 /** Tells another node what this one knows. */
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -191,6 +191,19 @@
     member->lacks_members = differs;
 }
 
+/* Takes a node's word about an upstream. */
+void
+fleet_take_doubt(struct fleet *fleet, uint64_t now, const wire_doubt *doubt)
+{
+    if (doubt->too_soon) {
+        upstream_take_too_soon(fleet->upstreams, now, doubt->id, doubt->node);
+    }
+    else {
+        upstream_take_doubt(fleet->upstreams, now, doubt->id, doubt->node,
+                            doubt->quiet_ms);
+    }
+}
+
 /* Tells this node's doubts to the nodes that hear those upstreams. */
 static void
 send_doubts(struct fleet *fleet, uint64_t now)
@@ -209,9 +222,9 @@
         msg.wire_msg_u.doubt.node = fleet->self.address;
         msg.wire_msg_u.doubt.id = doubt->id;
         msg.wire_msg_u.doubt.quiet_ms = doubt->quiet_ms;
+        msg.wire_msg_u.doubt.too_soon = doubt->too_soon;
         fleet_send(fleet, u->keeper, &msg);
-        upstream_take_doubt(set, now, doubt->id, fleet->self.address,
-                            doubt->quiet_ms);
+        fleet_take_doubt(fleet, now, &msg.wire_msg_u.doubt);
     }
     g_array_set_size(set->doubted, 0);
 }
--- a/fleet.c
+++ b/fleet.c
@@ -500,9 +500,7 @@
         fleet_take_need(fleet, now, &msg->wire_msg_u.need);
         return;
     case WIRE_DOUBT:
-        upstream_take_doubt(fleet->upstreams, now, msg->wire_msg_u.doubt.id,
-                            msg->wire_msg_u.doubt.node,
-                            msg->wire_msg_u.doubt.quiet_ms);
+        fleet_take_doubt(fleet, now, &msg->wire_msg_u.doubt);
         return;
     case WIRE_SPREAD:
         fleet_take_spread(fleet, now, &msg->wire_msg_u.spread);
--- a/node-status.c
+++ b/node-status.c
@@ -57,6 +57,7 @@
     page_add_bool(doc, "doubted", now < u->doubt_at);
     page_add_bool(doc, "warming_up", now < u->warm_at);
     page_add_bool(doc, "hall_emptied", u->emptied);
+    page_add_bool(doc, "sick", now < u->sick_until);
     page_add_bool(doc, "heard_here", u->expire_at != 0);
     return doc;
 }
--- a/node.c
+++ b/node.c
@@ -168,11 +168,12 @@
         if (u != NULL) {
             log_event(LOG_INFO, "upstream",
                       "upstream=%llx state=%s service=%s born=%llu "
-                      "sequence=%llu doubted=%d",
+                      "sequence=%llu doubted=%d sick=%d",
                       (unsigned long long)u->id, upstream_state_name(u->state),
                       upstream_service_name(&node->upstreams, u->service),
                       (unsigned long long)u->born,
-                      (unsigned long long)u->sequence, u->doubts.proved);
+                      (unsigned long long)u->sequence, u->doubts.proved,
+                      loop_now() < u->sick_until);
         }
     }
 }
@@ -188,8 +189,9 @@
             &g_array_index(doubted, struct upstream_doubt, i);
 
         log_event(LOG_INFO, "upstream-doubted",
-                  "upstream=%llx quiet_ms=%u answered=%d",
-                  (unsigned long long)d->id, d->quiet_ms, d->quiet_ms == 0);
+                  "upstream=%llx quiet_ms=%u answered=%d too_soon=%d",
+                  (unsigned long long)d->id, d->quiet_ms,
+                  d->quiet_ms == 0 && !d->too_soon, d->too_soon);
     }
 }
 
--- a/upstream-watch.c
+++ b/upstream-watch.c
@@ -16,6 +16,16 @@
  */
 #define MOVED_INTERVALS 4
 
+/* Words that an upstream answers too soon count together for so long: the
+ * nodes of a large deployment see an upstream once in some seconds each. */
+#define TOO_SOON_MS 2000U
+/* A sick upstream gets no new flows for so long the first time, then for twice
+ * as long each time, up to four times. */
+#define SICK_MS 3000U
+#define SICK_DOUBLES 2U
+/* It is called sick again while it still is only so shortly before the end. */
+#define SICK_RENEW_MS 500U
+
 /* An answer that a node saw speaks against a loss for so long. */
 #define REFUTED_MS 1000U
 
@@ -138,6 +148,55 @@
     }
 }
 
+/* Counts a node among those that were answered too soon; true when there are
+ * enough of them. */
+static bool
+note_too_soon(struct upstream_too_soon *told, uint64_t now, uint32_t node)
+{
+    size_t place = 0;
+    size_t count = 0;
+
+    for (size_t i = 0; i < UPSTREAM_DOUBTERS; i++) {
+        if (told->nodes[i] == node) {
+            place = i;
+            break;
+        }
+        if (told->until[i] < told->until[place]) {
+            place = i;
+        }
+    }
+    told->nodes[place] = node;
+    told->until[place] = now + TOO_SOON_MS;
+    for (size_t i = 0; i < UPSTREAM_DOUBTERS; i++) {
+        count += now < told->until[i];
+    }
+    return count == UPSTREAM_DOUBTERS;
+}
+
+/* Takes a node's word that an upstream answered far too soon. Several nodes,
+ * since one may have a caller whose requests are light. Each time that it is
+ * called sick again it stays so for longer, so that one that goes on failing
+ * gets fewer and fewer new flows, and one that is well again is not kept away
+ * for long the first time. */
+void
+upstream_take_too_soon(struct upstream_set *set, uint64_t now, uint64_t id,
+                       uint32_t node)
+{
+    struct upstream *upstream = upstream_by_id(set, id);
+    uint32_t times;
+
+    if (upstream == NULL || upstream->state != UPSTREAM_READY ||
+        upstream->keeper != set->self || fault_is(FAULT_NO_SICK) ||
+        !note_too_soon(&upstream->too_soon, now, node) ||
+        now + SICK_RENEW_MS < upstream->sick_until) {
+        return;
+    }
+    times = MIN(upstream->too_soon.times, SICK_DOUBLES);
+    upstream->too_soon.times++;
+    upstream->sick_until = now + ((uint64_t)SICK_MS << times);
+    upstream_note_change(set, upstream);
+}
+
 /* Next deadline of a record; UINT64_MAX when it has none. */
 static uint64_t
 due_at(const struct upstream *upstream)
--- a/upstream.c
+++ b/upstream.c
@@ -275,6 +275,8 @@
     upstream->doubt_at = 0;
     upstream->back_at = 0;
     upstream->vouch_at = 0;
+    upstream->sick_until = 0;
+    memset(&upstream->too_soon, 0, sizeof(upstream->too_soon));
     upstream->open = 0;
     upstream->busy = 0;
 }
@@ -304,6 +306,10 @@
     }
     upstream->keeper = record->keeper;
     upstream->warm_at = now + record->warm_ms;
+    if (record->keeper != set->self) {
+        upstream->sick_until =
+            record->sick_ms != 0 ? now + record->sick_ms : 0;
+    }
     upstream->asked = false;
     upstream_clear_doubts(upstream);
     upstream_update_digest(set, upstream);
@@ -618,5 +624,8 @@
         .age_ms = (u_int)MIN(now - upstream->changed_at, UINT32_MAX),
         .service = (char *)upstream_service_name(set, upstream->service),
         .hall = (char *)upstream->hall,
-        .born = upstream->born};
+        .born = upstream->born,
+        .sick_ms = upstream->sick_until > now
+                       ? (u_int)(upstream->sick_until - now)
+                       : 0};
 }
--- a/upstream.h
+++ b/upstream.h
@@ -59,6 +59,14 @@
                                               of this start; 0: not stated */
 };
 
+/** Nodes that an upstream answered far too soon, as told to the one that hears
+ * it. */
+struct upstream_too_soon {
+    uint32_t nodes[UPSTREAM_DOUBTERS]; /**< addresses */
+    uint64_t until[UPSTREAM_DOUBTERS]; /**< deadlines: count no longer */
+    uint32_t times;                    /**< that it was called sick */
+};
+
 /** Nodes that got no answer of an upstream, as told to the one that hears it.
  */
 struct upstream_doubts {
@@ -113,21 +121,27 @@
     uint64_t contradict_at;           /**< deadline: what other nodes believe
                                            wrongly may be corrected again */
     struct upstream_doubts doubts;    /**< told to this node */
-    uint64_t doubt_at;                /**< deadline: this node's own doubt may
-                                           be told again; 0: it has none */
-    uint64_t vouch_at;                /**< deadline: that it answers, though it
-                                           is thought silent, may be told again
-                                           */
-    uint64_t forget_at;               /**< GONE: dropped then */
-    uint64_t suspect_until;           /**< no new flows until then, if there
-                                           are others: a first packet went
-                                           without an answer */
-    uint64_t alive_at;                /**< last sign of life in a packet */
-    uint32_t took_us;                 /**< time of an answer, as lately seen by
-                                           this node; 0: not known */
-    uint64_t took_until;              /**< deadline: not known any more */
-    uint32_t open;                    /**< flows of this node that are open */
-    uint32_t busy;                    /**< of those, awaiting an answer */
+    struct upstream_too_soon too_soon; /**< told to this node */
+    uint64_t sick_until;    /**< deadline: no new flows until then, if
+                                 there are others: it answers far too
+                                 soon, so it fails what it is sent */
+    uint64_t too_soon_at;   /**< deadline: this node's own word of it
+                                 may be told again */
+    uint64_t doubt_at;      /**< deadline: this node's own doubt may
+                                 be told again; 0: it has none */
+    uint64_t vouch_at;      /**< deadline: that it answers, though it
+                                 is thought silent, may be told again
+                                 */
+    uint64_t forget_at;     /**< GONE: dropped then */
+    uint64_t suspect_until; /**< no new flows until then, if there
+                                 are others: a first packet went
+                                 without an answer */
+    uint64_t alive_at;      /**< last sign of life in a packet */
+    uint32_t took_us;       /**< time of an answer, as lately seen by
+                                 this node; 0: not known */
+    uint64_t took_until;    /**< deadline: not known any more */
+    uint32_t open;          /**< flows of this node that are open */
+    uint32_t busy;          /**< of those, awaiting an answer */
 };
 
 /** This node's word about an upstream, to be told to the node that hears it.
@@ -136,6 +150,7 @@
     uint64_t id;       /**< of the upstream */
     uint32_t quiet_ms; /**< age of the data without an answer; 0: it
                             answered after all */
+    bool too_soon;     /**< it answered far sooner than its peers do */
 };
 
 /** What another node told anew of an upstream. */
@@ -225,6 +240,13 @@
 void upstream_take_doubt(struct upstream_set *set, uint64_t now, uint64_t id,
                          uint32_t node, uint32_t quiet_ms);
 
+/**
+ * Takes a node's word that an upstream which this node hears answered far
+ * sooner than its peers do. When UPSTREAM_DOUBTERS of them say so, it is sick.
+ */
+void upstream_take_too_soon(struct upstream_set *set, uint64_t now,
+                            uint64_t id, uint32_t node);
+
 /** Lets time pass: what this node watches and does not hear is silent. */
 void upstream_tick(struct upstream_set *set, uint64_t now);
 
