warmup: an empty list of nodes is not compared

One: /warmup under the sanitizer ends at memcmp() with a null pointer, where a node knows no other; of no length, so nothing was read, but undefined. Ruled out: other comparisons and copies of lists that may be empty, read one by one: lengths are checked before. Change: an empty list is not compared. Nothing else differs.

--- a/warmup.c
+++ b/warmup.c
@@ -58,8 +58,8 @@
 {
     g_array_sort(all, by_address);
     if (all->len == nodes->all->len &&
-        memcmp(all->data, nodes->all->data, all->len * sizeof(uint32_t)) ==
-            0) {
+        (all->len == 0 || memcmp(all->data, nodes->all->data,
+                                 all->len * sizeof(uint32_t)) == 0)) {
         return;
     }
     g_array_set_size(nodes->all, 0);
