node-carry: a detour that ends here is logged, halls by their names

Cause: reading the whole change once more: a carried packet for an unknown upstream was only counted, a failed sending had no reason, and a hall was logged by a hash that no operator can read. What is sent where does not change.

--- a/node-carry.c
+++ b/node-carry.c
@@ -5,6 +5,7 @@
  * one ends the detour.
  */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -80,6 +81,9 @@
 
     if (u == NULL || u->state == UPSTREAM_GONE) {
         counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
+        log_event(LOG_WARN, "packet-not-carried",
+                  "upstream=%016llx reason=unknown-here",
+                  (unsigned long long)carry->upstream);
         return;
     }
     to.sin_port = htons(u->port);
@@ -88,7 +92,8 @@
     memcpy(bytes + PLATFORM_PREFIX_BYTES, carry->packet.packet_val, length);
     if (sendto(node->packets_fd, bytes, PLATFORM_PREFIX_BYTES + length,
                MSG_DONTWAIT, (struct sockaddr *)&to, sizeof(to)) < 0) {
-        log_event(LOG_WARN, "packet-send-failed", "lost=1 carried=1");
+        log_event(LOG_WARN, "packet-send-failed",
+                  "lost=1 carried=1 error=\"%s\"", g_strerror(errno));
     }
 }
 
@@ -106,19 +111,34 @@
     node->probe_at = now + PROBE_MS;
 }
 
+/* Name of a hall, from an upstream in it. */
+static const char *
+name_of(const struct node *node, uint32_t hall)
+{
+    for (guint i = 0; i < node->upstreams.all->len; i++) {
+        const struct upstream *u = node->upstreams.all->pdata[i];
+
+        if (u->hall_hash == hall) {
+            return u->hall;
+        }
+    }
+    return "unknown";
+}
+
 /* Logs a hall that is cut off, once its nodes had time to answer, or reached
  * again. */
 static void
-log_hall(struct evidence_hall *hall, uint64_t now)
+log_hall(const struct node *node, struct evidence_hall *hall, uint64_t now)
 {
     bool cut = now < hall->cut_until && now >= hall->cut_at + PROBE_MS;
 
     if (cut && !hall->logged) {
-        log_event(LOG_WARN, "hall-cut-off", "hall=%08x avoided=%d", hall->hall,
-                  now < hall->avoid_until);
+        log_event(LOG_WARN, "hall-cut-off", "hall=%s avoided=%d",
+                  name_of(node, hall->hall), now < hall->avoid_until);
     }
     else if (hall->logged && now >= hall->cut_until) {
-        log_event(LOG_WARN, "hall-reached", "hall=%08x", hall->hall);
+        log_event(LOG_WARN, "hall-reached", "hall=%s",
+                  name_of(node, hall->hall));
     }
     else {
         return;
@@ -138,7 +158,7 @@
         struct evidence_hall *hall =
             &g_array_index(halls, struct evidence_hall, i);
 
-        log_hall(hall, now);
+        log_hall(node, hall, now);
         asks = asks || hall->asks;
         any = any || now < hall->cut_until;
         hall->asks = false;
