--- a/counter.c
+++ b/counter.c
@@ -20,6 +20,13 @@
     (void)__atomic_fetch_add(&set->value[id], more, __ATOMIC_RELAXED);
 }
 
+/* Value of one counter. */
+uint64_t
+counter_read(const struct counters *set, enum counter_id id)
+{
+    return __atomic_load_n(&set->value[id], __ATOMIC_RELAXED);
+}
+
 /* Names one counter. */
 const char *
 counter_name(enum counter_id id)
@@ -34,14 +41,14 @@
     size_t used = 0;
 
     for (int i = 0; i < COUNTER_COUNT && used < size; i++) {
-        int n = snprintf(out + used, size - used,
-                         "# HELP ridgeridge_%s %s\n"
-                         "# TYPE ridgeridge_%s counter\n"
-                         "ridgeridge_%s %llu\n",
-                         counter_table[i].name, counter_table[i].help,
-                         counter_table[i].name, counter_table[i].name,
-                         (unsigned long long)__atomic_load_n(
-                             &set->value[i], __ATOMIC_RELAXED));
+        int n = snprintf(
+            out + used, size - used,
+            "# HELP ridgeridge_%s %s\n"
+            "# TYPE ridgeridge_%s counter\n"
+            "ridgeridge_%s %llu\n",
+            counter_table[i].name, counter_table[i].help,
+            counter_table[i].name, counter_table[i].name,
+            (unsigned long long)counter_read(set, (enum counter_id)i));
 
         used += n > 0 ? (size_t)n : 0;
     }
--- a/counter.h
+++ b/counter.h
@@ -70,6 +70,14 @@
       "sent by a detour: their upstream's data hall is cut off from here")    \
     X(PACKETS_STALE, "packets_stale_total",                                   \
       "first packets dropped: they waited while the process stood still")     \
+    X(SENDS_WAITED, "sends_waited_total",                                     \
+      "datagrams that waited for the link")                                   \
+    X(PACKETS_COPIES, "packets_copies_total",                                 \
+      "callers' packets dropped: the same one waited for the link")           \
+    X(PACKETS_UNSENT, "packets_unsent_total",                                 \
+      "callers' packets dropped: too much waited for the link")               \
+    X(MSGS_UNSENT, "messages_unsent_total",                                   \
+      "messages to nodes dropped: too much waited for the link")              \
     X(WAKEUPS, "wakeups_total", "times that the loop of a node was due")      \
     X(WAKEUPS_LATE, "wakeups_late_total",                                     \
       "of those, so late that the process must have stood still")             \
@@ -108,6 +116,9 @@
 /** Adds to a counter; safe from any thread. */
 void counter_add(struct counters *set, enum counter_id id, uint64_t more);
 
+/** Value of a counter; safe from any thread. */
+uint64_t counter_read(const struct counters *set, enum counter_id id);
+
 /** Name of a counter, without the ridgeridge_ prefix. */
 const char *counter_name(enum counter_id id);
 
--- a/evidence-internal.h
+++ b/evidence-internal.h
@@ -22,6 +22,11 @@
     uint32_t proofs;       /**< copies in a row before which another upstream
                                 answered what was sent after the copy before */
     uint32_t acknowledged; /**< highest that the caller told */
+    uint64_t left_at;      /**< last packet that had waited left this node */
+    uint32_t waiting;      /**< packets that wait to leave it */
+    uint32_t next;         /**< sequence of the data that is to come next */
+    bool ordered;          /**< `next` is known */
+    bool hole;             /**< something before `next` did not come here */
     bool answered;         /**< the upstream gave a sign of life */
     bool busy;             /**< a request was sent and no answer was seen */
 };
@@ -63,6 +68,9 @@
                            const struct upstream *upstream);
 
 /* evidence-life.c */
+/** Says whether what was sent of a flow has left this node so long ago that
+ * its upstream's answer could be here. */
+bool evidence_has_left(const struct evidence_flow *flow, uint64_t now);
 /** Upstream of a flow; NULL when its record is gone, or another start of it
  * runs. */
 struct upstream *evidence_upstream_of(const struct evidence *ev,
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -56,6 +56,57 @@
  * any work when all others are busy. */
 #define SLOW_MOST 8U
 
+/* Says whether what was sent of a flow has left so long ago that its
+ * upstream's answer could be here. */
+bool
+evidence_has_left(const struct evidence_flow *flow, uint64_t now)
+{
+    return fault_is(FAULT_NO_WAITS) ||
+           (flow->waiting == 0 && now >= flow->left_at + RESEND_MS);
+}
+
+/* A packet of a flow waits at this node's own link. */
+void
+evidence_note_waits(struct evidence *ev, uint64_t key)
+{
+    struct evidence_flow *flow = g_hash_table_lookup(ev->flows, &key);
+
+    if (flow != NULL) {
+        flow->waiting++;
+    }
+}
+
+/* A packet of a flow that waited has left: what its upstream owes counts from
+ * now on. */
+void
+evidence_note_left(struct evidence *ev, uint64_t now, uint64_t key,
+                   uint32_t sequence)
+{
+    struct evidence_flow *flow = g_hash_table_lookup(ev->flows, &key);
+
+    if (flow == NULL) {
+        return;
+    }
+    flow->waiting -= flow->waiting > 0;
+    flow->left_at = now;
+    if (flow->sent_at != 0 && flow->sent_at == flow->resent_at &&
+        flow->sequence == sequence) {
+        flow->sent_at = now;
+        flow->resent_at = now;
+    }
+}
+
+/* A packet of a flow never left: its upstream owes no answer to it. */
+void
+evidence_note_unsent(struct evidence *ev, uint64_t key)
+{
+    struct evidence_flow *flow = g_hash_table_lookup(ev->flows, &key);
+
+    if (flow != NULL) {
+        flow->sent_at = 0;
+    }
+}
+
 /* Lets silence prove nothing for TRUST_MS. */
 void
 evidence_distrust(struct evidence *ev, uint64_t now)
@@ -160,6 +211,8 @@
         note_took(ev, now, packet, flow, upstream);
     }
     flow->sent_at = 0;
+    flow->ordered = false;
+    flow->hole = false;
     upstream->suspect_until = 0;
     upstream->alive_at = now;
     if (upstream->doubt_at != 0 ||
@@ -221,12 +274,58 @@
     }
 }
 
+/* Notes whether data comes in order. Where something before it was lost on its
+ * way to this node, an upstream that is well acknowledges nothing beyond, and
+ * the caller sends again what this node has sent on. */
+static void
+note_order(struct evidence_flow *flow, const struct evidence_packet *packet,
+           uint64_t now)
+{
+    uint32_t end = packet->sequence + packet->length;
+    int32_t beyond = (int32_t)(packet->sequence - flow->next);
+
+    if (!flow->ordered) {
+        flow->ordered = true;
+        flow->next = end;
+    }
+    else if (beyond > 0) {
+        flow->hole = true;
+    }
+    else if ((int32_t)(end - flow->next) > 0) {
+        flow->next = end;
+        if (flow->hole) {
+            flow->hole = false;
+            flow->resent_at = now;
+        }
+    }
+}
+
+/* A copy of data that has no answer yet: proves something only when another
+ * upstream answered what was sent after the copy before, and nothing of the
+ * flow is missing or waits here. */
+static void
+note_copy(struct evidence *ev, uint64_t now, struct evidence_flow *flow,
+          struct upstream *upstream)
+{
+    bool owed = evidence_has_left(flow, now) &&
+                (!flow->hole || fault_is(FAULT_NO_ORDER));
+
+    flow->proofs =
+        owed && ev->answered_sent_at > flow->resent_at ? flow->proofs + 1 : 0;
+    flow->resent_at = now;
+    if (flow->proofs > 0) {
+        evidence_reach_missed(ev, now, upstream);
+        note_doubt(ev, now, flow, upstream);
+    }
+}
+
 /* The caller sends data, perhaps again. */
 static void
 note_data(struct evidence *ev, uint64_t now,
           const struct evidence_packet *packet, struct evidence_flow *flow,
           struct upstream *upstream)
 {
+    note_order(flow, packet, now);
     if (flow->sent_at == 0) {
         flow->sent_at = now;
         flow->resent_at = now;
@@ -235,13 +334,7 @@
     }
     else if (packet->sequence == flow->sequence &&
              now >= flow->resent_at + RESEND_MS) {
-        flow->proofs =
-            ev->answered_sent_at > flow->resent_at ? flow->proofs + 1 : 0;
-        flow->resent_at = now;
-        if (flow->proofs > 0) {
-            evidence_reach_missed(ev, now, upstream);
-            note_doubt(ev, now, flow, upstream);
-        }
+        note_copy(ev, now, flow, upstream);
     }
     if (!flow->busy) {
         flow->busy = true;
--- a/evidence.c
+++ b/evidence.c
@@ -163,6 +163,8 @@
     flow->born = upstream->born;
     flow->opened_at = now;
     flow->answered = false;
+    flow->ordered = false;
+    flow->hole = false;
     flow->acknowledged = 0;
     upstream->open++;
 }
@@ -217,7 +219,7 @@
         return false;
     }
     if (packet->acknowledged == 0 || flow->answered ||
-        now < flow->opened_at + ANSWER_MS) {
+        now < flow->opened_at + ANSWER_MS || !evidence_has_left(flow, now)) {
         return true;
     }
     if (fault_is(FAULT_NO_MOVE)) {
--- a/evidence.h
+++ b/evidence.h
@@ -129,6 +129,17 @@
  * so for some seconds the silence of an upstream proves nothing. */
 void evidence_distrust(struct evidence *ev, uint64_t now);
 
+/** A packet of a flow waits at this node's own link: until it has left, its
+ * flow tells nothing of its upstream. */
+void evidence_note_waits(struct evidence *ev, uint64_t flow);
+
+/** A packet of a flow that waited has left; `sequence` as in the packet. */
+void evidence_note_left(struct evidence *ev, uint64_t now, uint64_t flow,
+                        uint32_t sequence);
+
+/** A packet of a flow was dropped here and never left. */
+void evidence_note_unsent(struct evidence *ev, uint64_t flow);
+
 /** A node of a data hall answered this one, so its packets get there. */
 void evidence_hear_hall(struct evidence *ev, uint64_t now, uint32_t hall);
 
--- a/fault.h
+++ b/fault.h
@@ -50,6 +50,11 @@
     FAULT_NO_STALE,       /**< first packets that waited are forwarded */
     FAULT_NO_KEPT,        /**< the inventory is not kept on disk */
     FAULT_NO_ASK,         /**< a node that begins wants all of everybody */
+    FAULT_NO_EGRESS,      /**< what the link does not take is lost there */
+    FAULT_NO_COPIES,      /**< copies wait beside what they are copies of */
+    FAULT_NO_TURNS,       /**< all flows wait in one queue */
+    FAULT_NO_WAITS,       /**< what waits here counts as sent */
+    FAULT_NO_ORDER,       /**< data that did not come here counts as sent */
     FAULT_NO_LOST,        /**< open flows of lost upstreams go on */
     FAULT_NO_PACE,        /**< copies of tables take all of a link */
     FAULT_NO_COMPARE,     /**< nodes that serve do not compare inventories */
--- a/histogram.h
+++ b/histogram.h
@@ -18,6 +18,8 @@
 /** X(identifier, name, help): the one table of histograms. */
 #define HISTOGRAM_TABLE(X)                                                    \
     X(PACKET, "packet_seconds", "from reading a batch to sending it")         \
+    X(EGRESS, "egress_wait_seconds",                                          \
+      "of datagrams that waited for the link: until they left")               \
     X(OPERATOR, "operator_call_seconds",                                      \
       "from an operator's call to its answer, by the leader")                 \
     X(APPLY, "table_apply_seconds", "from a table's arrival to its use")      \
--- a/loop.c
+++ b/loop.c
@@ -21,6 +21,13 @@
     void *data;
 };
 
+/* A timer with its work. */
+struct loop_timer {
+    ev_timer timer;
+    loop_work work;
+    void *data;
+};
+
 static struct {
     struct ev_loop *loop;
     ev_async wake;
@@ -203,6 +210,44 @@
     ev_timer_start(loop_state.loop, &loop_state.timer);
 }
 
+/* A timer is over. */
+static void
+on_own_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    struct loop_timer *timer = watcher->data;
+
+    (void)loop;
+    (void)events;
+    note_running();
+    timer->work(timer->data);
+}
+
+/* Makes a timer. */
+struct loop_timer *
+loop_timer_new(loop_work work, void *data)
+{
+    struct loop_timer *timer = g_new0(struct loop_timer, 1);
+
+    timer->work = work;
+    timer->data = data;
+    ev_init(&timer->timer, on_own_timer);
+    timer->timer.data = timer;
+    return timer;
+}
+
+/* Sets a timer. */
+void
+loop_timer_set(struct loop_timer *timer, uint64_t at_us)
+{
+    uint64_t now_us = loop_now_us();
+    double wait = at_us > now_us ? (double)(at_us - now_us) / 1e6 : 0.0;
+
+    ev_timer_stop(loop_state.loop, &timer->timer);
+    ev_now_update(loop_state.loop);
+    ev_timer_set(&timer->timer, wait, 0.0);
+    ev_timer_start(loop_state.loop, &timer->timer);
+}
+
 /* Starts the tables. */
 void
 loop_open(loop_work tick, void *data, uint64_t tick_ms)
--- a/loop.h
+++ b/loop.h
@@ -31,6 +31,16 @@
 /** Calls the tick at a time of loop_now(), once; replaces an earlier one. */
 void loop_wake_at(uint64_t at);
 
+/** A timer of its own, which says nothing of when the tick is due. */
+struct loop_timer;
+
+/** Makes one that is not set; it is kept until the process ends. */
+struct loop_timer *loop_timer_new(loop_work work, void *data);
+
+/** Lets it call its work at a time of loop_now_us(), once; replaces an earlier
+ * one. */
+void loop_timer_set(struct loop_timer *timer, uint64_t at_us);
+
 /**
  * Calls `work` before anything else when the process stood still for more than
  * `late_ms`: the loop woke up so long after the time of loop_wake_at(), or so
--- a/node-carry.c
+++ b/node-carry.c
@@ -4,10 +4,7 @@
  * nodes of that hall all the while whether they hear this one; the answer of
  * one ends the detour.
  */
-#include <arpa/inet.h>
-#include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "codec.h"
 #include "log.h"
@@ -77,7 +74,7 @@
         upstream_by_id(&node->upstreams, carry->upstream);
     uint8_t bytes[PLATFORM_PREFIX_BYTES + WIRE_PACKET_MAX];
     size_t length = carry->packet.packet_len;
-    struct sockaddr_in to = {.sin_family = AF_INET};
+    struct egress_head head = {.kind = EGRESS_CALLER, .flow = carry->upstream};
 
     if (u == NULL || u->state == UPSTREAM_GONE) {
         counter_add(&node->counters, COUNTER_PACKETS_NO_EVIDENCE, 1);
@@ -86,15 +83,11 @@
                   (unsigned long long)carry->upstream);
         return;
     }
-    to.sin_port = htons(u->port);
-    to.sin_addr.s_addr = htonl(u->address);
+    head.address = u->address;
+    head.port = u->port;
     platform_write_prefix(bytes, u->id);
     memcpy(bytes + PLATFORM_PREFIX_BYTES, carry->packet.packet_val, length);
-    if (sendto(node->packets_fd, bytes, PLATFORM_PREFIX_BYTES + length,
-               MSG_DONTWAIT, (struct sockaddr *)&to, sizeof(to)) < 0) {
-        log_event(LOG_WARN, "packet-send-failed",
-                  "lost=1 carried=1 error=\"%s\"", g_strerror(errno));
-    }
+    node_send(node, &head, bytes, PLATFORM_PREFIX_BYTES + length, NULL, 0);
 }
 
 /* Asks all halls whether they hear this node: the one that is doubted, and
--- /dev/null
+++ b/node-egress.c
@@ -0,0 +1,174 @@
+/*
+ * What a node sends by datagrams, in the order of egress.h: at once while the
+ * link is free, else in its turn. Owns the timer that waits for the link, and
+ * tells the steering which packets have not left.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <sys/socket.h>
+
+#include "address.h"
+#include "log.h"
+#include "loop.h"
+#include "node.h"
+
+/* Sends a datagram; what the socket does not take is lost as in a network. */
+void
+node_send_now(const struct node *node, const struct egress_head *head,
+              const uint8_t *first, size_t first_length, const uint8_t *second,
+              size_t second_length)
+{
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons(head->port),
+                             .sin_addr.s_addr = htonl(head->address)};
+    struct iovec pieces[2] = {
+        {.iov_base = (void *)first, .iov_len = first_length},
+        {.iov_base = (void *)second, .iov_len = second_length}};
+    struct msghdr message = {.msg_name = &to,
+                             .msg_namelen = sizeof(to),
+                             .msg_iov = pieces,
+                             .msg_iovlen = second_length > 0 ? 2 : 1};
+    int fd = head->kind == EGRESS_CALLER ? node->packets_fd : node->peers_fd;
+
+    if (sendmsg(fd, &message, MSG_DONTWAIT) < 0) {
+        char text[ADDRESS_TEXT];
+
+        (void)address_format(head->address, head->port, text);
+        log_event(LOG_WARN, "send-failed", "to=%s bytes=%zu error=\"%s\"",
+                  text, first_length + second_length, g_strerror(errno));
+    }
+}
+
+/* Says that a datagram is not sent, and why. */
+static void
+note_unsent(struct node *node, const struct egress_head *head, size_t length)
+{
+    char text[ADDRESS_TEXT];
+
+    (void)address_format(head->address, head->port, text);
+    log_event(LOG_WARN, "not-sent",
+              "reason=link-full kind=%s to=%s bytes=%zu flow=%016llx "
+              "waiting_bytes=%llu",
+              egress_kind_name(head->kind), text, length,
+              (unsigned long long)head->flow,
+              (unsigned long long)node->egress.bytes);
+    if (head->kind == EGRESS_CALLER) {
+        counter_add(&node->counters, COUNTER_PACKETS_UNSENT, 1);
+        evidence_note_unsent(&node->evidence, head->flow);
+    }
+    else {
+        counter_add(&node->counters, COUNTER_MSGS_UNSENT, 1);
+    }
+}
+
+/* Says which datagrams made room for another one. */
+static void
+note_dropped(struct node *node)
+{
+    struct egress_item *item;
+
+    while ((item = egress_take_dropped(&node->egress)) != NULL) {
+        note_unsent(node, &item->head, item->length);
+        g_free(item);
+    }
+}
+
+/* Sets the timer to when the link takes the next datagram. */
+static void
+wait_for_link(struct node *node)
+{
+    uint64_t due_us = egress_due_us(&node->egress);
+
+    if (due_us != UINT64_MAX) {
+        loop_timer_set(node->egress_timer, due_us);
+    }
+}
+
+/* Charges the link with what the voter's thread sent past the queues: votes
+ * and log entries wait for nothing. */
+static void
+charge_consensus(struct node *node)
+{
+    uint64_t sent = counter_read(&node->counters, COUNTER_CONSENSUS_BYTES_OUT);
+
+    if (sent != node->consensus_charged) {
+        egress_charge(&node->egress, sent - node->consensus_charged);
+        node->consensus_charged = sent;
+    }
+}
+
+/* The link takes datagrams again. */
+static void
+on_link_free(void *data)
+{
+    struct node *node = data;
+    uint64_t now_us = loop_now_us();
+    struct egress_item *item;
+
+    charge_consensus(node);
+    while ((item = egress_take(&node->egress, now_us)) != NULL) {
+        node_send_now(node, &item->head, item->bytes, item->length, NULL, 0);
+        histogram_add(&node->histograms, HISTOGRAM_EGRESS,
+                      now_us - item->put_at_us);
+        if (item->head.kind == EGRESS_CALLER) {
+            evidence_note_left(&node->evidence, now_us / 1000, item->head.flow,
+                               item->head.sequence);
+        }
+        g_free(item);
+    }
+    wait_for_link(node);
+}
+
+/* Says whether a datagram is to be sent at once; else it waits, or is dropped.
+ */
+bool
+node_may_send(struct node *node, const struct egress_head *head,
+              const uint8_t *first, size_t first_length, const uint8_t *second,
+              size_t second_length)
+{
+    bool waited = node->egress.bytes > 0;
+
+    charge_consensus(node);
+    switch (egress_put(&node->egress, loop_now_us(), head, first, first_length,
+                       second, second_length)) {
+    case EGRESS_NOW:
+        return true;
+    case EGRESS_WAITS:
+        counter_add(&node->counters, COUNTER_SENDS_WAITED, 1);
+        if (head->kind == EGRESS_CALLER) {
+            evidence_note_waits(&node->evidence, head->flow);
+        }
+        note_dropped(node);
+        if (!waited) {
+            wait_for_link(node);
+        }
+        return false;
+    case EGRESS_COPY:
+        counter_add(&node->counters, COUNTER_PACKETS_COPIES, 1);
+        return false;
+    case EGRESS_FULL:
+        note_unsent(node, head, first_length + second_length);
+        return false;
+    }
+    return false;
+}
+
+/* Sends a datagram, at once or in its turn. */
+void
+node_send(struct node *node, const struct egress_head *head,
+          const uint8_t *first, size_t first_length, const uint8_t *second,
+          size_t second_length)
+{
+    if (node_may_send(node, head, first, first_length, second,
+                      second_length)) {
+        node_send_now(node, head, first, first_length, second, second_length);
+    }
+}
+
+/* Starts with a free link. */
+void
+node_open_egress(struct node *node)
+{
+    egress_open(&node->egress, node->settings.link_kbit_s);
+    node->egress_timer = loop_timer_new(on_link_free, node);
+}
--- a/node-packets.c
+++ b/node-packets.c
@@ -9,6 +9,7 @@
 
 #include "address.h"
 #include "fault.h"
+#include "hash.h"
 #include "log.h"
 #include "loop.h"
 #include "node-status.h"
@@ -75,7 +76,7 @@
                          batch.sent_count - at, MSG_DONTWAIT);
 
         if (n <= 0) {
-            log_event(LOG_WARN, "packet-send-failed", "lost=1 error=\"%s\"",
+            log_event(LOG_WARN, "send-failed", "lost=1 error=\"%s\"",
                       g_strerror(errno));
             n = 1;
         }
@@ -227,6 +228,54 @@
             bytes + PLATFORM_PREFIX_BYTES, length);
 }
 
+/* Names a packet among those of its flow: copies have the same name. Those
+ * without data have none, since each tells something new. */
+static uint64_t
+content_of(const struct evidence_packet *packet,
+           const struct evidence_verdict *verdict)
+{
+    uint64_t place = packet->first
+                         ? UINT64_MAX
+                         : (uint64_t)packet->sequence << 32 | packet->length;
+
+    return packet->first || packet->length > 0
+               ? hash_pair(HASH_FLOW, verdict->flow, place)
+               : 0;
+}
+
+/* Says whether a packet may leave for its upstream at once. */
+static bool
+may_forward(struct node *node, const struct evidence_packet *packet,
+            const struct evidence_verdict *verdict, const uint8_t *bytes,
+            size_t length)
+{
+    struct egress_head head = {.kind = EGRESS_CALLER,
+                               .flow = verdict->flow,
+                               .content = content_of(packet, verdict),
+                               .sequence = packet->sequence,
+                               .address = verdict->upstream->address,
+                               .port = verdict->upstream->port};
+
+    return node_may_send(node, &head, bytes, PLATFORM_PREFIX_BYTES + length,
+                         NULL, 0);
+}
+
+/* Resets a flow towards its caller. */
+static void
+send_reset(struct node *node, const struct evidence_packet *packet,
+           uint64_t flow)
+{
+    struct egress_head head = {.kind = EGRESS_CALLER,
+                               .flow = flow,
+                               .address = packet->source,
+                               .port = node->settings.packets.port};
+    uint8_t reset[PLATFORM_HEAD_BYTES];
+
+    counter_add(&node->counters, COUNTER_FLOWS_REFUSED, 1);
+    platform_write_reset(packet, reset);
+    node_send(node, &head, reset, sizeof(reset), NULL, 0);
+}
+
 /* Steers one packet, which lies behind its prefix. */
 static void
 take_packet(struct node *node, uint64_t now, uint8_t *bytes, size_t length)
@@ -252,14 +301,14 @@
             break;
         }
         platform_write_prefix(bytes, verdict.upstream->id);
+        if (!may_forward(node, &packet, &verdict, bytes, length)) {
+            break;
+        }
         put_out(verdict.upstream->address, verdict.upstream->port, bytes,
                 PLATFORM_PREFIX_BYTES + length);
         break;
     case EVIDENCE_REFUSE:
-        counter_add(&node->counters, COUNTER_FLOWS_REFUSED, 1);
-        platform_write_reset(&packet, head);
-        put_out(packet.source, node->settings.packets.port, head,
-                PLATFORM_HEAD_BYTES);
+        send_reset(node, &packet, verdict.flow);
         break;
     case EVIDENCE_HOLD:
         hold(node, now + (packet.first ? HOLD_FIRST_MS : HOLD_MS), bytes,
--- a/node-peers.c
+++ b/node-peers.c
@@ -46,27 +46,33 @@
     counter_add(&node->counters, COUNTER_CONTROL_BYTES_OUT, length);
 }
 
-/* Sends one datagram. */
+/* What a message is for. */
+static enum egress_kind
+egress_kind_of(uint32_t kind)
+{
+    return kind == WIRE_TABLE || kind == WIRE_UPSTREAMS ||
+                   kind == WIRE_MEMBERS || kind == WIRE_PART
+               ? EGRESS_BULK
+               : EGRESS_PROMPT;
+}
+
+/* Sends one datagram: a checksum, then a message. */
 static void
-send_datagram(struct node *node, uint32_t to, const guint8 *bytes,
-              size_t length)
+send_datagram(struct node *node, uint32_t to, uint32_t kind,
+              const guint8 *bytes, size_t length)
 {
-    struct sockaddr_in at = {.sin_family = AF_INET,
-                             .sin_port =
-                                 htons((uint16_t)node->settings.peer_port),
-                             .sin_addr.s_addr = htonl(to)};
+    struct egress_head head = {.kind = egress_kind_of(kind),
+                               .address = to,
+                               .port = (uint16_t)node->settings.peer_port};
     uint64_t sum = hash_checksum(bytes, length);
-    struct iovec parts[2] = {{.iov_base = &sum, .iov_len = sizeof(sum)},
-                             {.iov_base = (void *)bytes, .iov_len = length}};
-    struct msghdr msg = {.msg_name = &at,
-                         .msg_namelen = sizeof(at),
-                         .msg_iov = parts,
-                         .msg_iovlen = 2};
-
-    if (sendmsg(node->peers_fd, &msg, MSG_DONTWAIT) < 0) {
-        log_event(LOG_WARN, "peer-send-failed",
-                  "to=%08x bytes=%zu error=\"%s\"", to, length,
-                  g_strerror(errno));
+
+    if (is_for_voter(kind)) {
+        node_send_now(node, &head, (const uint8_t *)&sum, sizeof(sum), bytes,
+                      length);
+    }
+    else {
+        node_send(node, &head, (const uint8_t *)&sum, sizeof(sum), bytes,
+                  length);
     }
 }
 
@@ -74,6 +80,7 @@
 static void
 send_parts(struct node *node, uint32_t to, const guint8 *bytes, size_t length)
 {
+    uint32_t kind = codec_kind(bytes, length);
     GPtrArray *parts;
     uint64_t number;
 
@@ -82,13 +89,13 @@
     if (parts == NULL) {
         counter_add(&node->counters, COUNTER_MSGS_TOO_LARGE, 1);
         log_event(LOG_ERROR, "message-too-large", "to=%08x kind=%u bytes=%zu",
-                  to, codec_kind(bytes, length), length);
+                  to, kind, length);
         return;
     }
     for (guint i = 0; i < parts->len; i++) {
         const GByteArray *part = g_ptr_array_index(parts, i);
 
-        send_datagram(node, to, part->data, part->len);
+        send_datagram(node, to, kind, part->data, part->len);
     }
     g_ptr_array_unref(parts);
 }
@@ -98,12 +105,14 @@
 node_send_to_peer(struct node *node, uint32_t to, const guint8 *bytes,
                   size_t length)
 {
-    count_bytes(node, codec_kind(bytes, length), length);
+    uint32_t kind = codec_kind(bytes, length);
+
+    count_bytes(node, kind, length);
     if (length > PART_MESSAGE_MAX) {
         send_parts(node, to, bytes, length);
     }
     else {
-        send_datagram(node, to, bytes, length);
+        send_datagram(node, to, kind, bytes, length);
     }
 }
 
--- a/node.c
+++ b/node.c
@@ -468,6 +468,7 @@
     node->evidence.overshoot_milli = s->cold_overshoot_milli;
     node->evidence.slack_milli = s->cold_slack_milli;
     evidence_distrust(&node->evidence, loop_now());
+    node_open_egress(node);
     fleet_open(&node->fleet, loop_now(), &options, &node->upstreams);
     take_seeds(node, s);
 }
--- a/node.h
+++ b/node.h
@@ -13,9 +13,11 @@
 #include <microhttpd.h>
 
 #include "counter.h"
+#include "egress.h"
 #include "evidence.h"
 #include "fleet.h"
 #include "histogram.h"
+#include "loop.h"
 #include "node-settings.h"
 #include "part.h"
 #include "ring.h"
@@ -35,21 +37,25 @@
 
 /** A node. */
 struct node {
-    struct node_settings settings; /**< as loaded */
-    const char *settings_path;     /**< to be read again */
-    int64_t settings_changed;      /**< time of the file's last change */
-    uint64_t settings_at;          /**< deadline: look at it again */
-    struct counters counters;      /**< of the process */
-    struct histograms histograms;  /**< of the process */
-    struct ring ring;              /**< decisions, to be explained */
-    struct upstream_set upstreams; /**< the inventory */
-    struct evidence evidence;      /**< steering */
-    struct fleet fleet;            /**< other nodes */
-    struct node_voter voter;       /**< what its thread told */
-    int packets_fd;                /**< UDP: callers and upstreams */
-    int peers_fd;                  /**< UDP: other nodes */
-    struct part_box parts;         /**< messages of other nodes in parts */
-    uint64_t http_at;              /**< deadline: open HTTP, 0: it is open */
+    struct node_settings settings;   /**< as loaded */
+    const char *settings_path;       /**< to be read again */
+    int64_t settings_changed;        /**< time of the file's last change */
+    uint64_t settings_at;            /**< deadline: look at it again */
+    struct counters counters;        /**< of the process */
+    struct histograms histograms;    /**< of the process */
+    struct ring ring;                /**< decisions, to be explained */
+    struct upstream_set upstreams;   /**< the inventory */
+    struct evidence evidence;        /**< steering */
+    struct fleet fleet;              /**< other nodes */
+    struct node_voter voter;         /**< what its thread told */
+    struct egress egress;            /**< what waits for this VM's link */
+    struct loop_timer *egress_timer; /**< until the link takes more */
+    uint64_t consensus_charged;      /**< bytes of the voter's thread that the
+                                          link was charged with */
+    int packets_fd;                  /**< UDP: callers and upstreams */
+    int peers_fd;                    /**< UDP: other nodes */
+    struct part_box parts;           /**< messages of other nodes in parts */
+    uint64_t http_at;                /**< deadline: open HTTP, 0: it is open */
     struct MHD_Daemon *http[NODE_PORTS]; /**< by enum node_port */
     struct status failure;               /**< why the node ends by itself */
     GHashTable *calls;     /**< token to a suspended struct call */
@@ -99,6 +105,24 @@
 /** Says whether node_watch_halls() has a hall to ask at once. */
 bool node_asks_halls(const struct node *node);
 
+/* node-egress.c */
+/** Starts with a free link. */
+void node_open_egress(struct node *node);
+/** Sends a datagram in two pieces, of which the second may be empty: at once,
+ * or in its turn. */
+void node_send(struct node *node, const struct egress_head *head,
+               const uint8_t *first, size_t first_length,
+               const uint8_t *second, size_t second_length);
+/** Says whether the caller is to send a datagram at once; else it waits, or
+ * was dropped. */
+bool node_may_send(struct node *node, const struct egress_head *head,
+                   const uint8_t *first, size_t first_length,
+                   const uint8_t *second, size_t second_length);
+/** Sends a datagram past all that wait. Safe from the voter's thread. */
+void node_send_now(const struct node *node, const struct egress_head *head,
+                   const uint8_t *first, size_t first_length,
+                   const uint8_t *second, size_t second_length);
+
 /* node-peers.c */
 /** Opens the socket between nodes. */
 enum status_kind node_open_peers(struct node *node, struct status *st);
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -199,6 +199,10 @@
  *   S     upstream 1 is silent, by what this node heard itself
  *   L     upstream 1 is lost, as another node concluded
  *   r     upstream 1 registers again
+ *   h     the caller of flow a sends what comes after its next data; i it
+ *         sends that next data
+ *   w     a packet of flow a waits for this entry's link; l it has left; u it
+ *         was dropped
  *   z     this entry stood still
  *   f     the first flow's caller gives up
  *   x     the caller of flow a resets it
@@ -247,6 +251,15 @@
     {"lost-and-registers-again", "L5 r8 a10", ""},
 };
 
+/* Names flow a. */
+static uint64_t
+flow_a(void)
+{
+    struct evidence_packet packet = fixture_packet('a', false, 0, 0);
+
+    return evidence_hash(&packet);
+}
+
 /* Plays a step that is no packet; says whether it was one. */
 static bool
 play_event(struct fixture *f, uint64_t now, char letter)
@@ -269,6 +282,15 @@
     case 'z':
         evidence_distrust(&f->ev, now);
         return true;
+    case 'w':
+        evidence_note_waits(&f->ev, flow_a());
+        return true;
+    case 'l':
+        evidence_note_left(&f->ev, now, flow_a(), 1);
+        return true;
+    case 'u':
+        evidence_note_unsent(&f->ev, flow_a());
+        return true;
     default:
         return false;
     }
@@ -320,6 +342,12 @@
     {"lost-already", "a0 L5 o10 O15 a20", ""},
     {"silent-and-answers", "a0 s5 A10", "-A10"},
     {"silent-and-answers-often", "a0 s5 A10 b11 B12 a60 A70", "-A10 -A70"},
+    {"waits-here", "a0 w0 o10 O15 a20", ""},
+    {"waited-and-left-lately", "a0 w0 o10 l10 O15 a20", ""},
+    {"waited-and-left", "a0 w0 l1 o10 O15 a20", "a20"},
+    {"one-of-two-waits-still", "a0 w0 w0 l1 o10 O15 a20", ""},
+    {"dropped-here", "a0 u0 o10 O15 a20", ""},
+    {"dropped-here-its-copy-not", "a0 u0 a20 o30 O35 a60", "a60"},
     {"hole-behind-it", "a0 h1 o10 O15 a20", ""},
     {"hole-behind-it-still", "a0 h1 o10 O15 a20 o30 O35 a60", ""},
     {"hole-filled", "a0 h1 i2 o10 O15 a20", "a20"},
@@ -441,6 +469,8 @@
     {"suspicion", FAULT_NO_SUSPICION, "/evidence/copy/first-copy"},
     {"move", FAULT_NO_MOVE, "/evidence/copy/first-copy"},
     {"doubt", FAULT_NO_DOUBT, "/evidence/doubt/proved"},
+    {"waits", FAULT_NO_WAITS, "/evidence/doubt/waits-here"},
+    {"order", FAULT_NO_ORDER, "/evidence/doubt/hole-behind-it"},
     {"lost", FAULT_NO_LOST, "/evidence/lost/proved-twice"},
 };
 
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -13,21 +13,25 @@
 #include <string.h>
 
 #include "cases.h"
+#include "egress.h"
 #include "fixture.h"
+#include "mutation.h"
 
-#define UPSTREAMS 12U
+#define UPSTREAMS 60U
 #define LINK_KBIT_S 2000U
 #define LINK_QUEUE_MS 20U
-#define HEADERS_BYTES 72U /* IP, UDP, the packet's own and its prefix */
+#define UDP_HEADERS_BYTES 28U /* IP and UDP */
+#define HEADERS_BYTES 72U     /* those, the packet's own and its prefix */
 #define DATA_BYTES 1200U
 #define UPLOAD_PACKETS 67U
 #define WINDOW 16U
 #define RESEND_MS 200U
 #define RESEND_MOST_MS 1600U
 #define ANSWER_MS 5U /* from the last byte to the answer's arrival */
-#define TRAVEL_MS 2U /* from the node to an upstream, and back to the caller  \
-                      */
-#define ASK_MS 20U   /* between two small requests */
+#define TRAVEL_MS                                                             \
+    2U             /* from the node to an upstream, and back to the caller    \
+                    */
+#define ASK_MS 20U /* between two small requests */
 #define ASK_BYTES 200U
 #define SCENE_MS 8000U
 #define FLOWS_MAX 512U
@@ -36,6 +40,7 @@
 struct scene {
     const char *name;
     unsigned uploads;
+    unsigned packets; /* of each */
     uint64_t done_ms; /* all of them must be through by then: one and a half
                          times what the link takes for their bytes */
     uint64_t ask_ms;  /* a small request's first packet is at its upstream by
@@ -43,10 +48,11 @@
 };
 
 static const struct scene scenes[] = {
-    {"one-upload", 1, 520, 50},
-    {"two-uploads", 2, 1030, 50},
-    {"four-uploads", 4, 2060, 50},
-    {"eight-uploads", 8, 4110, 60},
+    {"one-upload", 1, UPLOAD_PACKETS, 520, 50},
+    {"two-uploads", 2, UPLOAD_PACKETS, 1030, 50},
+    {"four-uploads", 4, UPLOAD_PACKETS, 2060, 50},
+    {"eight-uploads", 8, UPLOAD_PACKETS, 4110, 60},
+    {"fifty-begin-at-once", 50, 2, 770, 300},
 };
 
 /* One packet's worth of data of a flow. */
@@ -73,6 +79,7 @@
 /* The node, its link and its callers. */
 struct world {
     struct fixture f;
+    struct egress egress;
     uint64_t link_free_at_us; /* the link has sent all that it took */
     struct flow flows[FLOWS_MAX];
     unsigned flow_count;
@@ -109,14 +116,74 @@
     return packet;
 }
 
+/* A packet leaves the node. */
+static void
+leave(struct world *w, uint64_t now, struct flow *flow, uint32_t sequence)
+{
+    uint64_t arrives_at = offer(w, now, sequence != 0 ? flow->bytes : 0);
+    struct segment *segment;
+
+    if (sequence == 0) {
+        return;
+    }
+    segment = &flow->segments[(sequence - 1) / flow->bytes];
+    if (arrives_at != 0 && segment->arrives_at == 0) {
+        segment->arrives_at = arrives_at;
+    }
+}
+
+/* The node sends a packet on, at once or in its turn. */
+static void
+send_on(struct world *w, uint64_t now, struct flow *flow,
+        const struct evidence_packet *packet)
+{
+    static const uint8_t bytes[HEADERS_BYTES + DATA_BYTES];
+    struct egress_head head = {.kind = EGRESS_CALLER,
+                               .flow = evidence_hash(packet),
+                               .content = packet->length > 0
+                                              ? (uint64_t)flow->port << 32 |
+                                                    packet->sequence
+                                              : 0,
+                               .sequence = packet->sequence,
+                               .address = (uint32_t)(flow - w->flows)};
+
+    switch (egress_put(&w->egress, now * 1000, &head, bytes,
+                       HEADERS_BYTES - UDP_HEADERS_BYTES + packet->length,
+                       NULL, 0)) {
+    case EGRESS_NOW:
+        leave(w, now, flow, packet->sequence);
+        break;
+    case EGRESS_WAITS:
+        evidence_note_waits(&w->f.ev, head.flow);
+        break;
+    case EGRESS_COPY:
+        break;
+    case EGRESS_FULL:
+        evidence_note_unsent(&w->f.ev, head.flow);
+        break;
+    }
+}
+
+/* What waits leaves as the link takes it. */
+static void
+drain(struct world *w, uint64_t now)
+{
+    struct egress_item *item;
+
+    while ((item = egress_take(&w->egress, now * 1000)) != NULL) {
+        leave(w, now, &w->flows[item->head.address], item->head.sequence);
+        evidence_note_left(&w->f.ev, now, item->head.flow,
+                           item->head.sequence);
+        g_free(item);
+    }
+}
+
 /* The node takes a segment and sends it on. */
 static void
 pass(struct world *w, uint64_t now, struct flow *flow, unsigned number)
 {
     struct evidence_packet packet = packet_of(flow, false);
-    struct segment *segment = &flow->segments[number];
     struct evidence_verdict verdict;
-    uint64_t arrives_at;
 
     packet.sequence = 1 + number * flow->bytes;
     packet.length = flow->bytes;
@@ -125,10 +192,7 @@
         w->refused++;
         return;
     }
-    arrives_at = offer(w, now, flow->bytes);
-    if (arrives_at != 0 && segment->arrives_at == 0) {
-        segment->arrives_at = arrives_at;
-    }
+    send_on(w, now, flow, &packet);
 }
 
 /* A caller opens a flow, and sends as soon as it may. */
@@ -216,7 +280,7 @@
     flow->told = true;
     packet = packet_of(flow, false);
     evidence_steer(&w->f.ev, now, &packet, &verdict);
-    (void)offer(w, now, 0);
+    send_on(w, now, flow, &packet);
 }
 
 /* Counts what the node tells of upstreams. */
@@ -245,6 +309,7 @@
             acknowledge(w, now, flow);
         }
     }
+    drain(w, now);
     count_doubts(w);
 }
 
@@ -266,6 +331,7 @@
     uint64_t done_ms = 0;
 
     fixture_open(&w->f, UPSTREAMS);
+    egress_open(&w->egress, LINK_KBIT_S);
     for (uint64_t t = 0; t < SCENE_MS; t++) {
         if (t % INTERVAL_MS == 0) {
             register_all(w, NOW + t, 2 + t / INTERVAL_MS);
@@ -274,7 +340,7 @@
             begin(w, NOW + t, 1, ASK_BYTES);
         }
         for (unsigned i = 0; t == 1000 && i < scene->uploads; i++) {
-            begin(w, NOW + t, UPLOAD_PACKETS, DATA_BYTES);
+            begin(w, NOW + t, scene->packets, DATA_BYTES);
         }
         play_ms(w, NOW + t);
     }
@@ -291,20 +357,31 @@
                    (unsigned)w->slowest_ask_ms);
     g_assert_cmpuint(w->doubts, ==, 0);
     g_assert_cmpuint(w->refused, ==, 0);
+    g_assert_cmpuint(w->lost, ==, 0);
     g_assert_cmpuint(done_ms, <=, scene->done_ms);
     g_assert_cmpuint(w->slowest_ask_ms, <=, scene->ask_ms);
+    egress_close(&w->egress);
     fixture_close(&w->f);
     g_free(w);
 }
 
+/* What is left out, and a test above that must fail then. */
+static const struct mutation mutations[] = {
+    {"egress", FAULT_NO_EGRESS, "/link/one-upload"},
+    {"turns", FAULT_NO_TURNS, "/link/four-uploads"},
+    {"copies", FAULT_NO_COPIES, "/link/eight-uploads"},
+};
+
 /* Lists the tests. */
 int
 main(int argc, char **argv)
 {
     char path[128];
 
+    mutation_begin();
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     CASES_ADD("/link/", scenes, test_scene)
+    CASES_ADD("/link/mutation/", mutations, mutation_test)
     return g_test_run();
 }
