--- a/evidence.c
+++ b/evidence.c
@@ -364,8 +364,9 @@
     }
     upstream = upstream_by_token(ev->upstreams, packet->token);
     if (upstream == NULL) {
-        end_with(verdict, ev->settled ? EVIDENCE_DROP : EVIDENCE_HOLD,
-                 RULE_UNKNOWN_EVIDENCE);
+        /* Also once this entry serves: it begins to with a part of the
+         * inventory, and others are asked for this upstream. */
+        end_with(verdict, EVIDENCE_HOLD, RULE_UNKNOWN_EVIDENCE);
         return;
     }
     verdict->upstream = upstream;
--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -67,8 +67,8 @@
                               const wire_hello *hello);
 
 /* fleet-resolve.c */
-/** Asks for upstreams that open flows name. */
-void fleet_resolve_now(struct fleet *fleet);
+/** Asks for upstreams that open flows name, as far as it is time to. */
+void fleet_resolve_now(struct fleet *fleet, uint64_t now);
 
 /* fleet-relay.c */
 /** Opens and closes what is on its way; the first message has a number after
--- a/fleet-inventory.c
+++ b/fleet-inventory.c
@@ -36,9 +36,14 @@
  * a change is on its way for 20 to 100 ms, and two nodes that meet meanwhile
  * lack nothing. */
 #define LASTING_MS 300U
-/* Comparisons are not answered while copies wait so long for the link: whoever
- * asked meets another node half a second later. */
+/* Comparisons are not answered while copies wait so long for the link, nor
+ * while so much waits: whoever asked meets another node half a second later.
+ */
 #define BACKLOG_MS 500U
+#define BACKLOG_BYTES (2U * 1024U * 1024U)
+/* So many records are sent all the same: packets of open flows wait for them.
+ */
+#define NEED_FEW 64U
 
 /* Records and marks that are gathered for one node. */
 struct gathered {
@@ -66,27 +71,18 @@
     g_free(g->marks);
 }
 
-/* Bucket of a record. */
-static uint32_t
-bucket_of(const struct upstream *upstream)
-{
-    return upstream->token % WIRE_BUCKETS;
-}
-
 /* Gathers one bucket, as records or as marks. */
 static void
 gather(const struct fleet *fleet, uint64_t now, uint32_t bucket, bool whole,
        struct gathered *g)
 {
     const struct upstream_set *set = fleet->upstreams;
+    const GPtrArray *list = set->buckets[bucket];
 
     g->buckets |= 1U << bucket;
-    for (guint i = 0; i < set->all->len; i++) {
-        const struct upstream *u = g_ptr_array_index(set->all, i);
+    for (guint i = 0; i < list->len; i++) {
+        const struct upstream *u = g_ptr_array_index(list, i);
 
-        if (bucket_of(u) != bucket) {
-            continue;
-        }
         if (whole) {
             upstream_pack(set, now, u, &g->records[g->record_count++]);
         }
@@ -200,6 +196,15 @@
     g_free(tokens);
 }
 
+/* Says whether enough copies wait for the link. */
+static bool
+is_backlogged(const struct fleet *fleet, uint64_t now)
+{
+    uint64_t ms = fleet->pay_at > now ? fleet->pay_at - now : 0;
+
+    return ms > BACKLOG_MS || ms * fleet->bulk_bytes_ms > BACKLOG_BYTES;
+}
+
 /* Sends the records that another node asks for, BEGIN_BYTES at most. */
 void
 fleet_take_need(struct fleet *fleet, uint64_t now, const wire_need *need)
@@ -210,6 +215,9 @@
     uint64_t before = fleet->bytes_sent;
     guint count = 0;
 
+    if (most > NEED_FEW && is_backlogged(fleet, now)) {
+        most = 0;
+    }
     for (u_int i = 0; i < most; i++) {
         const struct upstream *u =
             upstream_by_token(set, need->tokens.tokens_val[i]);
@@ -305,6 +313,25 @@
     close_gathered(&g);
 }
 
+/* Gathers the records of a bucket for which another node has no mark, or
+ * another one. */
+static void
+gather_unlike(const struct fleet *fleet, uint64_t now, const GPtrArray *list,
+              GHashTable *theirs, struct gathered *g)
+{
+    for (guint i = 0; i < list->len; i++) {
+        const struct upstream *u = g_ptr_array_index(list, i);
+        gpointer about;
+
+        if (!g_hash_table_lookup_extended(theirs, GUINT_TO_POINTER(u->token),
+                                          NULL, &about) ||
+            GPOINTER_TO_UINT(about) != upstream_mark(u)) {
+            upstream_pack(fleet->upstreams, now, u,
+                          &g->records[g->record_count++]);
+        }
+    }
+}
+
 /* Gathers the records of some buckets that another node lacks or holds
  * differently, by its marks. */
 static void
@@ -320,15 +347,9 @@
         g_hash_table_insert(theirs, GUINT_TO_POINTER(mark->token),
                             GUINT_TO_POINTER(mark->about));
     }
-    for (guint i = 0; i < set->all->len; i++) {
-        const struct upstream *u = g_ptr_array_index(set->all, i);
-        gpointer about;
-
-        if ((compare->buckets >> bucket_of(u) & 1U) != 0 &&
-            (!g_hash_table_lookup_extended(theirs, GUINT_TO_POINTER(u->token),
-                                           NULL, &about) ||
-             GPOINTER_TO_UINT(about) != upstream_mark(u))) {
-            upstream_pack(set, now, u, &g->records[g->record_count++]);
+    for (uint32_t bucket = 0; bucket < WIRE_BUCKETS; bucket++) {
+        if ((compare->buckets >> bucket & 1U) != 0) {
+            gather_unlike(fleet, now, set->buckets[bucket], theirs, g);
         }
     }
     g_hash_table_destroy(theirs);
@@ -346,7 +367,7 @@
     struct gathered g;
     u_int count;
 
-    if (now + BACKLOG_MS >= fleet->pay_at) {
+    if (!is_backlogged(fleet, now)) {
         fleet->compare_at = MAX(fleet->compare_at, now + FLEET_COMPARE_MS);
         open_gathered(&g, fleet->upstreams);
         gather_lacking(fleet, now, compare, &g);
--- a/fleet-members.c
+++ b/fleet-members.c
@@ -128,9 +128,12 @@
 
 /* LEADER: a node is new, or began anew; all are told. */
 static void
-note_joined(struct fleet *fleet, uint32_t address)
+note_joined(struct fleet *fleet, uint64_t now, uint32_t address)
 {
     if (fleet->leads_since != 0) {
+        if (fleet->joined->len == 0) {
+            fleet->joined_at = MAX(now, fleet->joined_at);
+        }
         g_array_append_val(fleet->joined, address);
     }
 }
@@ -187,14 +190,14 @@
     if (member == NULL) {
         member = add_member(fleet, node);
         member->heard_at = now;
-        note_joined(fleet, node->address);
+        note_joined(fleet, now, node->address);
         is_new = true;
     }
     else if (member->node.incarnation != node->incarnation) {
         if (!heard) {
             return;
         }
-        note_joined(fleet, node->address);
+        note_joined(fleet, now, node->address);
         is_new = true;
     }
     renew_member(fleet, member, node);
--- a/fleet-resolve.c
+++ b/fleet-resolve.c
@@ -11,68 +11,37 @@
 #include "hash.h"
 #include "random.h"
 
-/* One upstream is asked for only so often: the answer takes a few ms, and the
- * caller sends again after 200. */
+/* An upstream is asked for again, of another node, after so long: the answer
+ * takes a few ms, and packets that wait are dropped after 500. */
 #define AGAIN_MS 100U
-/* What was asked for so long ago is forgotten: its packets have been dropped,
- * or sent on. */
-#define FORGET_MS 1000U
-/* Upstreams that are asked for within FORGET_MS, at most. */
+/* So many times; then nobody knows it, or its packets have been dropped. */
+#define ASKED_TIMES 4U
+/* Upstreams that are asked for at a time, at most. */
 #define SOUGHT_MOST 256U
 
-/* Forgets what was asked for long ago. */
-static void
-forget_old(struct fleet *fleet, uint64_t now)
-{
-    GArray *sought = fleet->sought;
-
-    for (guint i = sought->len; i > 0; i--) {
-        if (now >=
-            g_array_index(sought, struct fleet_sought, i - 1).at + FORGET_MS) {
-            g_array_remove_index_fast(sought, i - 1);
-        }
-    }
-}
-
-/* An upstream that was asked for lately; NULL when it was not. */
-static struct fleet_sought *
-find_sought(const struct fleet *fleet, uint32_t token)
+/* Says whether an upstream is asked for now. */
+static bool
+is_sought(const struct fleet *fleet, uint32_t token)
 {
     for (guint i = 0; i < fleet->sought->len; i++) {
-        struct fleet_sought *sought =
-            &g_array_index(fleet->sought, struct fleet_sought, i);
-
-        if (sought->token == token) {
-            return sought;
+        if (g_array_index(fleet->sought, struct fleet_sought, i).token ==
+            token) {
+            return true;
         }
     }
-    return NULL;
+    return false;
 }
 
 /* Asks for the upstream of an open flow, soon. */
 void
 fleet_resolve(struct fleet *fleet, uint64_t now, uint32_t token)
 {
-    struct fleet_sought entry = {.token = token, .at = now};
-    struct fleet_sought *sought = find_sought(fleet, token);
+    struct fleet_sought sought = {.token = token, .at = now};
 
-    if (fault_is(FAULT_NO_RESOLVE)) {
-        return;
-    }
-    if (sought == NULL) {
-        forget_old(fleet, now);
-        if (fleet->sought->len >= SOUGHT_MOST) {
-            return;
-        }
-        g_array_append_val(fleet->sought, entry);
-    }
-    else if (now < sought->at + AGAIN_MS) {
-        return;
-    }
-    else {
-        sought->at = now;
+    if (!is_sought(fleet, token) && fleet->sought->len < SOUGHT_MOST &&
+        !fault_is(FAULT_NO_RESOLVE)) {
+        g_array_append_val(fleet->sought, sought);
     }
-    g_array_append_val(fleet->asked_for, token);
 }
 
 /* A node with a disk, in this data hall if there is one; else a seed. */
@@ -106,26 +75,61 @@
     return best;
 }
 
-/* Says whether there is something to ask for. */
-bool
-fleet_resolves(const struct fleet *fleet)
+/* When something is to be asked for, again or for the first time. */
+uint64_t
+fleet_resolve_due(const struct fleet *fleet)
 {
-    return fleet->asked_for->len > 0;
+    uint64_t at = UINT64_MAX;
+
+    for (guint i = 0; i < fleet->sought->len; i++) {
+        at = MIN(at, g_array_index(fleet->sought, struct fleet_sought, i).at);
+    }
+    return at;
+}
+
+/* Lists what is to be asked for now; what came meanwhile, or never comes, is
+ * sought no more. */
+static void
+list_due(struct fleet *fleet, uint64_t now, GArray *tokens)
+{
+    GArray *all = fleet->sought;
+
+    for (guint i = all->len; i > 0; i--) {
+        struct fleet_sought *sought =
+            &g_array_index(all, struct fleet_sought, i - 1);
+
+        if (now < sought->at) {
+            continue;
+        }
+        if (sought->times == ASKED_TIMES ||
+            upstream_by_token(fleet->upstreams, sought->token) != NULL) {
+            g_array_remove_index_fast(all, i - 1);
+            continue;
+        }
+        sought->times++;
+        sought->at = now + AGAIN_MS;
+        g_array_append_val(tokens, sought->token);
+    }
 }
 
-/* Asks for all that is needed since the last time. */
+/* Asks for what is due. */
 void
-fleet_resolve_now(struct fleet *fleet)
+fleet_resolve_now(struct fleet *fleet, uint64_t now)
 {
     wire_msg msg = {.kind = WIRE_NEED};
     wire_need *need = &msg.wire_msg_u.need;
+    GArray *tokens;
 
-    if (!fleet_resolves(fleet)) {
+    if (now < fleet_resolve_due(fleet)) {
         return;
     }
-    need->node = fleet->self.address;
-    need->tokens.tokens_val = (u_int *)(void *)fleet->asked_for->data;
-    need->tokens.tokens_len = MIN(fleet->asked_for->len, WIRE_MARKS_MAX);
-    fleet_send(fleet, whom_to_ask(fleet), &msg);
-    g_array_set_size(fleet->asked_for, 0);
+    tokens = g_array_new(FALSE, FALSE, sizeof(u_int));
+    list_due(fleet, now, tokens);
+    if (tokens->len > 0) {
+        need->node = fleet->self.address;
+        need->tokens.tokens_val = (u_int *)(void *)tokens->data;
+        need->tokens.tokens_len = tokens->len;
+        fleet_send(fleet, whom_to_ask(fleet), &msg);
+    }
+    g_array_free(tokens, TRUE);
 }
--- a/fleet-spread.c
+++ b/fleet-spread.c
@@ -258,7 +258,7 @@
 
     send_doubts(fleet, now);
     ask_unsure(fleet);
-    fleet_resolve_now(fleet);
+    fleet_resolve_now(fleet, now);
     for (guint i = 0; i < changed->len; i++) {
         fleet_relay_tell(fleet, now, g_array_index(changed, uint64_t, i));
     }
--- a/fleet.c
+++ b/fleet.c
@@ -9,6 +9,10 @@
 
 #include "fault.h"
 
+/* LEADER: between two looks for members that are lost: it walks all members
+ * and upstreams, and FLEET_LOST_MS is long beside it. */
+#define WATCH_MS 250U
+
 /* Adds an action. */
 struct fleet_action *
 fleet_act(struct fleet *fleet, enum fleet_action_kind kind)
@@ -44,7 +48,6 @@
     fleet->joined = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     fleet->unheard = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     fleet->sought = g_array_new(FALSE, FALSE, sizeof(struct fleet_sought));
-    fleet->asked_for = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     fleet->owed = g_array_new(FALSE, FALSE, sizeof(struct fleet_owed));
     fleet->bulk_bytes_ms =
         (uint32_t)(options->link_kbit_s / 8 / FLEET_BULK_SHARE);
@@ -63,7 +66,6 @@
     g_array_free(fleet->joined, TRUE);
     g_array_free(fleet->unheard, TRUE);
     g_array_free(fleet->sought, TRUE);
-    g_array_free(fleet->asked_for, TRUE);
     g_array_free(fleet->owed, TRUE);
     fleet_relay_close(fleet);
     g_free(fleet->routes.packed.packed_val);
@@ -131,6 +133,7 @@
     if (fleet->leads_since == 0) {
         fleet->leads_since = now;
         fleet->push_at = now;
+        fleet->joined_at = MAX(now, fleet->joined_at);
         /* The leader before may have ended between the two. */
         if (fleet->upstreams->halls.revision != 0) {
             fleet_push_halls(fleet);
@@ -325,10 +328,12 @@
 fleet_tick(struct fleet *fleet, uint64_t now)
 {
     if (fleet->leads_since != 0) {
-        fleet_drop_lost(fleet, now);
-        if (fleet->joined->len > 0 &&
-            now >= fleet->joined_at + FLEET_JOINED_MS) {
-            fleet->joined_at = now;
+        if (now >= fleet->watch_at) {
+            fleet->watch_at = now + WATCH_MS;
+            fleet_drop_lost(fleet, now);
+        }
+        if (fleet->joined->len > 0 && now >= fleet->joined_at) {
+            fleet->joined_at = now + FLEET_JOINED_MS;
             fleet_push_joined(fleet);
         }
         if (fleet->push_at != 0 && now >= fleet->push_at) {
@@ -336,6 +341,7 @@
         }
     }
     fleet_relay_move(fleet, now);
+    fleet_resolve_now(fleet, now);
     fleet_pay(fleet, now);
     if (now >= fleet->hello_at) {
         greet(fleet, now);
@@ -547,11 +553,12 @@
     uint64_t at =
         MIN(MIN(fleet->hello_at, fleet->relay.due_at), fleet_relay_due(fleet));
 
+    at = MIN(at, fleet_resolve_due(fleet));
     if (fleet->push_at != 0) {
         at = MIN(at, fleet->push_at);
     }
     if (fleet->leads_since != 0 && fleet->joined->len > 0) {
-        at = MIN(at, fleet->joined_at + FLEET_JOINED_MS);
+        at = MIN(at, fleet->joined_at);
     }
     return fleet->owed->len > 0 ? MIN(at, fleet->pay_at) : at;
 }
--- a/fleet.h
+++ b/fleet.h
@@ -105,7 +105,8 @@
 /** An upstream that was asked for, since an open flow names it. */
 struct fleet_sought {
     uint32_t token; /**< that names it */
-    uint64_t at;    /**< when it was asked for */
+    unsigned times; /**< that it was asked for */
+    uint64_t at;    /**< deadline: it is asked for then */
 };
 
 /** Nodes of a data hall, by address. */
@@ -219,9 +220,10 @@
     wire_routes routes;              /**< newest table; packed is owned */
     uint64_t push_at;                /**< deadline: push the table, 0: no */
     uint64_t pushed_at;              /**< last push */
-    uint64_t joined_at;              /**< last message about new nodes */
+    uint64_t watch_at;               /**< LEADER: deadline: look for members
+                                          that are lost */
+    uint64_t joined_at;              /**< deadline: tell all of these */
     GArray *sought;                  /**< struct fleet_sought */
-    GArray *asked_for;               /**< uint32_t: tokens, to be asked for */
     GArray *owed;                    /**< struct fleet_owed, in order, each
                                           node once */
     uint64_t pay_at;                 /**< deadline: the next copy may leave */
@@ -299,8 +301,9 @@
  * with the next fleet_spread(). */
 void fleet_resolve(struct fleet *fleet, uint64_t now, uint32_t token);
 
-/** Says whether fleet_spread() has such an upstream to ask for. */
-bool fleet_resolves(const struct fleet *fleet);
+/** When fleet_spread() has such an upstream to ask for; UINT64_MAX: there is
+ * none. */
+uint64_t fleet_resolve_due(const struct fleet *fleet);
 
 /** Earliest time at which fleet_tick() has something to do. */
 uint64_t fleet_deadline(const struct fleet *fleet);
--- a/node-packets.c
+++ b/node-packets.c
@@ -394,7 +394,7 @@
         }
     }
     if (node->upstreams.doubted->len > 0 || node_asks_halls(node) ||
-        fleet_resolves(&node->fleet)) {
+        fleet_resolve_due(&node->fleet) <= loop_now()) {
         node_act(node);
     }
 }
--- a/node-peers.c
+++ b/node-peers.c
@@ -15,7 +15,11 @@
 #include "loop.h"
 #include "node.h"
 
-#define DATAGRAMS_A_TURN 64 /* then other events have their turn */
+#define DATAGRAMS_A_TURN 16 /* then callers' packets have their turn */
+#define ACTIONS_AT_ONCE                                                       \
+    64                     /* are carried out before more is taken: answers   \
+                              of 6.5 KB each are kept in memory until then */
+#define PROMPT_BYTES 1200U /* of a message that is never a copy of much */
 
 /* Says whether a message is for the voter. */
 static bool
@@ -46,10 +50,14 @@
     counter_add(&node->counters, COUNTER_CONTROL_BYTES_OUT, length);
 }
 
-/* What a message is for. */
+/* What a message is for. A small one may be what packets wait for, and holds
+ * nothing up. */
 static enum egress_kind
-egress_kind_of(uint32_t kind)
+egress_kind_of(uint32_t kind, size_t length)
 {
+    if (length <= PROMPT_BYTES) {
+        return EGRESS_PROMPT;
+    }
     return kind == WIRE_TABLE || kind == WIRE_UPSTREAMS ||
                    kind == WIRE_MEMBERS || kind == WIRE_PART
                ? EGRESS_BULK
@@ -61,7 +69,7 @@
 send_datagram(struct node *node, uint32_t to, uint32_t kind,
               const guint8 *bytes, size_t length)
 {
-    struct egress_head head = {.kind = egress_kind_of(kind),
+    struct egress_head head = {.kind = egress_kind_of(kind, length),
                                .address = to,
                                .port = (uint16_t)node->settings.peer_port};
     uint64_t sum = hash_checksum(bytes, length);
@@ -212,6 +220,9 @@
             break;
         }
         take_datagram(node, bytes, (size_t)n);
+        if (node->fleet.actions->len >= ACTIONS_AT_ONCE) {
+            node_act(node);
+        }
     }
     node_act(node);
 }
--- a/tests/test-size.c
+++ b/tests/test-size.c
@@ -205,6 +205,21 @@
     fleet_sim_free(sim);
 }
 
+/* One node begins anew in a fleet that is at rest: the leader, which is to
+ * tell all of it, meets that deadline. */
+static void
+test_one_begins(void)
+{
+    struct fleet_sim *sim = start();
+
+    fleet_sim_run(sim, sim->now + CALM_MS);
+    fleet_sim_kill(sim, NODES - 1);
+    fleet_sim_start(sim, NODES - 1);
+    fleet_sim_run(sim, sim->now + CALM_MS);
+    g_assert_cmpuint(sim->deadlines_missed, ==, 0);
+    fleet_sim_free(sim);
+}
+
 /* The upstream of a flow that a node carries. */
 static uint64_t
 flow_upstream(const struct fleet_sim *sim, int n)
@@ -276,6 +291,7 @@
     g_test_add_func("/size/disks-lack", test_disks_lack);
     g_test_add_func("/size/calm", test_calm);
     g_test_add_func("/size/open-flows", test_open_flows);
+    g_test_add_func("/size/one-begins", test_one_begins);
     CASES_ADD("/size/mutation/", mutations, mutation_test)
     return g_test_run();
 }
--- a/upstream.c
+++ b/upstream.c
@@ -22,6 +22,10 @@
     set->interval_ms = interval_ms;
     set->all = g_ptr_array_new_with_free_func(g_free);
     set->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+    set->by_place = g_hash_table_new(g_int64_hash, g_int64_equal);
+    for (guint i = 0; i < WIRE_BUCKETS; i++) {
+        set->buckets[i] = g_ptr_array_new();
+    }
     set->by_token = g_hash_table_new(g_direct_hash, g_direct_equal);
     set->services = g_ptr_array_new_with_free_func(g_free);
     set->limits = g_array_new(FALSE, TRUE, sizeof(struct warmup_limit));
@@ -37,6 +41,10 @@
 upstream_close(struct upstream_set *set)
 {
     g_hash_table_destroy(set->by_id);
+    g_hash_table_destroy(set->by_place);
+    for (guint i = 0; i < WIRE_BUCKETS; i++) {
+        g_ptr_array_free(set->buckets[i], TRUE);
+    }
     g_hash_table_destroy(set->by_token);
     g_ptr_array_free(set->all, TRUE);
     g_ptr_array_free(set->services, TRUE);
@@ -170,16 +178,16 @@
     g_array_append_val(set->changed, upstream->id);
 }
 
-/* Where an upstream stands by its token. */
+/* Where an upstream stands by its token in a list. */
 static guint
-rank_of_token(const struct upstream_set *set, uint32_t token)
+rank_of_token(const GPtrArray *list, uint32_t token)
 {
     guint low = 0;
-    guint high = set->all->len;
+    guint high = list->len;
 
     while (low < high) {
         guint middle = low + (high - low) / 2;
-        const struct upstream *u = g_ptr_array_index(set->all, middle);
+        const struct upstream *u = g_ptr_array_index(list, middle);
 
         if (u->token < token) {
             low = middle + 1;
@@ -191,6 +199,75 @@
     return low;
 }
 
+/* Puts an upstream where it stands by its token. */
+static void
+insert_by_token(GPtrArray *list, struct upstream *upstream)
+{
+    g_ptr_array_insert(list, (gint)rank_of_token(list, upstream->token),
+                       upstream);
+}
+
+/* Takes an upstream out of a list by token. */
+static void
+remove_by_token(GPtrArray *list, struct upstream *upstream)
+{
+    guint place = rank_of_token(list, upstream->token);
+
+    while (g_ptr_array_index(list, place) != upstream) {
+        place++;
+    }
+    (void)g_ptr_array_remove_index(list, place);
+}
+
+/* Takes an upstream off its place. */
+static void
+leave_place(struct upstream_set *set, struct upstream *upstream)
+{
+    struct upstream *first;
+
+    if (upstream->place == 0) {
+        return;
+    }
+    first = g_hash_table_lookup(set->by_place, &upstream->place);
+    if (first != upstream) {
+        while (first->next_there != upstream) {
+            first = first->next_there;
+        }
+        first->next_there = upstream->next_there;
+    }
+    else if (upstream->next_there != NULL) {
+        (void)g_hash_table_replace(set->by_place, &upstream->next_there->place,
+                                   upstream->next_there);
+    }
+    else {
+        (void)g_hash_table_remove(set->by_place, &upstream->place);
+    }
+    upstream->place = 0;
+    upstream->next_there = NULL;
+}
+
+/* Key of an address and a port. */
+static uint64_t
+place_of(uint32_t address, uint32_t port)
+{
+    return (uint64_t)address << 16 | port;
+}
+
+/* Puts an upstream to its place. */
+static void
+take_place(struct upstream_set *set, struct upstream *upstream)
+{
+    uint64_t place = place_of(upstream->address, upstream->port);
+
+    if (upstream->place == place) {
+        return;
+    }
+    leave_place(set, upstream);
+    upstream->place = place;
+    upstream->next_there = g_hash_table_lookup(set->by_place, &place);
+    (void)g_hash_table_replace(set->by_place, &upstream->place, upstream);
+}
+
 /* Makes a record. Of two incarnations with one token the older keeps it; the
  * newer is never found by its token, so it is not chosen either. */
 static struct upstream *
@@ -200,8 +277,8 @@
 
     upstream->id = id;
     upstream->token = upstream_token(id);
-    g_ptr_array_insert(set->all, (gint)rank_of_token(set, upstream->token),
-                       upstream);
+    insert_by_token(set->all, upstream);
+    insert_by_token(set->buckets[upstream->token % WIRE_BUCKETS], upstream);
     g_hash_table_insert(set->by_id, &upstream->id, upstream);
     upstream->named = upstream_by_token(set, upstream->token) == NULL;
     if (upstream->named) {
@@ -220,7 +297,9 @@
     if (upstream->named) {
         g_hash_table_remove(set->by_token, GUINT_TO_POINTER(upstream->token));
     }
-    g_ptr_array_remove(set->all, upstream);
+    leave_place(set, upstream);
+    remove_by_token(set->buckets[upstream->token % WIRE_BUCKETS], upstream);
+    remove_by_token(set->all, upstream);
 }
 
 /* Says whether a word that states no start changes what is believed of an
@@ -299,6 +378,7 @@
     upstream->emptied = hall_is_emptied(&set->halls, upstream->hall);
     upstream->address = record->address;
     upstream->port = (uint16_t)record->port;
+    take_place(set, upstream);
     upstream->slots = MAX(record->slots, 1);
     upstream->state = (enum upstream_state)record->state;
     if (record->born == upstream->born) {
@@ -329,15 +409,13 @@
 holder_of(const struct upstream_set *set, uint64_t id, uint32_t address,
           uint32_t port)
 {
-    for (guint i = 0; i < set->all->len; i++) {
-        struct upstream *upstream = g_ptr_array_index(set->all, i);
+    uint64_t place = place_of(address, port);
+    struct upstream *upstream = g_hash_table_lookup(set->by_place, &place);
 
-        if (upstream->id != id && upstream->address == address &&
-            upstream->port == port && is_alive(upstream)) {
-            return upstream;
-        }
+    while (upstream != NULL && (upstream->id == id || !is_alive(upstream))) {
+        upstream = upstream->next_there;
     }
-    return NULL;
+    return upstream;
 }
 
 /* An incarnation that has just begun proves that the one before it at its
--- a/upstream.h
+++ b/upstream.h
@@ -91,6 +91,9 @@
     bool emptied;                     /**< its hall is: it gets no new flows */
     uint32_t address;                 /**< IPv4, host order */
     uint16_t port;                    /**< UDP */
+    uint64_t place;                   /**< both, as its key in `by_place`; 0:
+                                           it is not there */
+    struct upstream *next_there;      /**< another one at that place */
     uint32_t slots;                   /**< requests it runs at once */
     enum upstream_state state;        /**< what is believed */
     uint64_t born;                    /**< start that is believed to run, ms
@@ -161,13 +164,17 @@
 
 /** The inventory of one node. */
 struct upstream_set {
-    uint32_t self;         /**< this node's address */
-    uint64_t interval_ms;  /**< between the registrations of an upstream */
-    GPtrArray *all;        /**< struct upstream, owned, by token: the same
-                                order at every node */
-    GHashTable *by_id;     /**< uint64_t to struct upstream */
-    GHashTable *by_token;  /**< uint32_t to struct upstream */
-    GPtrArray *services;   /**< names, by handle */
+    uint32_t self;        /**< this node's address */
+    uint64_t interval_ms; /**< between the registrations of an upstream */
+    GPtrArray *all;       /**< struct upstream, owned, by token: the same
+                               order at every node */
+    GHashTable *by_id;    /**< uint64_t to struct upstream */
+    GHashTable *by_place; /**< address and port to the first struct upstream
+                               of those there, chained by `next_there` */
+    GPtrArray *buckets[WIRE_BUCKETS]; /**< the same as `all`, by bucket of
+                                           their tokens */
+    GHashTable *by_token;             /**< uint32_t to struct upstream */
+    GPtrArray *services;              /**< names, by handle */
     GArray *limits;        /**< struct warmup_limit, by service's handle */
     struct hall_set halls; /**< that operators have emptied */
     GArray *changed;       /**< uint64_t: ids to be spread */
