--- a/egress.c
+++ b/egress.c
@@ -264,6 +264,13 @@
     g_queue_push_tail(&egress->waiting, g_queue_pop_head(list));
 }
 
+/* Says whether a datagram is not to be sent any more. */
+static bool
+is_late(const struct egress_item *item, uint64_t now_us)
+{
+    return item->head.leave_by_us != 0 && now_us > item->head.leave_by_us;
+}
+
 /* The next datagram that the link takes now. */
 struct egress_item *
 egress_take(struct egress *egress, uint64_t now_us)
@@ -284,6 +291,11 @@
             continue;
         }
         item = g_queue_pop_head(&queue->items);
+        if (item != NULL && is_late(item, now_us)) {
+            take_off(egress, queue, item);
+            g_queue_push_tail(&egress->dropped, item);
+            continue;
+        }
         if (item != NULL) {
             queue->allowed -= (int64_t)item->length;
             egress->credit -= cost_of(item->length);
@@ -300,7 +312,7 @@
     return NULL;
 }
 
-/* The next one that was dropped to make room. */
+/* The next one that was dropped. */
 struct egress_item *
 egress_take_dropped(struct egress *egress)
 {
--- a/egress.h
+++ b/egress.h
@@ -29,12 +29,13 @@
 /** Whose packet a datagram carries, and where it goes. */
 struct egress_head {
     enum egress_kind kind;
-    uint64_t flow;     /**< CALLER: hash of the flow */
-    uint64_t content;  /**< CALLER: the same for all copies of a packet, 0:
-                            it has none */
-    uint32_t sequence; /**< CALLER: names its first byte of data */
-    uint32_t address;  /**< host order */
-    uint16_t port;     /**< host order */
+    uint64_t flow;        /**< CALLER: hash of the flow */
+    uint64_t content;     /**< CALLER: the same for all copies of a packet, 0:
+                               it has none */
+    uint32_t sequence;    /**< CALLER: names its first byte of data */
+    uint64_t leave_by_us; /**< deadline: not sent later; 0: none */
+    uint32_t address;     /**< host order */
+    uint16_t port;        /**< host order */
 };
 
 /** A datagram that waits. */
@@ -66,7 +67,7 @@
     GHashTable *contents; /**< those of packets that wait */
     GQueue begun;         /**< queues that have just begun, borrowed */
     GQueue waiting;       /**< all others, borrowed */
-    GQueue dropped;       /**< struct egress_item: made room for another */
+    GQueue dropped;       /**< struct egress_item: not to be sent */
 };
 
 /** Starts with nothing. */
@@ -77,8 +78,8 @@
 
 /**
  * Takes a datagram in two pieces, of which the second may be empty; copies
- * them when it must wait. To make room, the last of the longest queue is moved
- * to `dropped`.
+ * them when it must wait. To make room, the last of the longest queue is
+ * dropped.
  */
 enum egress_fate egress_put(struct egress *egress, uint64_t now_us,
                             const struct egress_head *head,
@@ -89,8 +90,8 @@
  */
 struct egress_item *egress_take(struct egress *egress, uint64_t now_us);
 
-/** The next one that was dropped to make room, NULL: none; free with g_free().
- */
+/** The next one that waited and was dropped, to make room or by its deadline;
+ * NULL: none; free with g_free(). */
 struct egress_item *egress_take_dropped(struct egress *egress);
 
 /** Counts bytes that left by the link without egress_put(). */
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -98,12 +98,16 @@
 
 /* A packet of a flow never left: its upstream owes no answer to it. */
 void
-evidence_note_unsent(struct evidence *ev, uint64_t key)
+evidence_note_unsent(struct evidence *ev, uint64_t key, bool waited)
 {
     struct evidence_flow *flow = g_hash_table_lookup(ev->flows, &key);
 
-    if (flow != NULL) {
-        flow->sent_at = 0;
+    if (flow == NULL) {
+        return;
+    }
+    flow->sent_at = 0;
+    if (waited && flow->waiting > 0) {
+        flow->waiting--;
     }
 }
 
--- a/evidence.h
+++ b/evidence.h
@@ -137,8 +137,9 @@
 void evidence_note_left(struct evidence *ev, uint64_t now, uint64_t flow,
                         uint32_t sequence);
 
-/** A packet of a flow was dropped here and never left. */
-void evidence_note_unsent(struct evidence *ev, uint64_t flow);
+/** A packet of a flow was dropped here and never left; `waited` says that
+ * evidence_note_waits() was called for it. */
+void evidence_note_unsent(struct evidence *ev, uint64_t flow, bool waited);
 
 /** A node of a data hall answered this one, so its packets get there. */
 void evidence_hear_hall(struct evidence *ev, uint64_t now, uint32_t hall);
--- a/node-egress.c
+++ b/node-egress.c
@@ -39,9 +39,10 @@
     }
 }
 
-/* Says that a datagram is not sent, and why. */
+/* Says that a datagram is not sent; `waited` says that it was in a queue. */
 static void
-note_unsent(struct node *node, const struct egress_head *head, size_t length)
+note_unsent(struct node *node, const struct egress_head *head, size_t length,
+            bool waited)
 {
     char text[ADDRESS_TEXT];
 
@@ -54,21 +55,21 @@
               (unsigned long long)node->egress.bytes);
     if (head->kind == EGRESS_CALLER) {
         counter_add(&node->counters, COUNTER_PACKETS_UNSENT, 1);
-        evidence_note_unsent(&node->evidence, head->flow);
+        evidence_note_unsent(&node->evidence, head->flow, waited);
     }
     else {
         counter_add(&node->counters, COUNTER_MSGS_UNSENT, 1);
     }
 }
 
-/* Says which datagrams made room for another one. */
+/* Says which datagrams waited in vain. */
 static void
 note_dropped(struct node *node)
 {
     struct egress_item *item;
 
     while ((item = egress_take_dropped(&node->egress)) != NULL) {
-        note_unsent(node, &item->head, item->length);
+        note_unsent(node, &item->head, item->length, true);
         g_free(item);
     }
 }
@@ -116,6 +117,7 @@
         }
         g_free(item);
     }
+    note_dropped(node);
     wait_for_link(node);
 }
 
@@ -147,7 +149,7 @@
         counter_add(&node->counters, COUNTER_PACKETS_COPIES, 1);
         return false;
     case EGRESS_FULL:
-        note_unsent(node, head, first_length + second_length);
+        note_unsent(node, head, first_length + second_length, false);
         return false;
     }
     return false;
--- a/node-packets.c
+++ b/node-packets.c
@@ -256,6 +256,9 @@
                                .address = verdict->upstream->address,
                                .port = verdict->upstream->port};
 
+    /* Its copy may have opened the flow elsewhere by then. */
+    head.leave_by_us = packet->first ? loop_now_us() + STALE_MS * 1000 : 0;
+
     return node_may_send(node, &head, bytes, PLATFORM_PREFIX_BYTES + length,
                          NULL, 0);
 }
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -201,8 +201,8 @@
  *   r     upstream 1 registers again
  *   h     the caller of flow a sends what comes after its next data; i it
  *         sends that next data
- *   w     a packet of flow a waits for this entry's link; l it has left; u it
- *         was dropped
+ *   w     a packet of flow a waits for this entry's link; l it has left; u one
+ *         was dropped that did not wait, v one that did
  *   z     this entry stood still
  *   f     the first flow's caller gives up
  *   x     the caller of flow a resets it
@@ -289,7 +289,10 @@
         evidence_note_left(&f->ev, now, flow_a(), 1);
         return true;
     case 'u':
-        evidence_note_unsent(&f->ev, flow_a());
+        evidence_note_unsent(&f->ev, flow_a(), false);
+        return true;
+    case 'v':
+        evidence_note_unsent(&f->ev, flow_a(), true);
         return true;
     default:
         return false;
@@ -346,6 +349,7 @@
     {"waited-and-left-lately", "a0 w0 o10 l10 O15 a20", ""},
     {"waited-and-left", "a0 w0 l1 o10 O15 a20", "a20"},
     {"one-of-two-waits-still", "a0 w0 w0 l1 o10 O15 a20", ""},
+    {"waited-and-dropped-its-copy-not", "a0 w0 v1 a20 o30 O35 a60", "a60"},
     {"dropped-here", "a0 u0 o10 O15 a20", ""},
     {"dropped-here-its-copy-not", "a0 u0 a20 o30 O35 a60", "a60"},
     {"hole-behind-it", "a0 h1 o10 O15 a20", ""},
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -159,7 +159,7 @@
     case EGRESS_COPY:
         break;
     case EGRESS_FULL:
-        evidence_note_unsent(&w->f.ev, head.flow);
+        evidence_note_unsent(&w->f.ev, head.flow, false);
         break;
     }
 }
@@ -365,6 +365,62 @@
     g_free(w);
 }
 
+/* A packet that is not to leave late, behind one that takes the link: it is
+ * dropped, said to be, and does not hold up what waits behind it. */
+static void
+test_leave_by(void)
+{
+    static const uint8_t bytes[DATA_BYTES];
+    struct egress_head head = {.kind = EGRESS_CALLER, .flow = 1};
+    struct egress egress;
+    struct egress_item *item;
+
+    egress_open(&egress, LINK_KBIT_S);
+    while (egress_put(&egress, NOW, &head, bytes, sizeof(bytes), NULL, 0) ==
+           EGRESS_NOW) {
+    }
+    head.flow = 2;
+    head.leave_by_us = NOW + 1;
+    g_assert_cmpint(
+        egress_put(&egress, NOW, &head, bytes, sizeof(bytes), NULL, 0), ==,
+        EGRESS_WAITS);
+    item = egress_take(&egress, NOW + 20000);
+    g_assert_cmpuint(item->head.flow, ==, 1);
+    g_free(item);
+    g_assert_null(egress_take(&egress, NOW + 40000));
+    item = egress_take_dropped(&egress);
+    g_assert_cmpuint(item->head.flow, ==, 2);
+    g_free(item);
+    g_assert_cmpuint(egress_due_us(&egress), ==, UINT64_MAX);
+    egress_close(&egress);
+}
+
+/* What waits is bounded: the last of the longest queue makes room for others,
+ * and a queue that is the longest gets no more. */
+static void
+test_full(void)
+{
+    static const uint8_t bytes[DATA_BYTES];
+    struct egress_head many = {.kind = EGRESS_CALLER, .flow = 1};
+    struct egress_head few = {.kind = EGRESS_CALLER, .flow = 2};
+    struct egress egress;
+    struct egress_item *item;
+
+    egress_open(&egress, LINK_KBIT_S);
+    while (egress_put(&egress, NOW, &many, bytes, sizeof(bytes), NULL, 0) !=
+           EGRESS_FULL) {
+    }
+    g_assert_cmpuint(egress.bytes, <=, egress.limit);
+    g_assert_cmpint(
+        egress_put(&egress, NOW, &few, bytes, sizeof(bytes), NULL, 0), ==,
+        EGRESS_WAITS);
+    item = egress_take_dropped(&egress);
+    g_assert_cmpuint(item->head.flow, ==, 1);
+    g_free(item);
+    g_assert_null(egress_take_dropped(&egress));
+    egress_close(&egress);
+}
+
 /* What is left out, and a test above that must fail then. */
 static const struct mutation mutations[] = {
     {"egress", FAULT_NO_EGRESS, "/link/one-upload"},
@@ -382,6 +438,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     CASES_ADD("/link/", scenes, test_scene)
+    g_test_add_func("/link/leave-by", test_leave_by);
+    g_test_add_func("/link/full", test_full);
     CASES_ADD("/link/mutation/", mutations, mutation_test)
     return g_test_run();
 }
