--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -303,7 +303,8 @@
 static struct evidence_packet
 packet_of_step(char letter, uint32_t *acknowledged)
 {
-    char flow = letter == 'h' || letter == 'i' ? 'a' : g_ascii_tolower(letter);
+    char flow =
+        (char)(letter == 'h' || letter == 'i' ? 'a' : g_ascii_tolower(letter));
     struct evidence_packet packet;
 
     if (letter == 'x') {
