--- a/node-settings.c
+++ b/node-settings.c
@@ -113,8 +113,8 @@
      .value = 0,
      .offset = AT(link_kbit_s),
      .unit = "Mbit/s",
-     .help = "give the rate of this VM's link, so that copies of the routing "
-             "table leave room for packets; 0 where it is not known"},
+     .help = "give the rate of this VM's link, so that what the node sends "
+             "fits it; 0 where it is not known, then nothing waits for it"},
     {.key = "cold_overshoot",
      .type = SCHEMA_DECIMAL,
      .min = 0,
