--- a/upstream-internal.h
+++ b/upstream-internal.h
@@ -17,6 +17,19 @@
 void upstream_update_digest(struct upstream_set *set,
                             struct upstream *upstream);
 
+/* upstream-index.c */
+/** Says whether an incarnation is believed to run. */
+bool upstream_is_alive(const struct upstream *upstream);
+/** Makes a record. */
+struct upstream *upstream_add(struct upstream_set *set, uint64_t id);
+/** Lets an upstream be found at its address and port. */
+void upstream_take_place(struct upstream_set *set, struct upstream *upstream);
+/** The incarnation other than `id` that is believed to run at an address; NULL
+ * when there is none. */
+struct upstream *upstream_holder_of(const struct upstream_set *set,
+                                    uint64_t id, uint32_t address,
+                                    uint32_t port);
+
 /* upstream-watch.c */
 /** Deadline by which the next registration must have come. */
 uint64_t upstream_next_expiry(const struct upstream_set *set, uint64_t now);
--- a/upstream.c
+++ b/upstream.c
@@ -1,6 +1,7 @@
 /*
  * Records of upstreams that register themselves: which word about one holds,
- * merging, digests, halls. Knows nothing of packets, members or sockets.
+ * merging, digests, halls. Knows nothing of packets, members or sockets; how
+ * records are found is upstream-index.c's.
  */
 #include "upstream-internal.h"
 
@@ -128,29 +129,6 @@
     return "";
 }
 
-/* Token of an incarnation. */
-uint32_t
-upstream_token(uint64_t id)
-{
-    uint32_t token = (uint32_t)hash_pair(HASH_UPSTREAM, id, 0);
-
-    return token != 0 ? token : 1;
-}
-
-/* Finds by token. */
-struct upstream *
-upstream_by_token(const struct upstream_set *set, uint32_t token)
-{
-    return g_hash_table_lookup(set->by_token, GUINT_TO_POINTER(token));
-}
-
-/* Finds by id. */
-struct upstream *
-upstream_by_id(const struct upstream_set *set, uint64_t id)
-{
-    return g_hash_table_lookup(set->by_id, &id);
-}
-
 /* Brings the digest up to what is believed of an upstream. Kept with each
  * change, it costs nothing for a hello: a leader of 300 nodes sends 600 of
  * them a second. */
@@ -178,130 +156,6 @@
     g_array_append_val(set->changed, upstream->id);
 }
 
-/* Where an upstream stands by its token in a list. */
-static guint
-rank_of_token(const GPtrArray *list, uint32_t token)
-{
-    guint low = 0;
-    guint high = list->len;
-
-    while (low < high) {
-        guint middle = low + (high - low) / 2;
-        const struct upstream *u = g_ptr_array_index(list, middle);
-
-        if (u->token < token) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return low;
-}
-
-/* Puts an upstream where it stands by its token. */
-static void
-insert_by_token(GPtrArray *list, struct upstream *upstream)
-{
-    g_ptr_array_insert(list, (gint)rank_of_token(list, upstream->token),
-                       upstream);
-}
-
-/* Takes an upstream out of a list by token. */
-static void
-remove_by_token(GPtrArray *list, struct upstream *upstream)
-{
-    guint place = rank_of_token(list, upstream->token);
-
-    while (g_ptr_array_index(list, place) != upstream) {
-        place++;
-    }
-    (void)g_ptr_array_remove_index(list, place);
-}
-
-/* Takes an upstream off its place. */
-static void
-leave_place(struct upstream_set *set, struct upstream *upstream)
-{
-    struct upstream *first;
-
-    if (upstream->place == 0) {
-        return;
-    }
-    first = g_hash_table_lookup(set->by_place, &upstream->place);
-    if (first != upstream) {
-        while (first->next_there != upstream) {
-            first = first->next_there;
-        }
-        first->next_there = upstream->next_there;
-    }
-    else if (upstream->next_there != NULL) {
-        (void)g_hash_table_replace(set->by_place, &upstream->next_there->place,
-                                   upstream->next_there);
-    }
-    else {
-        (void)g_hash_table_remove(set->by_place, &upstream->place);
-    }
-    upstream->place = 0;
-    upstream->next_there = NULL;
-}
-
-/* Key of an address and a port. */
-static uint64_t
-place_of(uint32_t address, uint32_t port)
-{
-    return (uint64_t)address << 16 | port;
-}
-
-/* Puts an upstream to its place. */
-static void
-take_place(struct upstream_set *set, struct upstream *upstream)
-{
-    uint64_t place = place_of(upstream->address, upstream->port);
-
-    if (upstream->place == place) {
-        return;
-    }
-    leave_place(set, upstream);
-    upstream->place = place;
-    upstream->next_there = g_hash_table_lookup(set->by_place, &place);
-    (void)g_hash_table_replace(set->by_place, &upstream->place, upstream);
-}
-
-/* Makes a record. Of two incarnations with one token the older keeps it; the
- * newer is never found by its token, so it is not chosen either. */
-static struct upstream *
-add_upstream(struct upstream_set *set, uint64_t id)
-{
-    struct upstream *upstream = g_new0(struct upstream, 1);
-
-    upstream->id = id;
-    upstream->token = upstream_token(id);
-    insert_by_token(set->all, upstream);
-    insert_by_token(set->buckets[upstream->token % WIRE_BUCKETS], upstream);
-    g_hash_table_insert(set->by_id, &upstream->id, upstream);
-    upstream->named = upstream_by_token(set, upstream->token) == NULL;
-    if (upstream->named) {
-        g_hash_table_insert(set->by_token, GUINT_TO_POINTER(upstream->token),
-                            upstream);
-    }
-    return upstream;
-}
-
-/* Drops a record. */
-void
-upstream_drop(struct upstream_set *set, struct upstream *upstream)
-{
-    set->digests[upstream->token % WIRE_BUCKETS] -= upstream->mark;
-    g_hash_table_remove(set->by_id, &upstream->id);
-    if (upstream->named) {
-        g_hash_table_remove(set->by_token, GUINT_TO_POINTER(upstream->token));
-    }
-    leave_place(set, upstream);
-    remove_by_token(set->buckets[upstream->token % WIRE_BUCKETS], upstream);
-    remove_by_token(set->all, upstream);
-}
-
 /* Says whether a word that states no start changes what is believed of an
  * upstream whose start is known: it may be of an earlier start, told by an
  * older program. It may take the upstream out of use, no more; the next
@@ -378,7 +232,7 @@
     upstream->emptied = hall_is_emptied(&set->halls, upstream->hall);
     upstream->address = record->address;
     upstream->port = (uint16_t)record->port;
-    take_place(set, upstream);
+    upstream_take_place(set, upstream);
     upstream->slots = MAX(record->slots, 1);
     upstream->state = (enum upstream_state)record->state;
     if (record->born == upstream->born) {
@@ -395,29 +249,6 @@
     upstream_update_digest(set, upstream);
 }
 
-/* Says whether an incarnation is believed to run. */
-static bool
-is_alive(const struct upstream *upstream)
-{
-    return upstream->state == UPSTREAM_READY ||
-           upstream->state == UPSTREAM_LEAVING;
-}
-
-/* The incarnation other than `id` that is believed to run at an address; NULL
- * when there is none. */
-static struct upstream *
-holder_of(const struct upstream_set *set, uint64_t id, uint32_t address,
-          uint32_t port)
-{
-    uint64_t place = place_of(address, port);
-    struct upstream *upstream = g_hash_table_lookup(set->by_place, &place);
-
-    while (upstream != NULL && (upstream->id == id || !is_alive(upstream))) {
-        upstream = upstream->next_there;
-    }
-    return upstream;
-}
-
 /* An incarnation that has just begun proves that the one before it at its
  * address has ended, up to two intervals before its silence does. */
 static void
@@ -426,7 +257,7 @@
 {
     struct upstream *holder =
         began->state == UPSTREAM_READY && began->sequence <= FRESH_SEQUENCE
-            ? holder_of(set, began->id, began->address, began->port)
+            ? upstream_holder_of(set, began->id, began->address, began->port)
             : NULL;
 
     if (holder == NULL || fault_is(FAULT_NO_REPLACE)) {
@@ -442,11 +273,11 @@
 is_late(const struct upstream_set *set, const struct upstream *known,
         const struct upstream_registration *r)
 {
-    bool may_run =
-        known != NULL ? is_alive(known) : r->sequence <= FRESH_SEQUENCE;
+    bool may_run = known != NULL ? upstream_is_alive(known)
+                                 : r->sequence <= FRESH_SEQUENCE;
 
     return !fault_is(FAULT_NO_REPLACE) && !r->leaving && !may_run &&
-           holder_of(set, r->id, r->address, r->port) != NULL;
+           upstream_holder_of(set, r->id, r->address, r->port) != NULL;
 }
 
 /* Takes a registration. */
@@ -476,7 +307,7 @@
     }
     if (is_new) {
         replace_holder(set, now, &record, true);
-        upstream = add_upstream(set, r->id);
+        upstream = upstream_add(set, r->id);
     }
     differs = is_new || upstream->born != r->born ||
               upstream->state != state || upstream->keeper != set->self ||
@@ -532,7 +363,7 @@
     struct upstream *upstream = upstream_by_id(set, id);
 
     if (upstream == NULL) {
-        upstream = add_upstream(set, id);
+        upstream = upstream_add(set, id);
         upstream->service = UPSTREAM_NO_SERVICE;
     }
     else if (born == 0 && may_be_of_earlier_start(upstream)) {
@@ -570,7 +401,7 @@
            const wire_upstream *record)
 {
     if ((record->state == UPSTREAM_SILENT || record->state == UPSTREAM_LOST) &&
-        is_alive(upstream) && upstream->keeper == set->self &&
+        upstream_is_alive(upstream) && upstream->keeper == set->self &&
         upstream->heard_at != 0 && now >= upstream->contradict_at) {
         upstream->contradict_at = now + set->interval_ms;
         upstream_note_change(set, upstream);
@@ -599,7 +430,7 @@
         /* Whoever is told of the new one concludes the same: if each spread
          * it, all would tell all. */
         replace_holder(set, now, record, false);
-        upstream = add_upstream(set, record->id);
+        upstream = upstream_add(set, record->id);
     }
     differs = is_new || upstream->born < record->born ||
               upstream->state != record->state ||
