--- a/evidence-choose.c
+++ b/evidence-choose.c
@@ -22,9 +22,7 @@
  */
 #define SICK_SHARE 4U
 /* So long after it counts as sick for all, an upstream does for flows that may
- * not run twice: of 510 saves that failed in three spells of 5 to 6.5 s, in
- * which a tenth of the upstreams failed all or half, 201 are left without it.
- */
+ * not run twice: what fails there cannot be asked for again. */
 #define PROBATION_MS 3000U
 
 /* What is wrong with an upstream; the least is best. */
@@ -114,9 +112,7 @@
 }
 
 /* How much is wrong with an upstream. A silent one is the last resort, though
- * it may be that its registrations alone do not arrive. Taken as the others,
- * silent ones cost 0.054 and 0.009 of worth, in the mean of five days with
- * trouble on two loads (one play each). */
+ * it may be that its registrations alone do not arrive. */
 static enum rank
 rank_of(const struct evidence *ev, const struct upstream *upstream,
         uint64_t now, const struct evidence_verdict *verdict)
@@ -138,12 +134,8 @@
 
 /* Work at an upstream for each of its slots, in a scale that only compares:
  * running requests, then open flows; more while it is slow. A flow that was
- * closed still counts for 2 s, so short ones go round. In turn instead of by
- * work cost 0.012 of worth where flows are long and short, the mean of five
- * days with trouble. That the work is multiplied by how slow an upstream has
- * been lately serves 1% more of a day's requests within their aim where 30% of
- * the upstreams took five times as long for 10 of 34 s (0.912 -> 0.928 of
- * worth, two seeds), and costs nothing where none is slow. */
+ * closed still counts for 2 s, so short ones go round. Multiplied by how slow
+ * the upstream has been lately: what waits there waits longer. */
 static uint64_t
 work_of(const struct evidence *ev, const struct upstream *upstream,
         uint64_t now)
@@ -176,9 +168,7 @@
 /* How far a candidate lies behind this node's place, among all of its service
  * in an order that is the same at every node. Nodes whose places are spread
  * evenly fill different upstreams first, so that together they spread flows
- * though each sees only its own: the busiest of 120 upstreams behind 64 nodes
- * got 1.5 times the mean of requests instead of 1.8, the busiest of 30 got 1.4
- * times instead of 2.7 (three calm days each); nothing is sent for it. */
+ * though each sees only its own, and nothing is sent for it. */
 static guint
 place_of(const struct evidence *ev, guint index, guint count)
 {
--- a/evidence-life.c
+++ b/evidence-life.c
@@ -254,10 +254,9 @@
 
 /* Data was sent again though others answered what was sent after the copy
  * before: the node that hears this upstream is told. Three nodes that say so
- * prove after 0.5 to 0.9 s what missing registrations prove after 1.7 to 2.4 s
- * (18 upstreams, 12 nodes, 400 requests a second), so callers of repeatable
- * requests are still in time with another one. A doubt that a loss on the way
- * brought about is taken back when the next copy is answered. */
+ * prove sooner than missing registrations do that it is lost, so callers of
+ * repeatable requests are still in time with another one. A doubt that a loss
+ * on the way brought about is taken back when the next copy is answered. */
 static void
 note_doubt(struct evidence *ev, uint64_t now, const struct evidence_flow *flow,
            struct upstream *upstream)
@@ -404,15 +403,10 @@
 
 /* Says whether a flow's upstream is lost. A reset of a flow that could go on
  * breaks it, so what this node sees alone is not enough: its own link, queue
- * or standstill looks the same (seen: eight living upstreams called lost
- * within 0.3 s at a node whose link was full of records). Another node must
- * have missed its registrations, and this one must have seen LOST_PROOFS
- * copies go unanswered while others answered, with no sign of life since.
- * Buys the callers of a dead upstream an end before their time budget: with
- * the doubts above, 0.15% of a day's requests failed instead of 0.6% where a
- * quarter of a service's upstreams died without a word, and 0.003 of worth
- * (three seeds); none of 1,948 such ends was at an upstream that registered
- * again. */
+ * or standstill looks the same. Another node must have missed its
+ * registrations, and this one must have seen LOST_PROOFS copies go unanswered
+ * while others answered, with no sign of life since. Buys the callers of a
+ * dead upstream an end before their time budget. */
 bool
 evidence_is_lost(const struct evidence *ev, uint64_t now,
                  const struct evidence_flow *flow,
--- a/evidence.c
+++ b/evidence.c
@@ -13,10 +13,8 @@
 /* Between two sweeps for flows that ended. */
 #define SWEEP_MS 1000U
 /* First packets are repeated after 200 and 600 ms and given up after 1.4 s:
- * an upstream that let one go without an answer is avoided for that long.
- * Without it 48 instead of 13 requests of 1,471 were late or failed while
- * a few upstreams could not be reached, and 0.002 to 0.004 of that day's worth
- * was lost (three plays of each). */
+ * an upstream that let one go without an answer is avoided for that long, so
+ * that no second caller waits for it too. */
 #define SUSPECT_MS 1500U
 /* A copy of a first packet tells of a lost upstream only when so long passed
  * since this entry forwarded the one before: copies are sent 200 ms apart and
--- a/fleet-inventory.c
+++ b/fleet-inventory.c
@@ -121,9 +121,8 @@
 
 /* Sends a node that begins what it may lack, of the buckets in which it
  * differs: the records where these are few or it has none at all there, else
- * their marks, and it asks for what it needs: a node that lacks 16 of 640
- * records costs 8 KB instead of 20 (simulated time). Begins at a bucket drawn
- * by lot and ends at BEGIN_BYTES. */
+ * their marks, and it asks for what it needs. Begins at a bucket drawn by
+ * lot and ends at BEGIN_BYTES. */
 void
 fleet_send_differing(struct fleet *fleet, uint64_t now, uint32_t to,
                      const uint32_t theirs[WIRE_BUCKETS])
--- a/fleet-owed.c
+++ b/fleet-owed.c
@@ -5,11 +5,6 @@
  * leave in turn and take a share of the link, so that rounds of consensus,
  * hellos and callers' packets do not wait behind them; a quorum that waits
  * behind copies loses its leader, and all who then look for one ask for more.
- * With 96 nodes and a table of 37 KB it is 1.1 copies a node for a change
- * instead of 2.6, three changes in a row leave the leader in place, and its
- * rounds wait 11 ms at its link instead of 80 (simulated time). Of 2,300
- * requests 326 instead of 391 were late after a kill of all 96 nodes by the
- * share of the link alone (one run each).
  */
 #include "fleet-internal.h"
 
--- a/fleet-relay.c
+++ b/fleet-relay.c
@@ -481,9 +481,7 @@
 
 /* Says when what has gathered may leave; UINT64_MAX: nothing has, or what left
  * before still waits for the link. So a node that changes come to faster than
- * it can pass them on sends more of them in a message, not more messages:
- * else 2,000 upstreams that register at a start kept 150 nodes busy for 20 s
- * with 1.3 MB each, of 0.2 that they needed (simulated time). */
+ * it can pass them on sends more of them in a message, not more messages. */
 uint64_t
 fleet_relay_due(const struct fleet *fleet)
 {
--- a/fleet.c
+++ b/fleet.c
@@ -385,10 +385,8 @@
 }
 
 /* Says whether another node holds what this one, which begins, may ask it for
- * now. One is asked at a time: fifteen nodes that began together were sent
- * everything by every node that they greeted, which filled the small link of a
- * seed for a second (37.7 KB in half a second from a node without a disk where
- * 10 join 22, in simulated time; 1.8 KB by this). */
+ * now. One is asked at a time, or nodes that begin together are sent
+ * everything by every node that they greet, which fills the link of a seed. */
 static bool
 should_ask(struct fleet *fleet, uint64_t now, const wire_hello *hello,
            bool same)
--- a/node.c
+++ b/node.c
@@ -26,12 +26,11 @@
  * at most a hundredth of a disk's time. */
 #define KEEP_MS 1000U
 /* HTTP is opened once the node holds enough to serve, or so long after its
- * start: loading its library takes 2.6 of 4.1 ms of processor time (perf
- * stat), and the fabric asks twice a second. */
+ * start: loading its library takes longer than all else of a start, and the
+ * fabric asks twice a second. */
 #define HTTP_LATEST_MS 300U
 /* Where a deadline stays in the past, the loop rests so long between two
- * wake-ups: a hundred a second are as many as a busy VM has anyway (58 to 132,
- * 30 nodes). */
+ * wake-ups: a hundred a second are as many as a busy VM has anyway. */
 #define MISSED_PAUSE_MS 10U
 /* A tick later than this by its deadline means that the process stood still,
  * and what it did not hear meanwhile proves nothing. */
--- a/upstream-watch.c
+++ b/upstream-watch.c
@@ -31,9 +31,9 @@
 
 /* Before such an upstream counts as silent, others are asked for what they
  * know of it, and have so long to answer: the way there and back, behind
- * queues of 40 ms at both ends, and a lost message of two. Two records of
- * 180,000 were called silent for some ms, of upstreams that registered, where
- * 300 nodes began anew and links lost 5%; none with the question. */
+ * queues of 40 ms at both ends, and a lost message of two. Where all nodes
+ * begin anew, an upstream may register elsewhere before this one hears of it.
+ */
 #define ANSWER_MS 250U
 
 /* Deadline by which the next registration must have come. */
