--- a/node-peers.c
+++ b/node-peers.c
@@ -16,10 +16,11 @@
 #include "node.h"
 
 #define DATAGRAMS_A_TURN 16 /* then callers' packets have their turn */
-#define ACTIONS_AT_ONCE                                                       \
-    64                     /* are carried out before more is taken: answers   \
-                              of 6.5 KB each are kept in memory until then */
-#define PROMPT_BYTES 1200U /* of a message that is never a copy of much */
+/* So many answers, of 6.5 KB each at most, are sent before more is taken: they
+ * are kept in memory until then. */
+#define ACTIONS_AT_ONCE 64
+/* Bytes of a message that is too small to be a copy of much. */
+#define PROMPT_BYTES 1200U
 
 /* Says whether a message is for the voter. */
 static bool
@@ -58,8 +59,7 @@
     if (length <= PROMPT_BYTES) {
         return EGRESS_PROMPT;
     }
-    return kind == WIRE_TABLE || kind == WIRE_UPSTREAMS ||
-                   kind == WIRE_MEMBERS || kind == WIRE_PART
+    return kind == WIRE_TABLE || kind == WIRE_UPSTREAMS || kind == WIRE_MEMBERS
                ? EGRESS_BULK
                : EGRESS_PROMPT;
 }
