--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
+# shellcheck disable=SC1091,SC2034,SC2154
 # The seeds are exchanged for three machines without a disk; these three are
 # down for 7 s together. Later two machines of the core are replaced by empty
 # ones, the second when the first successor has had its time to catch up. Then
--- a/review/common.sh
+++ b/review/common.sh
@@ -1,4 +1,4 @@
-# shellcheck shell=bash disable=SC2034
+# shellcheck shell=bash disable=SC2016,SC2034,SC2154
 # Functions of the cases in review/: a small deployment on loopback, started
 # with the command of deploy/system.toml and settings made from
 # deploy/settings.json, and an operator who behaves as PROTOCOL.md says.
