--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -28,11 +28,4 @@
     sleep $((catch_up_s + 1))
     replace_core $(((leader + 1) % 3 + 1)) 22
 fi
-sleep "$recovery_s"
-note_readiness
-read_back $((2 * contact_s + recovery_s))
-if [ "$version" = 2 ]; then
-    verdict held "the acknowledged version 2 is read back"
-fi
-submit "$ack_timeout_s" 3 1700
-verdict broken "CONFIG: version 2 was acknowledged; read back: $version"
+judge_read_back 2
--- a/review/common.sh
+++ b/review/common.sh
@@ -256,3 +256,14 @@
     [ "$1" = held ] || exit 1
     exit 0
 }
+
+# Ends the case: once all machines have had recovery_s, the operator reads the
+# desired state back, which must be the one acknowledged last: VERSION.
+judge_read_back() {
+    sleep "$recovery_s"
+    note_readiness
+    read_back $((2 * contact_s + recovery_s))
+    [ "$version" = "$1" ] && verdict held "the acknowledged version $1 is read back"
+    submit "$ack_timeout_s" $(($1 + 1)) 1900
+    verdict broken "CONFIG: version $1 was acknowledged; read back: $version"
+}
