--- a/counter.h
+++ b/counter.h
@@ -135,6 +135,11 @@
       "operators' requests answered 503: no leader or no quorum")             \
     X(NODES_UNANSWERED, "nodes_unanswered_total",                             \
       "nodes that did not acknowledge upstream changes in time")              \
+    X(NODES_JOINED, "nodes_joined_total",                                     \
+      "nodes that joined or restarted, counted by the leader")                \
+    X(NODES_LOST, "nodes_lost_total", "nodes removed from the member list")   \
+    X(LEADERS_LOST, "leaders_lost_total",                                     \
+      "times that the leader sent no hello for too long")                     \
     X(REDIRECTS, "redirects_total",                                           \
       "operators' requests redirected to the leader")                         \
     X(LOG_LINES_LOST, "log_lines_lost_total",                                 \
--- a/fleet-members.c
+++ b/fleet-members.c
@@ -298,9 +298,44 @@
     }
 }
 
+/* Members removed in one step, to log them together. */
+struct removal {
+    guint count;
+    uint32_t first;  /* address */
+    uint64_t age_ms; /* of the last hello of `first` */
+};
+
+/* Removes a member; the caller removes it from the table. */
+static void
+remove_member(struct fleet *fleet, uint64_t now,
+              const struct fleet_member *member, struct removal *removal)
+{
+    if (removal->count == 0) {
+        removal->first = member->node.address;
+        removal->age_ms = now - member->last_seen_at;
+    }
+    removal->count++;
+    adopt_upstreams(fleet, now, member->node.address);
+    forget_member(fleet, member);
+}
+
+static void
+report_removal(struct fleet *fleet, const struct removal *removal)
+{
+    struct fleet_action *action;
+
+    if (removal->count > 0) {
+        action = fleet_add_action(fleet, FLEET_NODES_LOST);
+        action->to = removal->first;
+        action->count = removal->count;
+        action->age_ms = removal->age_ms;
+    }
+}
+
 void
 fleet_expire_members(struct fleet *fleet, uint64_t now)
 {
+    struct removal removal = {0};
     GHashTableIter iter;
     gpointer value;
 
@@ -310,11 +345,11 @@
         uint64_t since = MAX(member->last_seen_at, fleet->leads_since);
 
         if (now > since + FLEET_MEMBER_TIMEOUT_MS) {
-            adopt_upstreams(fleet, now, member->node.address);
-            forget_member(fleet, member);
+            remove_member(fleet, now, member, &removal);
             g_hash_table_iter_remove(&iter);
         }
     }
+    report_removal(fleet, &removal);
     if (now > fleet->leads_since + FLEET_MEMBER_TIMEOUT_MS) {
         adopt_orphaned_upstreams(fleet, now);
     }
@@ -336,6 +371,7 @@
 fleet_handle_members(struct fleet *fleet, uint64_t now,
                      const wire_members *members)
 {
+    struct removal removal = {0};
     GHashTableIter iter;
     gpointer value;
 
@@ -355,9 +391,9 @@
         const struct fleet_member *member = value;
 
         if (!lists_address(members, member->node.address)) {
-            adopt_upstreams(fleet, now, member->node.address);
-            forget_member(fleet, member);
+            remove_member(fleet, now, member, &removal);
             g_hash_table_iter_remove(&iter);
         }
     }
+    report_removal(fleet, &removal);
 }
--- a/fleet-send.c
+++ b/fleet-send.c
@@ -133,7 +133,10 @@
     wire_node *nodes = g_new0(wire_node, fleet->joined->len);
     wire_msg msg = {.kind = WIRE_MEMBERS};
     wire_members *out = &msg.wire_msg_u.members;
+    struct fleet_action *action = fleet_add_action(fleet, FLEET_NODES_JOINED);
 
+    action->to = g_array_index(fleet->joined, uint32_t, 0);
+    action->count = fleet->joined->len;
     out->term = fleet->term;
     out->extent = WIRE_CHANGED;
     out->nodes.nodes_val = nodes;
--- a/fleet.c
+++ b/fleet.c
@@ -91,11 +91,30 @@
     }
 }
 
-/* Adopts a leader of a higher term; `from_leader` restarts its timeout. */
+guint
+fleet_count_known_seeds(const struct fleet *fleet)
+{
+    guint count = 0;
+
+    for (size_t i = 0; i < fleet->seed_count; i++) {
+        uint32_t seed = fleet->seeds[i];
+
+        count += seed == fleet->self.address ||
+                 g_hash_table_contains(fleet->members, GUINT_TO_POINTER(seed));
+    }
+    return count;
+}
+
+/* Adopts a leader of a higher term. `told_by` is the node that named it, 0:
+ * the local voter. Reports of the leader itself and of the voter restart its
+ * timeout. */
 static void
 update_leader(struct fleet *fleet, uint64_t now, uint64_t term,
-              uint32_t leader, bool from_leader)
+              uint32_t leader, uint32_t told_by)
 {
+    bool first_hand = told_by == leader || told_by == 0;
+    struct fleet_action *action;
+
     fleet->bootstrapped = fleet->bootstrapped || term != 0;
     if (fleet->leads_since != 0 || leader == 0 || term < fleet->term ||
         leader == fleet->self.address) {
@@ -105,9 +124,12 @@
         fleet->term = term;
         fleet->leader = leader;
         fleet->leader_seen_at = now;
+        action = fleet_add_action(fleet, FLEET_LEADER_FOUND);
+        action->to = leader;
+        action->told_by = told_by;
         fleet_send_hello(fleet, leader, false);
     }
-    if (from_leader && leader == fleet->leader) {
+    if (first_hand && leader == fleet->leader) {
         fleet->leader_seen_at = now;
     }
 }
@@ -121,7 +143,7 @@
         /* Only the leader pushes the table; a deadline left here would stay in
          * the past and make the event loop spin. */
         fleet->push_at = 0;
-        update_leader(fleet, now, term, leader, true);
+        update_leader(fleet, now, term, leader, 0);
         if (leader == 0 && fleet->leader == fleet->self.address) {
             fleet->leader = 0;
         }
@@ -281,6 +303,19 @@
     }
 }
 
+static void
+drop_leader(struct fleet *fleet, uint64_t now)
+{
+    struct fleet_action *action;
+
+    if (fleet->leader != 0) {
+        action = fleet_add_action(fleet, FLEET_LEADER_LOST);
+        action->to = fleet->leader;
+        action->age_ms = now - fleet->leader_seen_at;
+        fleet->leader = 0;
+    }
+}
+
 static uint64_t
 hello_interval(const struct fleet *fleet, bool no_leader)
 {
@@ -298,7 +333,7 @@
                       now > fleet->leader_seen_at + FLEET_LEADER_TIMEOUT_MS);
 
     if (no_leader) {
-        fleet->leader = 0;
+        drop_leader(fleet, now);
         discover_leader(fleet);
         if (may_choose_founder(fleet) &&
             now >= fleet->started_at + FLEET_BOOTSTRAP_DELAY_MS) {
@@ -450,8 +485,7 @@
     if (hello->self.identity != 0) {
         fleet_add_action(fleet, FLEET_DISK_SEEN)->node = hello->self;
     }
-    update_leader(fleet, now, hello->term, hello->leader,
-                  hello->leader == from);
+    update_leader(fleet, now, hello->term, hello->leader, from);
     if ((hello->flags & WIRE_HELLO_WANTS) != 0) {
         if (!settled) {
             enqueue_missing(fleet, hello, same_upstreams);
--- a/fleet.h
+++ b/fleet.h
@@ -65,18 +65,29 @@
 
 /** Kind of a struct fleet_action. */
 enum fleet_action_kind {
-    FLEET_SEND,        /**< send `bytes` to the node `to` */
-    FLEET_DISK_SEEN,   /**< received a hello of `node`, which has a disk */
-    FLEET_BOOTSTRAP,   /**< bootstrap the control quorum on this node's disk */
-    FLEET_TABLE,       /**< decode and apply `fleet.routes` */
-    FLEET_HALLS,       /**< the set of drained halls changed: log it */
-    FLEET_UNRESPONSIVE /**< no acknowledgement from the node `to`: log it */
+    FLEET_SEND,      /**< send `bytes` to the node `to` */
+    FLEET_DISK_SEEN, /**< received a hello of `node`, which has a disk */
+    FLEET_BOOTSTRAP, /**< bootstrap the control quorum on this node's disk */
+    FLEET_TABLE,     /**< decode and apply `fleet.routes` */
+    FLEET_HALLS,     /**< the set of drained halls changed: log it */
+    FLEET_UNRESPONSIVE, /**< no acknowledgement from the node `to`: log it */
+    FLEET_LEADER_LOST, /**< no hello of the leader `to` for `age_ms`: log it */
+    FLEET_LEADER_FOUND, /**< adopted the leader `to`, which `told_by` named:
+                             log it */
+    FLEET_NODES_JOINED, /**< LEADER: `count` new members, the first is `to`:
+                             log it */
+    FLEET_NODES_LOST    /**< removed `count` members, the first is `to` and
+                             sent no hello for `age_ms`: log it */
 };
 
 /** Work for the event loop. */
 struct fleet_action {
     enum fleet_action_kind kind; /**< selects the fields that are set */
-    uint32_t to;                 /**< SEND, UNRESPONSIVE: address */
+    uint32_t to;                 /**< address, unless DISK_SEEN, BOOTSTRAP,
+                                      TABLE or HALLS */
+    uint32_t told_by;            /**< LEADER_FOUND: address, 0: the voter */
+    guint count;                 /**< NODES_JOINED, NODES_LOST */
+    uint64_t age_ms;             /**< LEADER_LOST, NODES_LOST */
     GByteArray *bytes;           /**< SEND: encoded message */
     wire_node node;              /**< DISK_SEEN */
     uint64_t version;            /**< TABLE: bundle version */
@@ -341,6 +352,9 @@
 /** Whether this node detects a shortage, or learned of one recently. */
 bool fleet_load_is_active(const struct fleet *fleet, uint64_t now);
 
+/** Number of seeds that are members; this node counts as one. */
+guint fleet_count_known_seeds(const struct fleet *fleet);
+
 /** Earliest deadline of fleet_tick(). */
 uint64_t fleet_deadline(const struct fleet *fleet);
 
--- a/node.c
+++ b/node.c
@@ -118,6 +118,56 @@
     g_string_free(text, TRUE);
 }
 
+/* Logs and counts a change of the leader or the members that this node
+ * knows. */
+static void
+log_membership(struct node *node, const struct fleet_action *action)
+{
+    const struct fleet *fleet = &node->fleet;
+    guint members = g_hash_table_size(fleet->members) + 1;
+    guint known_seeds = fleet_count_known_seeds(fleet);
+
+    switch (action->kind) {
+    case FLEET_LEADER_LOST:
+        counter_add(&node->counters, COUNTER_LEADERS_LOST, 1);
+        log_event(LOG_WARN, "leader-lost",
+                  "leader=%08x term=%llu age_ms=%llu members=%u seeds=%zu "
+                  "known_seeds=%u",
+                  action->to, (unsigned long long)fleet->term,
+                  (unsigned long long)action->age_ms, members,
+                  fleet->seed_count, known_seeds);
+        break;
+    case FLEET_LEADER_FOUND:
+        log_event(LOG_INFO, "leader-found",
+                  "leader=%08x term=%llu told_by=%08x members=%u seeds=%zu "
+                  "known_seeds=%u",
+                  action->to, (unsigned long long)fleet->term, action->told_by,
+                  members, fleet->seed_count, known_seeds);
+        break;
+    case FLEET_NODES_JOINED:
+        counter_add(&node->counters, COUNTER_NODES_JOINED, action->count);
+        log_event(LOG_INFO, "nodes-joined", "count=%u first=%08x members=%u",
+                  action->count, action->to, members);
+        break;
+    case FLEET_NODES_LOST:
+        counter_add(&node->counters, COUNTER_NODES_LOST, action->count);
+        log_event(LOG_WARN, "nodes-lost",
+                  "count=%u first=%08x age_ms=%llu members=%u seeds=%zu "
+                  "known_seeds=%u",
+                  action->count, action->to,
+                  (unsigned long long)action->age_ms, members,
+                  fleet->seed_count, known_seeds);
+        break;
+    case FLEET_SEND:
+    case FLEET_DISK_SEEN:
+    case FLEET_BOOTSTRAP:
+    case FLEET_TABLE:
+    case FLEET_HALLS:
+    case FLEET_UNRESPONSIVE:
+        break;
+    }
+}
+
 static void
 run_fleet_actions(struct node *node)
 {
@@ -146,6 +196,12 @@
             counter_add(&node->counters, COUNTER_NODES_UNANSWERED, 1);
             log_event(LOG_WARN, "node-unanswered", "node=%08x", all[i].to);
             break;
+        case FLEET_LEADER_LOST:
+        case FLEET_LEADER_FOUND:
+        case FLEET_NODES_JOINED:
+        case FLEET_NODES_LOST:
+            log_membership(node, &all[i]);
+            break;
         }
     }
     fleet_clear(&node->fleet);
@@ -356,7 +412,8 @@
         return;
     }
     set_seeds(node, &settings);
-    log_event(LOG_INFO, "reload", "seeds=%zu", settings.seed_count);
+    log_event(LOG_INFO, "reload", "seeds=%zu known_seeds=%u",
+              settings.seed_count, fleet_count_known_seeds(&node->fleet));
     node_settings_free(&settings);
 }
 
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -207,6 +207,10 @@
             break;
         case FLEET_HALLS:
         case FLEET_UNRESPONSIVE:
+        case FLEET_LEADER_LOST:
+        case FLEET_LEADER_FOUND:
+        case FLEET_NODES_JOINED:
+        case FLEET_NODES_LOST:
             break;
         case FLEET_TABLE:
             if (all[i].version < node->applied_version) {
