load: replace a relay after three missed sums instead of two

Cause: a relay whose link is small sends a sum each 250 ms, and its nodes replaced it after 500 ms without one. Two lost datagrams in a row made an ordinary node the relay of its hall for 3 s, which then sent 21 KB/s instead of 4. Change: three intervals.

--- a/fleet-load.c
+++ b/fleet-load.c
@@ -29,10 +29,11 @@
  * 200 ms and older counts carry little information. Together they remain below
  * OCCUPANCY_EXPIRY_MS. */
 #define REPORT_MAX_MS 250U
-#define FLEET_MAX_MS 250U /* 300 exceeded RELAY_TIMEOUT_MS at 75 receivers */
+#define FLEET_MAX_MS 250U
 #define HALL_MAX_MS 250U
 #define SHORT_MS 1000U /* nodes report after a sum with a shortage */
-#define RELAY_TIMEOUT_MS 500U
+#define RELAY_TIMEOUT_MS                                                      \
+    (3U * FLEET_MAX_MS)      /* two lost sums in a row are no failure */
 #define RELAY_PAUSE_MS 3000U /* a relay that sent no sum is not used */
 #define GATHER_MS 20U /* from the first report to the first sum of a relay */
 #define REPORTED_KEYS 16U
