fleet: contact lost nodes and unknown seeds while a leader is known

Cause: a node that knows a leader sent hellos only to it and to members, and the leader drops a member after 4 s without a hello. Nodes that were down together for longer, and whose seeds are such nodes, know only each other; nobody else tries their addresses or the seeds, and what starts later joins them. Ruled out: the founding (one), tables, the voters' own search. Change: removed members become contacts, kept for two hours, 2,048 at most; nodes saved on the disk too, beyond the first 3 s. With each hello a node also sends one to a random contact or unknown seed, with probability contacts / members, so that a contact gets two hellos a second from the whole fleet at any size. Log contact-found, counters, contacts in node-status. Why it works: any node that lost another one, or names it as a seed, looks for it for as long as it may come back; one answered hello carries the leader.

--- a/counter.h
+++ b/counter.h
@@ -138,6 +138,10 @@
     X(NODES_JOINED, "nodes_joined_total",                                     \
       "nodes that joined or restarted, counted by the leader")                \
     X(NODES_LOST, "nodes_lost_total", "nodes removed from the member list")   \
+    X(CONTACTS_FOUND, "contacts_found_total",                                 \
+      "lost or saved nodes that are members again")                           \
+    X(CONTACT_HELLOS, "contact_hellos_total",                                 \
+      "hellos sent to contacts and to seeds that are no members")             \
     X(LEADERS_LOST, "leaders_lost_total",                                     \
       "times that the leader sent no hello for too long")                     \
     X(REDIRECTS, "redirects_total",                                           \
--- a/fleet-internal.h
+++ b/fleet-internal.h
@@ -29,9 +29,13 @@
 void fleet_handle_members(struct fleet *fleet, uint64_t now,
                           const wire_members *members);
 
-/* fleet-saved.c */
-/** Sends hellos to saved nodes that have not sent one yet. */
-void fleet_contact_saved_nodes(struct fleet *fleet, uint64_t now);
+/* fleet-contact.c */
+/** Adds a node that is not a member; the oldest contact makes room. */
+void fleet_contact_add(struct fleet *fleet, uint64_t now, uint32_t address);
+/** Removes a node that is a member now. */
+void fleet_contact_remove(struct fleet *fleet, uint64_t now, uint32_t address);
+/** Sends hellos to contacts and to seeds that are no members. */
+void fleet_contact_send(struct fleet *fleet, uint64_t now);
 
 /* fleet-transfer.c */
 /** Queues an item for a node; `starting` nodes are served first. */
--- a/fleet-members.c
+++ b/fleet-members.c
@@ -75,11 +75,13 @@
 }
 
 static struct fleet_member *
-add_member(struct fleet *fleet, const wire_node *node)
+add_member(struct fleet *fleet, uint64_t now, const wire_node *node)
 {
     struct fleet_member *member = g_new0(struct fleet_member, 1);
 
     member->node = *node;
+    member->last_seen_at = now;
+    fleet_contact_remove(fleet, now, node->address);
     fleet->members_digest_sum += node_digest(node);
     (void)g_hash_table_insert(fleet->members, GUINT_TO_POINTER(node->address),
                               member);
@@ -190,8 +192,7 @@
         return;
     }
     if (member == NULL) {
-        member = add_member(fleet, node);
-        member->last_seen_at = now;
+        member = add_member(fleet, now, node);
         record_joined(fleet, now, node->address);
         is_new = true;
     }
@@ -305,7 +306,7 @@
     uint64_t age_ms; /* of the last hello of `first` */
 };
 
-/* Removes a member; the caller removes it from the table. */
+/* Makes a member a contact; the caller removes it from the table. */
 static void
 remove_member(struct fleet *fleet, uint64_t now,
               const struct fleet_member *member, struct removal *removal)
@@ -316,6 +317,7 @@
     }
     removal->count++;
     adopt_upstreams(fleet, now, member->node.address);
+    fleet_contact_add(fleet, now, member->node.address);
     forget_member(fleet, member);
 }
 
--- a/fleet-saved.c
+++ b/fleet-saved.c
@@ -1,16 +1,12 @@
 /*
  * Upstreams and node addresses saved by a node with a disk and restored after
  * a power loss on all nodes. Nodes without a disk then have no contacts but
- * their seeds, so this node sends hellos to the saved nodes.
+ * their seeds, so the saved nodes become contacts of this node.
  */
 #include "fleet-internal.h"
 
 #include "codec.h"
 
-/* Saved nodes are sent hellos for this long after a start; after a power
- * loss, VMs come back within a second or two. */
-#define CONTACT_SAVED_MS 3000U
-
 GByteArray *
 fleet_save(const struct fleet *fleet, uint64_t now)
 {
@@ -22,7 +18,8 @@
     GByteArray *bytes;
 
     stored->list.list_val = g_new0(wire_upstream, set->all->len);
-    stored->nodes.nodes_val = g_new0(u_int, g_hash_table_size(fleet->members));
+    stored->nodes.nodes_val = g_new0(u_int, g_hash_table_size(fleet->members) +
+                                                fleet->contacts->len);
     for (guint i = 0; i < set->all->len; i++) {
         const struct upstream *u = g_ptr_array_index(set->all, i);
 
@@ -38,6 +35,12 @@
         stored->nodes.nodes_val[stored->nodes.nodes_len++] =
             GPOINTER_TO_UINT(key);
     }
+    for (guint i = 0; i < fleet->contacts->len &&
+                      stored->nodes.nodes_len < WIRE_KEPT_NODES_MAX;
+         i++) {
+        stored->nodes.nodes_val[stored->nodes.nodes_len++] =
+            g_array_index(fleet->contacts, struct fleet_contact, i).address;
+    }
     bytes = codec_encode(&msg);
     g_free(stored->list.list_val);
     g_free(stored->nodes.nodes_val);
@@ -47,7 +50,12 @@
 static void
 load_nodes(struct fleet *fleet, uint64_t now, const u_int *nodes, u_int count)
 {
-    g_array_append_vals(fleet->uncontacted, nodes, count);
+    for (u_int i = 0; i < count; i++) {
+        if (!g_hash_table_contains(fleet->members,
+                                   GUINT_TO_POINTER(nodes[i]))) {
+            fleet_contact_add(fleet, now, nodes[i]);
+        }
+    }
     fleet->hello_at = now;
 }
 
@@ -105,21 +113,3 @@
     codec_free(&msg);
     return loaded;
 }
-
-void
-fleet_contact_saved_nodes(struct fleet *fleet, uint64_t now)
-{
-    if (now >= fleet->started_at + CONTACT_SAVED_MS) {
-        g_array_set_size(fleet->uncontacted, 0);
-    }
-    for (guint i = fleet->uncontacted->len; i > 0; i--) {
-        uint32_t address = g_array_index(fleet->uncontacted, uint32_t, i - 1);
-
-        if (g_hash_table_contains(fleet->members, GUINT_TO_POINTER(address))) {
-            g_array_remove_index_fast(fleet->uncontacted, i - 1);
-        }
-        else {
-            fleet_send_hello(fleet, address, false);
-        }
-    }
-}
--- a/fleet.c
+++ b/fleet.c
@@ -44,7 +44,7 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     fleet->actions = g_array_new(FALSE, TRUE, sizeof(struct fleet_action));
     fleet->joined = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    fleet->uncontacted = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    fleet->contacts = g_array_new(FALSE, FALSE, sizeof(struct fleet_contact));
     fleet->lookups = g_array_new(FALSE, FALSE, sizeof(struct fleet_lookup));
     fleet->transfers =
         g_array_new(FALSE, FALSE, sizeof(struct fleet_transfer));
@@ -63,7 +63,7 @@
     g_array_free(fleet->hall_addresses, TRUE);
     g_array_free(fleet->actions, TRUE);
     g_array_free(fleet->joined, TRUE);
-    g_array_free(fleet->uncontacted, TRUE);
+    g_array_free(fleet->contacts, TRUE);
     g_array_free(fleet->lookups, TRUE);
     g_array_free(fleet->transfers, TRUE);
     fleet_relay_close(fleet);
@@ -344,7 +344,7 @@
         fleet_send_hello(fleet, fleet->leader, false);
     }
     fleet_send_hello(fleet, fleet_random_peer(fleet), false);
-    fleet_contact_saved_nodes(fleet, now);
+    fleet_contact_send(fleet, now);
     fleet->hello_at = now + hello_interval(fleet, no_leader);
 }
 
--- a/fleet.h
+++ b/fleet.h
@@ -62,6 +62,10 @@
                used as a relay again, and its suspicions count */
 #define FLEET_JOINED_INTERVAL_MS                                              \
     100U /**< LEADER: between announcements of new members */
+#define FLEET_CONTACT_RETAIN_MS                                               \
+    7200000U /**< a lost node is forgotten after this long; regions may be    \
+                  partitioned for an hour */
+#define FLEET_CONTACTS_MAX WIRE_MEMBERS_MAX
 
 /** Kind of a struct fleet_action. */
 enum fleet_action_kind {
@@ -76,8 +80,10 @@
                              log it */
     FLEET_NODES_JOINED, /**< LEADER: `count` new members, the first is `to`:
                              log it */
-    FLEET_NODES_LOST    /**< removed `count` members, the first is `to` and
+    FLEET_NODES_LOST,   /**< removed `count` members, the first is `to` and
                              sent no hello for `age_ms`: log it */
+    FLEET_CONTACT_FOUND /**< the node `to` is a member again, after `age_ms`:
+                             log it */
 };
 
 /** Work for the event loop. */
@@ -87,7 +93,8 @@
                                       TABLE or HALLS */
     uint32_t told_by;            /**< LEADER_FOUND: address, 0: the voter */
     guint count;                 /**< NODES_JOINED, NODES_LOST */
-    uint64_t age_ms;             /**< LEADER_LOST, NODES_LOST */
+    uint64_t age_ms;             /**< LEADER_LOST, NODES_LOST,
+                                      CONTACT_FOUND */
     GByteArray *bytes;           /**< SEND: encoded message */
     wire_node node;              /**< DISK_SEEN */
     uint64_t version;            /**< TABLE: bundle version */
@@ -221,6 +228,13 @@
     uint64_t received_bits;  /**< bit n: `highest_number` - n was received */
 };
 
+/** A node outside of the member list that may be back. */
+struct fleet_contact {
+    uint32_t address;
+    uint64_t added_at;   /**< time */
+    uint64_t expires_at; /**< deadline: forgotten */
+};
+
 /** Membership and exchange state of one node. */
 struct fleet {
     wire_node self;                  /**< this node */
@@ -249,8 +263,9 @@
     uint64_t sync_requested_at;      /**< last sync request, 0: none */
     uint64_t sync_until;             /**< deadline: no further sync request
                                           before */
-    GArray *uncontacted;             /**< uint32_t: saved nodes that have not
-                                          sent a hello yet */
+    GArray *contacts;                /**< struct fleet_contact, oldest first */
+    uint64_t contact_hellos;         /**< sent to contacts and to seeds that
+                                          are no members */
     GArray *joined;                  /**< uint32_t: LEADER: new members to
                                           announce */
     wire_routes routes;              /**< newest table; packed is owned */
--- a/node-status.c
+++ b/node-status.c
@@ -153,6 +153,7 @@
     page_add_bool(doc, "leads", fleet->leads_since != 0);
     page_add_number(doc, "seeds", fleet->seed_count);
     page_add_number(doc, "known_seeds", fleet_count_known_seeds(fleet));
+    page_add_number(doc, "contacts", fleet->contacts->len);
     page_add_number(doc, "members", g_hash_table_size(fleet->members) + 1);
     json_object_object_add(doc, "halls_emptied",
                            drained_halls_json(&node->upstreams.halls));
--- a/node-voter.c
+++ b/node-voter.c
@@ -19,7 +19,7 @@
         return;
     }
     log_event(LOG_INFO, "inventory-loaded", "upstreams=%u nodes=%u",
-              node->upstreams.all->len, node->fleet.uncontacted->len);
+              node->upstreams.all->len, node->fleet.contacts->len);
 }
 
 void
--- a/node.c
+++ b/node.c
@@ -158,6 +158,13 @@
                   (unsigned long long)action->age_ms, members,
                   fleet->seed_count, known_seeds);
         break;
+    case FLEET_CONTACT_FOUND:
+        counter_add(&node->counters, COUNTER_CONTACTS_FOUND, 1);
+        log_event(LOG_INFO, "contact-found",
+                  "node=%08x away_ms=%llu members=%u contacts=%u", action->to,
+                  (unsigned long long)action->age_ms, members,
+                  fleet->contacts->len);
+        break;
     case FLEET_SEND:
     case FLEET_DISK_SEEN:
     case FLEET_BOOTSTRAP:
@@ -200,10 +207,12 @@
         case FLEET_LEADER_FOUND:
         case FLEET_NODES_JOINED:
         case FLEET_NODES_LOST:
+        case FLEET_CONTACT_FOUND:
             log_membership(node, &all[i]);
             break;
         }
     }
+    node->counters.value[COUNTER_CONTACT_HELLOS] = node->fleet.contact_hellos;
     fleet_clear(&node->fleet);
 }
 
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -211,6 +211,7 @@
         case FLEET_LEADER_FOUND:
         case FLEET_NODES_JOINED:
         case FLEET_NODES_LOST:
+        case FLEET_CONTACT_FOUND:
             break;
         case FLEET_TABLE:
             if (all[i].version < node->applied_version) {
@@ -257,6 +258,33 @@
                  fleet_sim_random(sim, 0), &stored, &node->counters);
 }
 
+/* Passes the seeds of the settings to a node. */
+static void
+load_seeds(struct fleet_sim *sim, int n)
+{
+    uint32_t seeds[SEEDS_PER_NODE];
+    size_t count = 0;
+
+    for (int i = sim->first_seed; i < sim->count && count < SEEDS_PER_NODE;
+         i++) {
+        if (!sim->nodes[i].removed) {
+            seeds[count++] = sim->nodes[i].address;
+        }
+    }
+    fleet_set_seeds(&sim->nodes[n].fleet, seeds, count);
+}
+
+void
+fleet_sim_set_seeds(struct fleet_sim *sim, int first_seed)
+{
+    sim->first_seed = first_seed;
+    for (int n = 0; n < sim->count; n++) {
+        if (sim->nodes[n].up) {
+            load_seeds(sim, n);
+        }
+    }
+}
+
 static void
 start_node(struct fleet_sim *sim, int n, bool first_start)
 {
@@ -269,22 +297,14 @@
         .link_kbit_s = 8 * fleet_sim_link_rate(sim, n),
         .hall = 1 + (uint32_t)fleet_sim_hall(sim, n),
         .seed = fleet_sim_random(sim, 0)};
-    uint32_t seeds[SEEDS_PER_NODE];
-    size_t count = 0;
 
-    for (int i = sim->first_seed; i < sim->count && count < SEEDS_PER_NODE;
-         i++) {
-        if (!sim->nodes[i].removed) {
-            seeds[count++] = sim->nodes[i].address;
-        }
-    }
     node->up = true;
     node->applied_version = 0;
     upstream_open(&node->upstreams, node->address, FLEET_SIM_REGISTRATION_MS);
     evidence_open(&node->evidence, &node->upstreams, &node->counters,
                   FLOW_MAX_MS);
     fleet_open(&node->fleet, sim->now, &options, &node->upstreams);
-    fleet_set_seeds(&node->fleet, seeds, count);
+    load_seeds(sim, n);
     if (node->has_disk) {
         const wire_config *config;
 
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -105,6 +105,9 @@
 uint64_t fleet_sim_random(struct fleet_sim *sim, uint64_t below);
 /* Advances time to `until`. */
 void fleet_sim_run(struct fleet_sim *sim, uint64_t until);
+/* Changes the seeds in the settings of all nodes to the first ones from an
+ * index on that are not removed; running nodes reload them. */
+void fleet_sim_set_seeds(struct fleet_sim *sim, int first_seed);
 /* Kills a node; its disk is retained. */
 void fleet_sim_kill(struct fleet_sim *sim, int node);
 /* Starts a node that is down and not removed. */
--- /dev/null
+++ b/tests/test-rejoin.c
@@ -0,0 +1,240 @@
+/*
+ * Nodes that lost contact with the fleet find it again. Guards against nodes
+ * that restart together, know only each other and are contacted by nobody: new
+ * disks then join them instead of the control quorum, which loses its disks.
+ */
+#include <glib.h>
+
+#include "cases.h"
+#include "fleet-sim.h"
+#include "mutation.h"
+
+#define SEEDS 8
+#define SETTLE_MS 6000 /* from the first start to the first submission */
+#define OPERATOR_TIMEOUT_MS 8000 /* limit for an operator's request */
+#define DOWN_MS 7000             /* longer than FLEET_MEMBER_TIMEOUT_MS */
+#define REJOIN_MS                                                             \
+    4000                /* from the restart until a node is part of the fleet \
+                         */
+#define REPLACE_MS 5000 /* between replacements of nodes with a disk */
+#define APPLY_MS 3000   /* until a table is in force at all nodes */
+#define PLATFORM_SEEDS 3
+
+/* A group of nodes that is down or partitioned for DOWN_MS, and restarts. */
+struct scenario {
+    const char *name;
+    int nodes;
+    int disks;
+    int halls;
+    unsigned loss;    /* lost messages per 1,000 */
+    int first_seed;   /* of the seeds that are set before */
+    int first_down;   /* first node of the group */
+    int down;         /* nodes of the group */
+    bool partitioned; /* they restart while partitioned from the others */
+    bool seeds_stay_down;
+    bool leader_restarts; /* while the group is down */
+    int replaced;         /* nodes with a disk, one at a time afterwards */
+};
+
+static const struct scenario scenarios[] = {
+    {.name = "seeds-down",
+     .nodes = 11,
+     .disks = 3,
+     .first_seed = 8,
+     .first_down = 8,
+     .down = 3,
+     .replaced = 3},
+    {.name = "seeds-partitioned",
+     .nodes = 11,
+     .disks = 3,
+     .first_seed = 8,
+     .first_down = 8,
+     .down = 3,
+     .partitioned = true,
+     .replaced = 3},
+    {.name = "seeds-down-lossy",
+     .nodes = 11,
+     .disks = 3,
+     .loss = 50,
+     .first_seed = 8,
+     .first_down = 8,
+     .down = 3},
+    {.name = "seeds-and-others-down",
+     .nodes = 11,
+     .disks = 3,
+     .first_seed = 8,
+     .first_down = 5,
+     .down = 6,
+     .replaced = 2},
+    {.name = "leader-restarts-meanwhile",
+     .nodes = 11,
+     .disks = 3,
+     .first_seed = 8,
+     .first_down = 8,
+     .down = 3,
+     .leader_restarts = true,
+     .replaced = 3},
+    {.name = "seeds-stay-down",
+     .nodes = 14,
+     .disks = 3,
+     .first_seed = 11,
+     .first_down = 8,
+     .down = 6,
+     .seeds_stay_down = true},
+    {.name = "hall-down",
+     .nodes = 60,
+     .disks = 5,
+     .halls = 5,
+     .first_seed = 40,
+     .first_down = 40,
+     .down = 12,
+     .replaced = 3},
+    {.name = "most-down",
+     .nodes = 60,
+     .disks = 5,
+     .halls = 5,
+     .first_seed = 20,
+     .first_down = 10,
+     .down = 50,
+     .replaced = 3},
+};
+
+static bool
+is_down_seed(const struct scenario *c, int n)
+{
+    return c->seeds_stay_down && n >= c->first_seed &&
+           n < c->first_seed + PLATFORM_SEEDS;
+}
+
+/* Partitions the group from the other nodes, or reunites them. */
+static void
+set_partitioned(struct fleet_sim *sim, const struct scenario *c,
+                bool partitioned)
+{
+    for (int n = c->first_down; n < c->first_down + c->down; n++) {
+        for (int other = 0; other < sim->count; other++) {
+            if (other < c->first_down || other >= c->first_down + c->down) {
+                fleet_sim_partition(sim, n, other, partitioned);
+            }
+        }
+    }
+}
+
+static void
+restart_leader(struct fleet_sim *sim)
+{
+    int leader = fleet_sim_leader(sim);
+
+    g_assert_cmpint(leader, >=, 0);
+    fleet_sim_kill(sim, leader);
+    fleet_sim_run(sim, sim->now + DOWN_MS / 2);
+    fleet_sim_start(sim, leader);
+}
+
+/* Takes the group down, and brings it back after DOWN_MS. */
+static void
+run_outage(struct fleet_sim *sim, const struct scenario *c)
+{
+    uint64_t until = sim->now + DOWN_MS;
+
+    if (c->partitioned) {
+        set_partitioned(sim, c, true);
+    }
+    for (int n = c->first_down; n < c->first_down + c->down; n++) {
+        fleet_sim_kill(sim, n);
+        if (c->partitioned) {
+            fleet_sim_start(sim, n);
+        }
+    }
+    if (c->leader_restarts) {
+        restart_leader(sim);
+    }
+    fleet_sim_run(sim, until);
+    set_partitioned(sim, c, false);
+    for (int n = c->first_down; n < c->first_down + c->down; n++) {
+        if (!is_down_seed(c, n)) {
+            fleet_sim_start(sim, n);
+        }
+    }
+}
+
+/* Counts the running nodes that do not know the leader, are unknown to it or
+ * do not serve the acknowledged table. */
+static int
+count_apart(const struct fleet_sim *sim)
+{
+    int leader = fleet_sim_leader(sim);
+    int count = 0;
+
+    for (int n = 0; n < sim->count; n++) {
+        const struct fleet *fleet = &sim->nodes[n].fleet;
+
+        if (!sim->nodes[n].up || n == leader) {
+            continue;
+        }
+        count +=
+            leader < 0 || fleet->leader != sim->nodes[leader].address ||
+            !g_hash_table_contains(sim->nodes[leader].fleet.members,
+                                   GUINT_TO_POINTER(sim->nodes[n].address)) ||
+            !fleet->settled ||
+            fleet->routes.bundle_version != sim->acked_version;
+    }
+    return count;
+}
+
+static void
+run_scenario(const struct scenario *c, uint64_t seed)
+{
+    struct fleet_sim_options options = {.nodes = c->nodes,
+                                        .disks = c->disks,
+                                        .halls = c->halls,
+                                        .loss = c->loss,
+                                        .upstreams = 6,
+                                        .seed = seed};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    g_assert_true(fleet_sim_put(sim, 1, OPERATOR_TIMEOUT_MS));
+    fleet_sim_set_seeds(sim, c->first_seed);
+    fleet_sim_run(sim, sim->now + 1000);
+    run_outage(sim, c);
+    fleet_sim_run(sim, sim->now + REJOIN_MS);
+    g_assert_cmpint(count_apart(sim), ==, 0);
+    g_assert_true(fleet_sim_put(sim, 2, OPERATOR_TIMEOUT_MS));
+    for (int n = 0; n < c->replaced; n++) {
+        (void)fleet_sim_replace(sim, n);
+        fleet_sim_run(sim, sim->now + REPLACE_MS);
+    }
+    g_assert_true(fleet_sim_get(sim, OPERATOR_TIMEOUT_MS));
+    g_assert_cmpuint(sim->read_version, ==, 2);
+    fleet_sim_run(sim, sim->now + APPLY_MS);
+    g_assert_cmpint(count_apart(sim), ==, 0);
+    g_assert_cmpstr(sim->violation, ==, "");
+    fleet_sim_free(sim);
+}
+
+static void
+test_scenario(const void *data)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        run_scenario(data, seed);
+    }
+}
+
+/* Disabled safeguards and the tests that must detect them. */
+static const struct mutation mutations[] = {
+    {"no-contacts", FAULT_NO_CONTACTS, "/rejoin/seeds-down"},
+};
+
+int
+main(int argc, char **argv)
+{
+    char path[128];
+
+    mutation_init();
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
+    CASES_ADD("/rejoin/", scenarios, test_scenario)
+    CASES_ADD("/rejoin/mutation/", mutations, mutation_test)
+    return g_test_run();
+}
