fleet: name only a leader that said itself that it leads

What callers saw: operators were redirected to a node that no longer leads, for as long as there was no other. Cause: a node adopts the leader that any hello names and counts its timeout from there. Nodes without a leader told each other of the last one in turn, each for another 2.5 s, and searched only in between. Change: a hello names a leader only once the leader itself or the local voter confirmed it. Nodes without a leader now search all the time, so the search is bounded: after 10 s each candidate gets about 6 hellos per interval from the whole fleet, instead of 4 a second from each node.

--- a/fault.h
+++ b/fault.h
@@ -77,6 +77,7 @@
     FAULT_NO_RELAY,           /**< send changes to all nodes directly */
     FAULT_NO_LOAD_EXCHANGE,   /**< do not exchange counts of requests */
     FAULT_NO_CONTACTS,        /**< send no hellos to contacts */
+    FAULT_STALE_LEADER,       /**< name a leader that others reported */
     FAULT_BOOTSTRAP_AGAIN,    /**< bootstrap although a leader was known */
     FAULT_HALLS_IGNORED,      /**< new flows to drained halls */
     FAULT_HALLS_UNVERSIONED,  /**< accept older lists of drained halls */
--- a/fleet-send.c
+++ b/fleet-send.c
@@ -66,7 +66,8 @@
     send_to_all(fleet, &msg);
 }
 
-/* `wants` requests the data that this node lacks. */
+/* `wants` requests the data that this node lacks. Names only a confirmed
+ * leader, or nodes would keep telling each other of one that is gone. */
 static void
 send_hello(struct fleet *fleet, uint32_t to, bool reply, bool wants)
 {
@@ -81,7 +82,9 @@
                    (wants ? WIRE_HELLO_WANTS : 0U) |
                    (fleet->overloaded ? WIRE_HELLO_OVERLOADED : 0U);
     hello->term = fleet->term;
-    hello->leader = fleet->leader;
+    hello->leader = fleet->leader_confirmed || fault_is(FAULT_STALE_LEADER)
+                        ? fleet->leader
+                        : 0;
     hello->routes = fleet->routes.bundle_version;
     hello->members = fleet_members_digest(fleet);
     upstream_digests(fleet->upstreams, hello->upstreams);
--- a/fleet.c
+++ b/fleet.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "fault.h"
+#include "random.h"
 
 /* LEADER: each run walks all members and upstreams; short beside
  * FLEET_MEMBER_TIMEOUT_MS. */
@@ -124,6 +125,7 @@
         fleet->term = term;
         fleet->leader = leader;
         fleet->leader_seen_at = now;
+        fleet->leader_confirmed = false;
         action = fleet_add_action(fleet, FLEET_LEADER_FOUND);
         action->to = leader;
         action->told_by = told_by;
@@ -131,6 +133,8 @@
     }
     if (first_hand && leader == fleet->leader) {
         fleet->leader_seen_at = now;
+        fleet->leader_confirmed = true;
+        fleet->search_since = 0;
     }
 }
 
@@ -146,6 +150,7 @@
         update_leader(fleet, now, term, leader, 0);
         if (leader == 0 && fleet->leader == fleet->self.address) {
             fleet->leader = 0;
+            fleet->leader_confirmed = false;
         }
         return;
     }
@@ -162,6 +167,8 @@
     fleet->bootstrapped = true;
     fleet->leader = leader;
     fleet->leader_seen_at = now;
+    fleet->leader_confirmed = true;
+    fleet->search_since = 0;
 }
 
 bool
@@ -234,24 +241,52 @@
     fleet->hello_at = now;
 }
 
-/* Sends hellos to the seeds and to the members with a disk. */
-static void
-discover_leader(struct fleet *fleet)
+/* Lists the nodes that may know the leader: the seeds and the members with a
+ * disk. */
+static GArray *
+list_search_candidates(const struct fleet *fleet)
 {
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     GHashTableIter iter;
     gpointer value;
 
-    for (size_t i = 0; i < fleet->seed_count; i++) {
-        fleet_send_hello(fleet, fleet->seeds[i], false);
-    }
+    g_array_append_vals(all, fleet->seeds, (guint)fleet->seed_count);
     g_hash_table_iter_init(&iter, fleet->members);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct fleet_member *member = value;
 
         if (member->node.identity != 0) {
-            fleet_send_hello(fleet, member->node.address, false);
+            g_array_append_val(all, member->node.address);
+        }
+    }
+    return all;
+}
+
+static bool
+searches_all(const struct fleet *fleet, uint64_t now)
+{
+    return now < fleet->search_since + FLEET_SEARCH_ALL_MS;
+}
+
+/* After FLEET_SEARCH_ALL_MS a candidate is sent at most 2 * FLEET_SEARCH_FEW
+ * hellos per interval by the whole fleet, on average. */
+static void
+search_leader(struct fleet *fleet, uint64_t now)
+{
+    GArray *all = list_search_candidates(fleet);
+    guint members = fleet->addresses->len + 1;
+
+    for (guint i = 0; i < all->len && searches_all(fleet, now); i++) {
+        fleet_send_hello(fleet, g_array_index(all, uint32_t, i), false);
+    }
+    for (guint i = 0; i < FLEET_SEARCH_FEW && !searches_all(fleet, now); i++) {
+        if (random_next(&fleet->random) % members < 2 * all->len) {
+            guint pick = (guint)(random_next(&fleet->random) % all->len);
+
+            fleet_send_hello(fleet, g_array_index(all, uint32_t, pick), false);
         }
     }
+    g_array_free(all, TRUE);
 }
 
 /* True on the first start for the node with the lowest address among the
@@ -308,17 +343,24 @@
 {
     struct fleet_action *action;
 
+    if (fleet->search_since == 0) {
+        fleet->search_since = now;
+    }
     if (fleet->leader != 0) {
         action = fleet_add_action(fleet, FLEET_LEADER_LOST);
         action->to = fleet->leader;
         action->age_ms = now - fleet->leader_seen_at;
         fleet->leader = 0;
+        fleet->leader_confirmed = false;
     }
 }
 
 static uint64_t
-hello_interval(const struct fleet *fleet, bool no_leader)
+hello_interval(const struct fleet *fleet, uint64_t now, bool no_leader)
 {
+    if (no_leader && !searches_all(fleet, now)) {
+        return FLEET_HELLO_INTERVAL_MS;
+    }
     if (!fleet->settled) {
         return FLEET_HELLO_STARTING_MS;
     }
@@ -334,7 +376,7 @@
 
     if (no_leader) {
         drop_leader(fleet, now);
-        discover_leader(fleet);
+        search_leader(fleet, now);
         if (may_choose_founder(fleet) &&
             now >= fleet->started_at + FLEET_BOOTSTRAP_DELAY_MS) {
             choose_founder(fleet);
@@ -345,7 +387,7 @@
     }
     fleet_send_hello(fleet, fleet_random_peer(fleet), false);
     fleet_contact_send(fleet, now);
-    fleet->hello_at = now + hello_interval(fleet, no_leader);
+    fleet->hello_at = now + hello_interval(fleet, now, no_leader);
 }
 
 void
--- a/fleet.h
+++ b/fleet.h
@@ -29,6 +29,13 @@
     4000U /**< the leader removes a member after this long without a hello */
 #define FLEET_LEADER_TIMEOUT_MS                                               \
     2500U /**< leader discovery starts after this long without a hello */
+#define FLEET_SEARCH_ALL_MS                                                   \
+    10000U /**< a node without a leader asks all candidates for this long;    \
+                then at random, so that a candidate with a small link is not  \
+                overloaded by a large fleet */
+#define FLEET_SEARCH_FEW                                                      \
+    3U /**< candidates asked per interval after that, at                      \
+            most */
 #define FLEET_BOOTSTRAP_DELAY_MS                                              \
     1500U /**< from the first start to the choice of a founder */
 #define FLEET_SETTLE_MS                                                       \
@@ -252,6 +259,11 @@
     uint32_t leader;                 /**< its address, 0: none known */
     uint64_t leader_seen_at;         /**< last hello of it, or first report
                                           of it by another node */
+    bool leader_confirmed;           /**< it or the local voter said that it
+                                          leads; a report of another node may
+                                          be out of date */
+    uint64_t search_since;           /**< time since when no leader is known,
+                                          0: one is */
     uint64_t leads_since;            /**< time, 0: this node is no leader */
     uint64_t hello_at;               /**< deadline: next hellos */
     uint32_t founder;                /**< address chosen here, 0: none yet */
--- a/tests/test-rejoin.c
+++ b/tests/test-rejoin.c
@@ -19,6 +19,14 @@
 #define REPLACE_MS 5000 /* between replacements of nodes with a disk */
 #define APPLY_MS 3000   /* until a table is in force at all nodes */
 #define PLATFORM_SEEDS 3
+/* Until a node has noticed the loss of the leader, and another one that it
+ * told of that leader just before has not heard from it either. */
+#define STALE_MS                                                              \
+    (2 * (FLEET_LEADER_TIMEOUT_MS + FLEET_HELLO_INTERVAL_MS) + 100)
+#define TRAFFIC_DISKS 5
+#define TRAFFIC_SETTLE_MS 15000 /* longer than FLEET_SEARCH_ALL_MS */
+#define TRAFFIC_MS 10000
+#define CONTROL_BYTES_S 4096U /* a node's share for control */
 
 /* A group of nodes that is down or partitioned for DOWN_MS, and restarts. */
 struct scenario {
@@ -221,9 +229,116 @@
     }
 }
 
+/* Counts the running nodes that know a leader. */
+static int
+count_with_leader(const struct fleet_sim *sim)
+{
+    int count = 0;
+
+    for (int n = 0; n < sim->count; n++) {
+        count += sim->nodes[n].up && sim->nodes[n].fleet.leader != 0;
+    }
+    return count;
+}
+
+/* Restarts the nodes from an index on one at a time, so that they send their
+ * hellos at different times. */
+static void
+spread_hellos(struct fleet_sim *sim, int first)
+{
+    for (int n = first; n < sim->count; n++) {
+        fleet_sim_kill(sim, n);
+        fleet_sim_start(sim, n);
+        fleet_sim_run(sim, sim->now + 70);
+    }
+    fleet_sim_run(sim, sim->now + 1000);
+}
+
+/* After the loss of all disks, nodes must not keep telling each other of the
+ * last leader; once the disks are back, all must find the new one. */
+static void
+test_stale_leader(void)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct fleet_sim_options options = {
+            .nodes = 11, .disks = 3, .upstreams = 6, .seed = seed};
+        struct fleet_sim *sim = fleet_sim_new(&options);
+
+        fleet_sim_run(sim, sim->now + SETTLE_MS);
+        g_assert_true(fleet_sim_put(sim, 1, OPERATOR_TIMEOUT_MS));
+        spread_hellos(sim, options.disks);
+        for (int n = 0; n < options.disks; n++) {
+            fleet_sim_kill(sim, n);
+        }
+        fleet_sim_run(sim, sim->now + STALE_MS);
+        for (int i = 0; i < 20; i++) {
+            fleet_sim_run(sim, sim->now + 300);
+            g_assert_cmpint(count_with_leader(sim), ==, 0);
+        }
+        for (int n = 0; n < options.disks; n++) {
+            fleet_sim_start(sim, n);
+        }
+        fleet_sim_run(sim, sim->now + REJOIN_MS);
+        g_assert_cmpint(count_apart(sim), ==, 0);
+        fleet_sim_free(sim);
+    }
+}
+
+/* Nodes that stay down, and what the others send meanwhile. */
+struct traffic_case {
+    const char *name;
+    int first_down;
+    int down;
+};
+
+static const struct traffic_case traffics[] = {
+    {"none-down", 0, 0},
+    {"disks-down", 0, TRAFFIC_DISKS},
+    {"disks-and-seeds-down", 0, TRAFFIC_DISKS + PLATFORM_SEEDS},
+    {"third-down", 200, 100},
+    {"most-down", 0, 290},
+};
+
+/* A node without a disk must stay within its share for control, also while
+ * nobody answers it. */
+static void
+test_traffic(const void *data)
+{
+    const struct traffic_case *c = data;
+    struct fleet_sim_options options = {.nodes = 300,
+                                        .disks = TRAFFIC_DISKS,
+                                        .halls = TRAFFIC_DISKS,
+                                        .upstreams = 6,
+                                        .seed = 1};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    uint64_t most = 0;
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    g_assert_true(fleet_sim_put(sim, 1, OPERATOR_TIMEOUT_MS));
+    fleet_sim_set_seeds(sim, TRAFFIC_DISKS);
+    for (int n = c->first_down; n < c->first_down + c->down; n++) {
+        fleet_sim_kill(sim, n);
+    }
+    fleet_sim_run(sim, sim->now + TRAFFIC_SETTLE_MS);
+    for (int n = 0; n < sim->count; n++) {
+        sim->nodes[n].bytes_sent = 0;
+    }
+    fleet_sim_run(sim, sim->now + TRAFFIC_MS);
+    for (int n = TRAFFIC_DISKS; n < sim->count; n++) {
+        if (sim->nodes[n].up) {
+            most = MAX(most, sim->nodes[n].bytes_sent * 1000 / TRAFFIC_MS);
+        }
+    }
+    g_test_message("%s: at most %llu bytes per second", c->name,
+                   (unsigned long long)most);
+    g_assert_cmpuint(most, <, CONTROL_BYTES_S);
+    fleet_sim_free(sim);
+}
+
 /* Disabled safeguards and the tests that must detect them. */
 static const struct mutation mutations[] = {
     {"no-contacts", FAULT_NO_CONTACTS, "/rejoin/seeds-down"},
+    {"stale-leader", FAULT_STALE_LEADER, "/rejoin/stale-leader"},
 };
 
 int
@@ -235,6 +350,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     CASES_ADD("/rejoin/", scenarios, test_scenario)
+    CASES_ADD("/rejoin/traffic/", traffics, test_traffic)
+    g_test_add_func("/rejoin/stale-leader", test_stale_leader);
     CASES_ADD("/rejoin/mutation/", mutations, mutation_test)
     return g_test_run();
 }
