node: do not acknowledge a leaving upstream without contact to the leader

What callers saw: requests sent to an upstream more than 3 s after a node had acknowledged that it leaves; that node and its only peers had just started, and no node that sent flows knew them. Cause: any node answers 200 to a registration, whomever it reaches. Registrations that say ready are answered as before. Weighed: refusing all registrations (upstreams would be taken for silent during each outage of the core); no readiness without a leader (all nodes would leave the fabric when the core does).

--- a/counter.h
+++ b/counter.h
@@ -123,6 +123,8 @@
       "registrations of upstreams received")                                  \
     X(REGISTRATIONS_LATE, "registrations_late_total",                         \
       "registrations superseded by a newer one or another upstream")          \
+    X(REGISTRATIONS_UNCONFIRMED, "registrations_unconfirmed_total",           \
+      "upstreams that leave answered 503: no contact to the leader")          \
     X(REGISTRATIONS_REFUSED, "registrations_refused_total",                   \
       "registrations refused: malformed")                                     \
     X(TABLES_ACKNOWLEDGED, "tables_acknowledged_total",                       \
--- a/fleet.c
+++ b/fleet.c
@@ -92,6 +92,14 @@
     }
 }
 
+bool
+fleet_reaches_leader(const struct fleet *fleet, uint64_t now)
+{
+    return fleet->leads_since != 0 ||
+           (fleet->leader_confirmed &&
+            now <= fleet->leader_seen_at + FLEET_LEADER_TIMEOUT_MS);
+}
+
 guint
 fleet_count_known_seeds(const struct fleet *fleet)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -379,6 +379,10 @@
 /** Whether this node detects a shortage, or learned of one recently. */
 bool fleet_load_is_active(const struct fleet *fleet, uint64_t now);
 
+/** Whether this node leads, or heard from the leader within
+ * FLEET_LEADER_TIMEOUT_MS. */
+bool fleet_reaches_leader(const struct fleet *fleet, uint64_t now);
+
 /** Number of seeds that are members; this node counts as one. */
 guint fleet_count_known_seeds(const struct fleet *fleet);
 
--- a/node-http.c
+++ b/node-http.c
@@ -60,6 +60,37 @@
                              strlen(body));
 }
 
+/* True when this node may acknowledge that an upstream takes no new work. A
+ * node without contact to the leader may be separated from the nodes that send
+ * it flows; what it was told takes effect here all the same. */
+static bool
+may_confirm_leaving(struct node *node, uint64_t upstream)
+{
+    const struct fleet *fleet = &node->fleet;
+
+    if (fleet_reaches_leader(fleet, loop_now())) {
+        return true;
+    }
+    counter_add(&node->counters, COUNTER_REGISTRATIONS_UNCONFIRMED, 1);
+    log_event(LOG_WARN, "leaving-unconfirmed",
+              "upstream=%llx leader=%08x leader_age_ms=%llu members=%u",
+              (unsigned long long)upstream, fleet->leader,
+              fleet->leader_seen_at != 0
+                  ? (unsigned long long)(loop_now() - fleet->leader_seen_at)
+                  : 0,
+              g_hash_table_size(fleet->members) + 1);
+    return false;
+}
+
+static enum MHD_Result
+respond_unconfirmed(struct http_request *request)
+{
+    return node_http_respond_error(
+        request, MHD_HTTP_SERVICE_UNAVAILABLE,
+        "this node has no contact to the leader, so other nodes may still "
+        "send new flows; repeat the request at another node");
+}
+
 static enum MHD_Result
 register_upstream(struct http_request *request, const char *id)
 {
@@ -90,6 +121,9 @@
                   registration.leaving);
     }
     node_run_actions(node);
+    if (registration.leaving && !may_confirm_leaving(node, registration.id)) {
+        return respond_unconfirmed(request);
+    }
     if (node->stopping_since != 0) {
         return node_http_respond(request, MHD_HTTP_OK, "application/json",
                                  "{}", 2);
@@ -128,6 +162,9 @@
             "time of the process that ended");
     }
     node_run_actions(node);
+    if (!may_confirm_leaving(node, id)) {
+        return respond_unconfirmed(request);
+    }
     return node_http_respond(request, MHD_HTTP_OK, "application/json", "{}",
                              2);
 }
--- a/node-status.c
+++ b/node-status.c
@@ -151,6 +151,7 @@
         page_add_number(doc, "leader_age_ms", now - fleet->leader_seen_at);
     }
     page_add_bool(doc, "leads", fleet->leads_since != 0);
+    page_add_bool(doc, "reaches_leader", fleet_reaches_leader(fleet, now));
     page_add_number(doc, "seeds", fleet->seed_count);
     page_add_number(doc, "known_seeds", fleet_count_known_seeds(fleet));
     page_add_number(doc, "contacts", fleet->contacts->len);
