fleet: ask the stored voters for the leader also after a reload

Cause: a disk's stored voters were appended to the seeds, and a reload of the settings replaced both. A disk that restarted behind a partition and whose new seeds are down then knew nobody. Change: the stored voters have a list of their own; each candidate is asked once, though it may be a seed, a voter and a member.

--- a/fleet.c
+++ b/fleet.c
@@ -80,15 +80,15 @@
 }
 
 void
-fleet_add_contact(struct fleet *fleet, uint32_t address)
+fleet_add_voter(struct fleet *fleet, uint32_t address)
 {
-    for (size_t i = 0; i < fleet->seed_count; i++) {
-        if (fleet->seeds[i] == address) {
+    for (size_t i = 0; i < fleet->voter_count; i++) {
+        if (fleet->voters[i] == address) {
             return;
         }
     }
-    if (fleet->seed_count < FLEET_SEEDS_MAX) {
-        fleet->seeds[fleet->seed_count++] = address;
+    if (fleet->voter_count < FLEET_VOTERS_MAX) {
+        fleet->voters[fleet->voter_count++] = address;
     }
 }
 
@@ -249,8 +249,19 @@
     fleet->hello_at = now;
 }
 
-/* Lists the nodes that may know the leader: the seeds and the members with a
- * disk. */
+static void
+add_candidate(GArray *all, uint32_t address)
+{
+    for (guint i = 0; i < all->len; i++) {
+        if (g_array_index(all, uint32_t, i) == address) {
+            return;
+        }
+    }
+    g_array_append_val(all, address);
+}
+
+/* Lists the nodes that may know the leader: the seeds, the stored voters and
+ * the members with a disk. */
 static GArray *
 list_search_candidates(const struct fleet *fleet)
 {
@@ -258,13 +269,18 @@
     GHashTableIter iter;
     gpointer value;
 
-    g_array_append_vals(all, fleet->seeds, (guint)fleet->seed_count);
+    for (size_t i = 0; i < fleet->seed_count; i++) {
+        add_candidate(all, fleet->seeds[i]);
+    }
+    for (size_t i = 0; i < fleet->voter_count; i++) {
+        add_candidate(all, fleet->voters[i]);
+    }
     g_hash_table_iter_init(&iter, fleet->members);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct fleet_member *member = value;
 
         if (member->node.identity != 0) {
-            g_array_append_val(all, member->node.address);
+            add_candidate(all, member->node.address);
         }
     }
     return all;
--- a/fleet.h
+++ b/fleet.h
@@ -20,6 +20,7 @@
 #include "upstream.h"
 
 #define FLEET_SEEDS_MAX 16
+#define FLEET_VOTERS_MAX 16
 /* Without a leader, a settled node can wait longer than a starting one, and
  * all nodes search at once. */
 #define FLEET_HELLO_INTERVAL_MS 500U  /**< between hellos, leader known */
@@ -244,60 +245,62 @@
 
 /** Membership and exchange state of one node. */
 struct fleet {
-    wire_node self;                  /**< this node */
-    bool first_start;                /**< of the whole deployment */
-    uint32_t seeds[FLEET_SEEDS_MAX]; /**< addresses for leader discovery */
-    size_t seed_count;               /**< of seeds */
-    uint64_t started_at;             /**< time of fleet_open() */
-    GHashTable *members;             /**< address to struct fleet_member */
-    GArray *addresses;               /**< uint32_t: of the members, sorted */
-    GArray *hall_addresses;          /**< uint32_t: of the members in this
-                                          node's data hall, sorted */
-    uint64_t hall_has_data_until;    /**< deadline: sync only from this hall */
-    uint64_t members_digest_sum;     /**< sum of the members' digests */
-    uint64_t term;                   /**< term of `leader` */
-    uint32_t leader;                 /**< its address, 0: none known */
-    uint64_t leader_seen_at;         /**< last hello of it, or first report
-                                          of it by another node */
-    bool leader_confirmed;           /**< it or the local voter said that it
-                                          leads; a report of another node may
-                                          be out of date */
-    uint64_t search_since;           /**< time since when no leader is known,
-                                          0: one is */
-    uint64_t leads_since;            /**< time, 0: this node is no leader */
-    uint64_t hello_at;               /**< deadline: next hellos */
-    uint32_t founder;                /**< address chosen here, 0: none yet */
-    bool bootstrapped;               /**< a leader existed in any term */
-    bool settled;                    /**< has enough data to serve */
-    bool overloaded;                 /**< this node is overloaded; set by its
-                                          owner, stated in hellos */
-    uint64_t first_hello_at;         /**< first hello of a peer, 0: none */
-    uint64_t sync_requested_at;      /**< last sync request, 0: none */
-    uint64_t sync_until;             /**< deadline: no further sync request
-                                          before */
-    GArray *contacts;                /**< struct fleet_contact, oldest first */
-    uint64_t contact_hellos;         /**< sent to contacts and to seeds that
-                                          are no members */
-    GArray *joined;                  /**< uint32_t: LEADER: new members to
-                                          announce */
-    wire_routes routes;              /**< newest table; packed is owned */
-    uint64_t push_at;                /**< deadline: push the table, 0: none */
-    uint64_t pushed_at;              /**< last push */
-    uint64_t expire_members_at;      /**< LEADER: deadline: expire members */
-    uint64_t push_joined_at;         /**< deadline: announce `joined` */
-    GArray *lookups;                 /**< struct fleet_lookup */
-    GArray *transfers;               /**< struct fleet_transfer: FIFO, one
-                                          per node */
-    uint64_t transfer_at;            /**< deadline: next transfer */
-    uint64_t bulk_bytes;             /**< bytes not yet counted in
-                                          `transfer_at`, below 1 ms */
-    uint32_t bulk_bytes_per_ms;      /**< rate limit, 0: none */
-    uint64_t bytes_sent;             /**< in all messages, once per receiver */
-    struct fleet_relay relay;        /**< queues of changes */
-    struct occupancy load;           /**< of the upstreams, at all nodes */
-    struct returning returning;      /**< callers refused in this hall */
-    struct fleet_exchange exchange;  /**< of `load` and `returning` */
-    uint64_t compare_at;             /**< deadline: next comparison */
+    wire_node self;                    /**< this node */
+    bool first_start;                  /**< of the whole deployment */
+    uint32_t seeds[FLEET_SEEDS_MAX];   /**< of the settings */
+    size_t seed_count;                 /**< of seeds */
+    uint32_t voters[FLEET_VOTERS_MAX]; /**< stored on this node's disk */
+    size_t voter_count;                /**< of voters */
+    uint64_t started_at;               /**< time of fleet_open() */
+    GHashTable *members;               /**< address to struct fleet_member */
+    GArray *addresses;                 /**< uint32_t: of the members, sorted */
+    GArray *hall_addresses;            /**< uint32_t: of the members in this
+                                            node's data hall, sorted */
+    uint64_t hall_has_data_until;   /**< deadline: sync only from this hall */
+    uint64_t members_digest_sum;    /**< sum of the members' digests */
+    uint64_t term;                  /**< term of `leader` */
+    uint32_t leader;                /**< its address, 0: none known */
+    uint64_t leader_seen_at;        /**< last hello of it, or first report
+                                         of it by another node */
+    bool leader_confirmed;          /**< it or the local voter said that it
+                                         leads; a report of another node may
+                                         be out of date */
+    uint64_t search_since;          /**< time since when no leader is known,
+                                         0: one is */
+    uint64_t leads_since;           /**< time, 0: this node is no leader */
+    uint64_t hello_at;              /**< deadline: next hellos */
+    uint32_t founder;               /**< address chosen here, 0: none yet */
+    bool bootstrapped;              /**< a leader existed in any term */
+    bool settled;                   /**< has enough data to serve */
+    bool overloaded;                /**< this node is overloaded; set by its
+                                         owner, stated in hellos */
+    uint64_t first_hello_at;        /**< first hello of a peer, 0: none */
+    uint64_t sync_requested_at;     /**< last sync request, 0: none */
+    uint64_t sync_until;            /**< deadline: no further sync request
+                                         before */
+    GArray *contacts;               /**< struct fleet_contact, oldest first */
+    uint64_t contact_hellos;        /**< sent to contacts and to seeds that
+                                         are no members */
+    GArray *joined;                 /**< uint32_t: LEADER: new members to
+                                         announce */
+    wire_routes routes;             /**< newest table; packed is owned */
+    uint64_t push_at;               /**< deadline: push the table, 0: none */
+    uint64_t pushed_at;             /**< last push */
+    uint64_t expire_members_at;     /**< LEADER: deadline: expire members */
+    uint64_t push_joined_at;        /**< deadline: announce `joined` */
+    GArray *lookups;                /**< struct fleet_lookup */
+    GArray *transfers;              /**< struct fleet_transfer: FIFO, one
+                                         per node */
+    uint64_t transfer_at;           /**< deadline: next transfer */
+    uint64_t bulk_bytes;            /**< bytes not yet counted in
+                                         `transfer_at`, below 1 ms */
+    uint32_t bulk_bytes_per_ms;     /**< rate limit, 0: none */
+    uint64_t bytes_sent;            /**< in all messages, once per receiver */
+    struct fleet_relay relay;       /**< queues of changes */
+    struct occupancy load;          /**< of the upstreams, at all nodes */
+    struct returning returning;     /**< callers refused in this hall */
+    struct fleet_exchange exchange; /**< of `load` and `returning` */
+    uint64_t compare_at;            /**< deadline: next comparison */
     uint64_t differs_since[WIRE_BUCKETS]; /**< since when all hellos had
                                                another digest, 0: the last
                                                hello had the same */
@@ -326,11 +329,12 @@
 
 void fleet_close(struct fleet *fleet);
 
-/** Sets the addresses for leader discovery; some may be unreachable. */
+/** Sets the seeds of the settings; some may be unreachable. */
 void fleet_set_seeds(struct fleet *fleet, const uint32_t *seeds, size_t count);
 
-/** Adds a seed from another source, such as a stored voter. */
-void fleet_add_contact(struct fleet *fleet, uint32_t address);
+/** Adds a voter that this node's disk names; it is asked for the leader as the
+ * seeds are, also after they have changed. */
+void fleet_add_voter(struct fleet *fleet, uint32_t address);
 
 /** Sets the leader as the local voter sees it; 0: none. */
 void fleet_set_leader(struct fleet *fleet, uint64_t now, uint64_t term,
--- a/node-voter.c
+++ b/node-voter.c
@@ -34,7 +34,7 @@
         node->fleet.self.identity = update->identity;
         node->fleet.hello_at = now;
         for (u_int i = 0; i < update->voter_count; i++) {
-            fleet_add_contact(&node->fleet, update->voters[i]);
+            fleet_add_voter(&node->fleet, update->voters[i]);
         }
     }
     if (update->inventory != NULL) {
--- a/tests/test-rejoin.c
+++ b/tests/test-rejoin.c
@@ -335,6 +335,45 @@
     fleet_sim_free(sim);
 }
 
+/* Counts the messages to an address that are to be sent. */
+static int
+count_sends(struct fleet *fleet, uint32_t to)
+{
+    size_t count;
+    const struct fleet_action *all = fleet_actions(fleet, &count);
+    int sends = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        sends += all[i].kind == FLEET_SEND && all[i].to == to;
+    }
+    return sends;
+}
+
+/* The voters stored on a disk must be asked for the leader also after a reload
+ * of the settings. */
+static void
+test_reload_keeps_voters(void)
+{
+    static const uint32_t first_seed = 1;
+    static const uint32_t second_seed = 2;
+    static const uint32_t voter = 3;
+    struct fleet_options options = {.address = 9, .identity = 9, .seed = 1};
+    struct upstream_set upstreams;
+    struct fleet fleet;
+
+    upstream_open(&upstreams, options.address, FLEET_SIM_REGISTRATION_MS);
+    fleet_open(&fleet, 1000, &options, &upstreams);
+    fleet_set_seeds(&fleet, &first_seed, 1);
+    fleet_add_voter(&fleet, voter);
+    fleet_set_seeds(&fleet, &second_seed, 1);
+    fleet_tick(&fleet, 1000);
+    g_assert_cmpint(count_sends(&fleet, first_seed), ==, 0);
+    g_assert_cmpint(count_sends(&fleet, second_seed), ==, 1);
+    g_assert_cmpint(count_sends(&fleet, voter), ==, 1);
+    fleet_close(&fleet);
+    upstream_close(&upstreams);
+}
+
 /* Disabled safeguards and the tests that must detect them. */
 static const struct mutation mutations[] = {
     {"no-contacts", FAULT_NO_CONTACTS, "/rejoin/seeds-down"},
@@ -352,6 +391,7 @@
     CASES_ADD("/rejoin/", scenarios, test_scenario)
     CASES_ADD("/rejoin/traffic/", traffics, test_traffic)
     g_test_add_func("/rejoin/stale-leader", test_stale_leader);
+    g_test_add_func("/rejoin/reload-keeps-voters", test_reload_keeps_voters);
     CASES_ADD("/rejoin/mutation/", mutations, mutation_test)
     return g_test_run();
 }
