fleet: only the lowest of the first seeds chooses a founder

Cause: a node chose a founder if no seed had a lower address, whether it was a seed itself or not, by the seeds of the moment. With seeds that leave out the lowest addresses, or are exchanged in the first 1.5 s, two or three disks bootstrapped a quorum each, all of term 1; their logs then passed for one. Change: decided once, by the seeds of the first settings, which all nodes share, and only by a node that is among them; so there is one such node.

--- a/fleet.c
+++ b/fleet.c
@@ -72,11 +72,33 @@
     g_free(fleet->routes.packed.packed_val);
 }
 
+/* True when this node has the lowest address among the seeds. */
+static bool
+is_lowest_seed(const struct fleet *fleet)
+{
+    bool is_seed = false;
+
+    for (size_t i = 0; i < fleet->seed_count; i++) {
+        if (fleet->seeds[i] < fleet->self.address) {
+            return false;
+        }
+        is_seed = is_seed || fleet->seeds[i] == fleet->self.address;
+    }
+    return is_seed;
+}
+
+/* All nodes start with the same seeds, so their lowest one is unique; seeds
+ * that are set later may name another node before a leader exists. */
 void
 fleet_set_seeds(struct fleet *fleet, const uint32_t *seeds, size_t count)
 {
+    bool first = fleet->seed_count == 0;
+
     fleet->seed_count = MIN(count, FLEET_SEEDS_MAX);
     memcpy(fleet->seeds, seeds, fleet->seed_count * sizeof(*seeds));
+    if (first && fleet->first_start) {
+        fleet->chooses_founder = is_lowest_seed(fleet);
+    }
 }
 
 void
@@ -313,21 +335,13 @@
     g_array_free(all, TRUE);
 }
 
-/* True on the first start for the node with the lowest address among the
- * seeds, unless a leader has existed: a founder that lost its disk would
+/* False once a leader has existed: a founder that lost its disk would
  * bootstrap a second quorum under its old identity. */
 static bool
 may_choose_founder(const struct fleet *fleet)
 {
-    if (fleet->bootstrapped && !fault_is(FAULT_BOOTSTRAP_AGAIN)) {
-        return false;
-    }
-    for (size_t i = 0; i < fleet->seed_count; i++) {
-        if (fleet->seeds[i] < fleet->self.address) {
-            return false;
-        }
-    }
-    return fleet->first_start && fleet->seed_count > 0;
+    return fleet->chooses_founder &&
+           (!fleet->bootstrapped || fault_is(FAULT_BOOTSTRAP_AGAIN));
 }
 
 /* Chooses this node if it has a disk, else the lowest address with one.
--- a/fleet.h
+++ b/fleet.h
@@ -245,8 +245,10 @@
 
 /** Membership and exchange state of one node. */
 struct fleet {
-    wire_node self;                    /**< this node */
-    bool first_start;                  /**< of the whole deployment */
+    wire_node self;       /**< this node */
+    bool first_start;     /**< of the whole deployment */
+    bool chooses_founder; /**< of all nodes, this one alone may do so, on the
+                             first start */
     uint32_t seeds[FLEET_SEEDS_MAX];   /**< of the settings */
     size_t seed_count;                 /**< of seeds */
     uint32_t voters[FLEET_VOTERS_MAX]; /**< stored on this node's disk */
@@ -329,7 +331,8 @@
 
 void fleet_close(struct fleet *fleet);
 
-/** Sets the seeds of the settings; some may be unreachable. */
+/** Sets the seeds of the settings; some may be unreachable. On the first start
+ * of the deployment, the lowest of the first seeds chooses the founder. */
 void fleet_set_seeds(struct fleet *fleet, const uint32_t *seeds, size_t count);
 
 /** Adds a voter that this node's disk names; it is asked for the leader as the
--- a/tests/test-founding.c
+++ b/tests/test-founding.c
@@ -1,7 +1,8 @@
 /*
  * The control quorum is bootstrapped once. Guards against a founder that lost
  * its disk, or is partitioned with the lowest seed, and bootstraps a second
- * quorum, which loses acknowledged tables.
+ * quorum, which loses acknowledged tables; and against several nodes that
+ * choose a founder.
  */
 #include <glib.h>
 
@@ -91,6 +92,55 @@
     }
 }
 
+/* Seeds of the first start. */
+struct seed_case {
+    const char *name;
+    int first_seed;     /* first of three nodes */
+    int later_seed;     /* first of those that replace them, -1: none */
+    uint64_t change_ms; /* from the start until they are replaced */
+};
+
+static const struct seed_case seed_cases[] = {
+    {"lowest-addresses", 0, -1, 0},
+    {"not-the-lowest-address", 1, -1, 0},
+    {"one-disk-among-them", 2, -1, 0},
+    {"no-disk-among-them", 3, -1, 0},
+    {"highest-addresses", 8, -1, 0},
+    {"replaced-by-higher-ones", 0, 5, 500},
+    {"replaced-by-lower-ones", 5, 0, 500},
+    {"replaced-at-the-founding", 0, 5, FLEET_BOOTSTRAP_DELAY_MS - 5},
+};
+
+/* One disk alone must bootstrap the quorum, whichever nodes the seeds are. */
+static void
+test_seeds(const void *data)
+{
+    const struct seed_case *c = data;
+
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct fleet_sim_options options = {.nodes = NODES,
+                                            .disks = DISKS,
+                                            .first_seed = c->first_seed,
+                                            .upstreams = 6,
+                                            .seed = seed};
+        struct fleet_sim *sim = fleet_sim_new(&options);
+        int founders = 0;
+
+        if (c->later_seed >= 0) {
+            fleet_sim_run(sim, sim->now + c->change_ms);
+            fleet_sim_set_seeds(sim, c->later_seed);
+        }
+        fleet_sim_run(sim, sim->now + SETTLE_MS);
+        for (int n = 0; n < DISKS; n++) {
+            founders += sim->nodes[n].disk.identity == sim->nodes[n].address;
+        }
+        g_assert_cmpint(founders, ==, 1);
+        g_assert_true(fleet_sim_put(sim, 1, OPERATOR_TIMEOUT_MS));
+        g_assert_cmpstr(sim->violation, ==, "");
+        fleet_sim_free(sim);
+    }
+}
+
 /* Disabled safeguards and the tests that must detect them. */
 static const struct mutation mutations[] = {
     {"founded-again", FAULT_BOOTSTRAP_AGAIN, "/founding/cut-and-wiped"},
@@ -105,6 +155,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_set_nonfatal_assertions();
     CASES_ADD("/founding/", partitions, test_partition)
+    CASES_ADD("/founding/seeds/", seed_cases, test_seeds)
     CASES_ADD("/founding/mutation/", mutations, mutation_test)
     return g_test_run();
 }
