tests: measure the traffic of a shortage once all nodes have the member list

Cause: /occupancy/traffic waited 5 s "until all nodes have the member list", but a leader with 4 Mbit/s takes 12 s to send 300 lists of 10 KB, so some nodes knew 12 members, chose an ordinary node as their relay, or got no sum. Change: the test awaits the lists, at most 20 s, and fails without them; its limits are as they were.

--- a/tests/test-occupancy.c
+++ b/tests/test-occupancy.c
@@ -32,7 +32,10 @@
  * first one try it again every 3 s, for 500 ms without a sum. */
 #define MIN_PERCENT_TWO 40U
 #define TRAFFIC_MS 5000
-#define IDLE_MS 5000        /* until all nodes have the member list */
+#define IDLE_MS 5000 /* before the shortage */
+/* Until all nodes have the member list; a leader with 4 Mbit/s takes 12 s to
+ * send 300 lists of 10 KB with half of its link. */
+#define MEMBERS_MS 20000
 #define TRAFFIC_LIMIT 4096U /* bytes per second */
 #define TRAFFIC_UPSTREAMS 150U
 #define TRAFFIC_PER_NODE 30U /* upstreams with requests of one node */
@@ -559,6 +562,25 @@
     fleet_sim_run(sim, sim->now + STEP_MS);
 }
 
+/* Waits until all nodes have the member list. */
+static void
+await_members(struct fleet_sim *sim)
+{
+    uint64_t until = sim->now + MEMBERS_MS;
+    int n = 0;
+
+    while (n < sim->count && sim->now < until) {
+        if (g_hash_table_size(sim->nodes[n].fleet.members) + 1 ==
+            (guint)sim->count) {
+            n++;
+        }
+        else {
+            run_for(sim, STEP_MS, false);
+        }
+    }
+    g_assert_cmpint(n, ==, sim->count);
+}
+
 /* A node that is no relay must stay below the limit for what it sends, and for
  * what it receives, and a relay below half of its link. */
 static void
@@ -574,6 +596,7 @@
     uint64_t until;
 
     run_for(sim, IDLE_MS, false);
+    await_members(sim);
     run_for(sim, 1000, true);
     for (int n = 0; n < sim->count; n++) {
         sent[n] = sim->nodes[n].load_sent;
