replica: replace a lost leader's voter 3 s after its last message

What callers saw: none yet; in simulated time a core of three lost its quorum for good, and with it an acknowledged table, when its leader was replaced twice 5 s apart, the second time while the first successor was no voter yet. Cause: a new leader counted the 3 s without a message from its predecessor from its own election, so the replacement took the election (0.8 to 2.5 s) more; split votes made it longer than the catch-up time of a successor. Change: a replica keeps which leader it heard from last, and when; elected, it counts from then. Other voters are counted from the election as before.

--- a/cons.c
+++ b/cons.c
@@ -95,6 +95,7 @@
     cons->role = CONS_FOLLOWER;
     if (leader != 0) {
         cons->leader = leader;
+        cons->last_leader = leader;
         cons->leader_last_seen_at = now;
         reset_election_timer(cons, now);
     }
@@ -116,7 +117,9 @@
             fault_is(FAULT_COUNT_ANY_IDENTITY));
 }
 
-/* The no-op entry commits entries of earlier terms (Raft, section 5.4.2). */
+/* The no-op entry commits entries of earlier terms (Raft, section 5.4.2). The
+ * former leader has been silent for longer than this term: a lost one is
+ * replaced in time, however long the election took. */
 static void
 become_leader(struct cons *cons, uint64_t now)
 {
@@ -130,7 +133,11 @@
 
         *peer = (struct cons_peer){.next_index = cons_last_index(cons) + 1,
                                    .last_reply_at = now};
+        if (cons->replicas[i] == cons->last_leader) {
+            peer->last_reply_at = cons->leader_last_seen_at;
+        }
     }
+    cons->last_leader = cons->self;
     cons->confirmed_round = cons->round;
     (void)cons_propose(cons, now, &command);
 }
--- a/cons.h
+++ b/cons.h
@@ -86,6 +86,7 @@
     uint64_t election_at;  /**< election deadline */
     uint64_t heartbeat_at; /**< heartbeat deadline */
     uint64_t leader_last_seen_at;
+    uint32_t last_leader;     /**< seen then, 0: none since the start */
     uint64_t round;           /**< last heartbeat round sent */
     uint64_t confirmed_round; /**< last round a quorum acknowledged */
     uint64_t elected_at;      /**< LEADER: start of leadership */
--- a/replica-voters.c
+++ b/replica-voters.c
@@ -124,8 +124,7 @@
         return true;
     }
     if (now <=
-            voter_last_seen_at(replica, voter->replica) + REPLICA_REPLACE_MS ||
-        now <= replica->cons.elected_at + REPLICA_REPLACE_MS) {
+        voter_last_seen_at(replica, voter->replica) + REPLICA_REPLACE_MS) {
         return false;
     }
     spare = find_spare(replica, config);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -12,7 +12,7 @@
 #include "fleet-sim.h"
 
 #define SEEDS 8
-#define MUTATION_SEEDS 200
+#define MANY_SEEDS 200
 #define MUTATION_NODE 7 /* without a disk; its drained halls are checked */
 #define SETTLE_MS 6000  /* from the first start to the first submission */
 #define OPERATOR_TIMEOUT_MS 8000 /* limit for an operator's request */
@@ -308,6 +308,19 @@
     }
 }
 
+/* The leader's node is replaced three times, 5 s apart: each successor must be
+ * a voter before the next leader is lost, however long the election took. */
+static void
+test_replace_leaders(void)
+{
+    static const struct scenario scenario = {"replace-leaders",  11, 3, 0, 3,
+                                             "pr....r....r....g"};
+
+    for (uint64_t seed = 1; seed <= MANY_SEEDS; seed++) {
+        run_scenario(&scenario, seed);
+    }
+}
+
 /* A safeguard that is disabled, and a scenario that detects it. */
 struct mutation {
     const char *name;
@@ -357,7 +370,7 @@
     const struct mutation *m = data;
     bool detected = false;
 
-    for (uint64_t seed = 1; seed <= MUTATION_SEEDS && !detected; seed++) {
+    for (uint64_t seed = 1; seed <= MANY_SEEDS && !detected; seed++) {
         detected = violates(m, seed, true);
         g_assert_false(violates(m, seed, false));
     }
@@ -579,6 +592,7 @@
                        mutations[i].name);
         g_test_add_data_func(path, &mutations[i], test_mutation);
     }
+    g_test_add_func("/fleet/replace-leaders", test_replace_leaders);
     g_test_add_func("/fleet/load-other-kind", test_load_other_kind);
     g_test_add_func("/fleet/load-previous-release",
                     test_load_previous_release);
