soak: take the seeds down together, and replace disks afterwards

Change: after the random faults the settings name three nodes without a disk as seeds; these are killed together for 3 to 9 s, or restart behind a partition that lasts as long, and must be ready 5 s later. Then one to three nodes with a disk are replaced by empty ones at other addresses, each 4 s after the successor before it has started. Faults at other nodes and at upstreams go on meanwhile. A random generator of its own, so that earlier seeds give the same faults before.

--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -102,7 +102,6 @@
     bool burst;
     int caller_fd;
     uint32_t first_host, caller_address, first_node;
-    int node_count;
     uint16_t packet_port, control_port;
     uint16_t next_port;
     uint64_t random;
@@ -160,7 +159,7 @@
                                traffic.control_port, path,
                                deregister ? NULL : body, response, NULL);
     if (status != 200) {
-        host->keeper = (int)(g_random_int() % (guint)traffic.node_count);
+        host->keeper = soak_random_node();
     }
     else if (leaving && host->id == id && host->leave_confirmed_at == 0) {
         host->leave_confirmed_at = loop_now();
@@ -217,13 +216,11 @@
 /* Opens the sockets, starts the hosts and their registration threads. */
 void
 soak_host_open(uint32_t hosts, uint32_t callers, uint32_t nodes,
-               int node_count, uint16_t packet_port, uint16_t control_port,
-               unsigned seed)
+               uint16_t packet_port, uint16_t control_port, unsigned seed)
 {
     traffic.first_host = hosts;
     traffic.caller_address = callers;
     traffic.first_node = nodes;
-    traffic.node_count = node_count;
     traffic.packet_port = packet_port;
     traffic.control_port = control_port;
     traffic.random = seed;
@@ -234,7 +231,7 @@
 
         host->fd = soak_socket(hosts + (uint32_t)i, HOST_PORT);
         host->service_b = i >= SOAK_HOSTS - SERVICE_B_HOSTS;
-        host->keeper = i % node_count;
+        host->keeper = soak_random_node();
         host->flows = g_hash_table_new(g_direct_hash, g_direct_equal);
         start_host(host);
         (void)g_thread_new("registrations", run_registrations,
--- a/tools/soak/host.h
+++ b/tools/soak/host.h
@@ -19,7 +19,7 @@
 /* Opens the sockets of hosts and callers. Hosts use consecutive addresses
  * from first_host on, nodes from first_node on. */
 void soak_host_open(uint32_t first_host, uint32_t caller_address,
-                    uint32_t first_node, int node_count, uint16_t packet_port,
+                    uint32_t first_node, uint16_t packet_port,
                     uint16_t control_port, unsigned seed);
 
 /* Fills fds for poll(2); returns how many. */
--- a/tools/soak/http.c
+++ b/tools/soak/http.c
@@ -74,6 +74,12 @@
     return node_address(best);
 }
 
+bool
+soak_http_is_ready(int n)
+{
+    return client.node[n].ready;
+}
+
 /* Write callback of libcurl. */
 static size_t
 on_body(char *bytes, size_t size, size_t count, void *data)
@@ -123,8 +129,7 @@
 send_operator_request(const char *method, const char *path, const char *body,
                       GString *answer)
 {
-    uint32_t node =
-        node_address((int)(g_random_int() % (guint)client.node_count));
+    uint32_t node = node_address(soak_random_node());
     long status = 0;
 
     for (int hops = 0; hops < REDIRECTS_MAX; hops++) {
@@ -323,7 +328,7 @@
         soak_violation("at the end: no drain of a hall was acknowledged");
     }
     for (int n = 0; n < client.node_count; n++) {
-        if (!client.node[n].ready) {
+        if (soak_node_in_use(n) && !client.node[n].ready) {
             soak_violation("at the end: node %d is not ready", n);
         }
     }
--- a/tools/soak/http.h
+++ b/tools/soak/http.h
@@ -8,6 +8,7 @@
 #define RIDGERIDGE_SOAK_HTTP_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Sends a request to a node. Returns the HTTP status, 0 on a timeout or
@@ -25,6 +26,9 @@
  * ready nodes. */
 uint32_t soak_http_pick_node(uint32_t hash);
 
+/* True if the fabric selects a node. */
+bool soak_http_is_ready(int n);
+
 /* When the draining of a hall was acknowledged; 0: not drained. */
 uint64_t soak_http_drained_since(int hall);
 
--- a/tools/soak/link.c
+++ b/tools/soak/link.c
@@ -29,6 +29,8 @@
     GArray *delayed;          /* struct delayed_datagram */
     int partitioned_halls[2]; /* that cannot reach each other */
     uint64_t partition_until; /* deadline */
+    int cut_first, cut_count; /* nodes that reach only each other */
+    uint64_t cut_until;       /* deadline */
     GRand *rand;              /* selects lost datagrams */
 } links;
 
@@ -72,6 +74,20 @@
              hall == links.partitioned_halls[0]));
 }
 
+void
+soak_link_cut_group(int first, int count, uint64_t until)
+{
+    links.cut_first = first;
+    links.cut_count = count;
+    links.cut_until = until;
+}
+
+static bool
+is_in_cut_group(int n)
+{
+    return n >= links.cut_first && n < links.cut_first + links.cut_count;
+}
+
 /* Queues a datagram for delivery unless the link drops it. */
 static void
 forward_datagram(int from, int to, const uint8_t *bytes, size_t length)
@@ -83,6 +99,8 @@
 
     if (a->drop_out || b->drop_in ||
         soak_link_is_partitioned(from, to % SOAK_HALLS) ||
+        (loop_now() < links.cut_until &&
+         is_in_cut_group(from) != is_in_cut_group(to)) ||
         (unsigned)g_rand_int_range(links.rand, 0, 100) <
             a->loss_percent + b->loss_percent) {
         return;
--- a/tools/soak/link.h
+++ b/tools/soak/link.h
@@ -31,6 +31,9 @@
  * their nodes, nor from nodes to hosts. */
 void soak_link_partition_halls(int one, int other, uint64_t until);
 
+/* Partitions nodes from all others, but not from each other, until a time. */
+void soak_link_cut_group(int first, int count, uint64_t until);
+
 /* True if a node cannot reach a hall now. */
 bool soak_link_is_partitioned(int n, int hall);
 
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -34,6 +34,8 @@
 #include "soak.h"
 
 #define DISKS 3
+#define SEEDS 3
+#define SPARES 3 /* nodes with a disk that replace others */
 #define PACKET_PORT 17100
 #define READY_PORT 17101
 #define CONTROL_PORT 17102
@@ -45,6 +47,9 @@
 #define STOP_TIMEOUT_MS 6000 /* a planned stop takes at most this */
 #define RESTART_MS 200       /* from the end of a process to its next start */
 #define WIPE_RESTART_MS 300  /* the same after a wiped disk */
+#define REJOIN_MS 5000       /* from the end of an outage until nodes serve */
+#define REPLACE_MS 1000      /* from the loss of a node to its successor */
+#define CATCH_UP_MS 4000     /* from a successor's start to the next loss */
 #define POLL_MS 2            /* poll(2) timeout */
 #define EXIT_EXEC_FAILED 3   /* execl(3) failed */
 
@@ -65,6 +70,7 @@
 struct node_process {
     pid_t pid;                /* 0: not running */
     bool disk;                /* has a data folder */
+    bool in_use;              /* has started, and is not replaced */
     bool stopping;            /* SIGTERM was sent */
     uint64_t start_at;        /* deadline: start, 0: none */
     uint64_t resume_at;       /* deadline: SIGCONT, 0: not paused */
@@ -75,14 +81,19 @@
 
 static struct {
     char directory[128];
-    unsigned net; /* second octet of all addresses */
-    int nodes;
+    unsigned net;   /* second octet of all addresses */
+    int nodes;      /* that start first */
+    int total;      /* with the spares, which follow them */
+    int first_seed; /* of the seeds in the settings */
+    bool outage;    /* faults strike only nodes that are neither a seed nor
+                       have a disk */
     struct node_process node[SOAK_NODES_MAX];
     GRand *rand; /* of inject_fault() */
     uint64_t started_at;
-    GRand *extra_rand; /* of inject_restart_or_partition(); separate, so that
-                          neither changes the faults that a seed gives the
-                          other */
+    GRand *extra_rand;  /* of inject_restart_or_partition(); separate, so that
+                           neither changes the faults that a seed gives the
+                           other */
+    GRand *outage_rand; /* of run_outage() */
     uint64_t next_fault_at; /* deadline */
     uint64_t next_extra_at; /* deadline */
     uint64_t faulty_until;  /* end of the latest fault of any node */
@@ -167,14 +178,15 @@
     char data[192] = "";
     uint32_t own = address_of(ADDRESS_NODE, n);
 
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < SEEDS; i++) {
         char s[ADDRESS_TEXT];
         size_t used = strlen(seeds);
 
         (void)snprintf(
             seeds + used, sizeof(seeds) - used, "%s{\"control\": \"%s\"}",
             i ? "," : "",
-            address_format(address_of(ADDRESS_PROXY, i), CONTROL_PORT, s));
+            address_format(address_of(ADDRESS_PROXY, soak.first_seed + i),
+                           CONTROL_PORT, s));
     }
     if (soak.node[n].disk) {
         (void)snprintf(data, sizeof(data), "%s/data-%d", soak.directory, n);
@@ -211,6 +223,7 @@
         _exit(EXIT_EXEC_FAILED);
     }
     soak.node[n].pid = pid;
+    soak.node[n].in_use = true;
     soak.node[n].stopping = false;
     soak.node[n].writable_at = 0;
     soak.node[n].start_at = 0;
@@ -224,11 +237,34 @@
     int n = (int)(node_address & 255) - 1;
     uint64_t now = loop_now();
 
-    return n >= 0 && n < soak.nodes &&
+    return n >= 0 && n < soak.total &&
            now > soak.node[n].faulty_until + SOAK_STABLE_MS &&
            now > soak.faulty_until + SOAK_STABLE_MS;
 }
 
+bool
+soak_node_in_use(int n)
+{
+    return soak.node[n].in_use;
+}
+
+int
+soak_random_node(void)
+{
+    int n;
+
+    do {
+        n = (int)(g_random_int() % (guint)soak.total);
+    } while (!soak.node[n].in_use);
+    return n;
+}
+
+static bool
+is_seed(int n)
+{
+    return n >= soak.first_seed && n < soak.first_seed + SEEDS;
+}
+
 /* Records a fault of a node that lasts until a time. */
 static void
 record_fault(int n, uint64_t until)
@@ -373,7 +409,8 @@
     enum fault fault;
 
     soak.next_fault_at = now + 300 + (uint64_t)random_below(1500);
-    if (node->pid == 0 || node->resume_at != 0 || node->stopping) {
+    if (node->pid == 0 || node->resume_at != 0 || node->stopping ||
+        (soak.outage && (node->disk || is_seed(n)))) {
         return;
     }
     fault = (enum fault)random_below(FAULT_COUNT);
@@ -429,7 +466,7 @@
 static void
 supervise_nodes(uint64_t now)
 {
-    for (int n = 0; n < soak.nodes; n++) {
+    for (int n = 0; n < soak.total; n++) {
         struct node_process *node = &soak.node[n];
         int status;
 
@@ -479,12 +516,105 @@
         if (faults && now >= soak.next_fault_at) {
             inject_fault(now);
         }
-        if (faults && now >= soak.next_extra_at) {
+        if (faults && !soak.outage && now >= soak.next_extra_at) {
             inject_restart_or_partition(now);
         }
     }
 }
 
+static int
+outage_random(int first, int end)
+{
+    return g_rand_int_range(soak.outage_rand, first, end);
+}
+
+/* Names three nodes without a disk as the seeds in all settings. */
+static void
+exchange_seeds(void)
+{
+    soak.first_seed = outage_random(DISKS, soak.nodes - SEEDS + 1);
+    log_event("the settings name the nodes %d to %d as seeds", soak.first_seed,
+              soak.first_seed + SEEDS - 1);
+    for (int n = 0; n < soak.nodes; n++) {
+        g_free(write_settings(n, false));
+        if (soak.node[n].pid != 0) {
+            (void)kill(soak.node[n].pid, SIGHUP);
+        }
+    }
+}
+
+/* Kills all seeds; they start again after a while, or at once behind a
+ * partition that lasts as long. */
+static void
+take_seeds_down(uint64_t now, uint64_t duration_ms, bool partitioned)
+{
+    for (int n = soak.first_seed; n < soak.first_seed + SEEDS; n++) {
+        struct node_process *node = &soak.node[n];
+
+        log_event("node %d: killed, %s for %llu ms", n,
+                  partitioned ? "cut off" : "down",
+                  (unsigned long long)duration_ms);
+        if (node->pid != 0) {
+            (void)kill(node->pid, SIGKILL);
+        }
+        node->resume_at = 0;
+        node->start_at = now + (partitioned ? RESTART_MS : duration_ms);
+        record_fault(n, now + duration_ms);
+    }
+    if (partitioned) {
+        soak_link_cut_group(soak.first_seed, SEEDS, now + duration_ms);
+    }
+}
+
+/* Removes a node with a disk; an empty one at another address replaces it. */
+static void
+replace_disk(int n, int successor)
+{
+    struct node_process *node = &soak.node[n];
+
+    log_event("node %d: removed, node %d replaces it", n, successor);
+    (void)kill(node->pid, SIGKILL);
+    (void)waitpid(node->pid, NULL, 0);
+    node->pid = 0;
+    node->start_at = 0;
+    node->in_use = false;
+    wipe_disk(n);
+    soak.node[successor].start_at = loop_now() + REPLACE_MS;
+    record_fault(n, loop_now());
+    record_fault(successor, loop_now() + REPLACE_MS);
+}
+
+static void run_until(uint64_t until, bool faults);
+
+/* Exchanges the seeds, takes them down together, and then replaces disks one
+ * after the other. */
+static void
+run_outage(void)
+{
+    uint64_t duration_ms = (uint64_t)outage_random(3000, 9000);
+    bool partitioned = outage_random(0, 2) == 0;
+    int replaced = outage_random(1, SPARES + 1);
+    int first = outage_random(0, DISKS);
+
+    soak.outage = true;
+    exchange_seeds();
+    run_until(loop_now() + (uint64_t)outage_random(500, 4000), true);
+    take_seeds_down(loop_now(), duration_ms, partitioned);
+    run_until(loop_now() + duration_ms + REJOIN_MS, true);
+    for (int n = soak.first_seed; n < soak.first_seed + SEEDS; n++) {
+        if (!soak_http_is_ready(n)) {
+            soak_violation("node %d is not ready %d ms after the outage", n,
+                           REJOIN_MS);
+        }
+    }
+    for (int i = 0; i < replaced; i++) {
+        replace_disk((first + i) % DISKS, soak.nodes + i);
+        run_until(loop_now() + REPLACE_MS + CATCH_UP_MS, true);
+    }
+    run_until(loop_now() + RECOVERY_MS, false);
+    soak.outage = false;
+}
+
 /* Starts nodes, proxy, hosts, callers and operator. */
 static void
 set_up(unsigned seed)
@@ -492,14 +622,15 @@
     soak.net = 16 + seed % 200;
     soak.rand = g_rand_new_with_seed(seed);
     soak.extra_rand = g_rand_new_with_seed(seed + 1000000);
+    soak.outage_rand = g_rand_new_with_seed(seed + 2000000);
     soak.started_at = loop_now();
     (void)snprintf(soak.directory, sizeof(soak.directory), "build/soak-%u",
                    seed);
     (void)g_mkdir_with_parents(soak.directory, 0700);
     soak_link_open(address_of(ADDRESS_PROXY, 0), address_of(ADDRESS_NODE, 0),
-                   soak.nodes, PEER_PORT, seed + 1);
-    for (int n = 0; n < soak.nodes; n++) {
-        soak.node[n].disk = n < DISKS;
+                   soak.total, PEER_PORT, seed + 1);
+    for (int n = 0; n < soak.total; n++) {
+        soak.node[n].disk = n < DISKS || n >= soak.nodes;
         if (soak.node[n].disk) {
             wipe_disk(n);
         }
@@ -508,9 +639,9 @@
         start_node(n, true);
     }
     soak_host_open(address_of(ADDRESS_HOST, 0), address_of(ADDRESS_CALLERS, 0),
-                   address_of(ADDRESS_NODE, 0), soak.nodes, PACKET_PORT,
-                   CONTROL_PORT, seed);
-    soak_http_start(address_of(ADDRESS_NODE, 0), soak.nodes, READY_PORT,
+                   address_of(ADDRESS_NODE, 0), PACKET_PORT, CONTROL_PORT,
+                   seed);
+    soak_http_start(address_of(ADDRESS_NODE, 0), soak.total, READY_PORT,
                     CONTROL_PORT);
 }
 
@@ -519,7 +650,7 @@
 tear_down(void)
 {
     soak_http_stop();
-    for (int n = 0; n < soak.nodes; n++) {
+    for (int n = 0; n < soak.total; n++) {
         if (soak.node[n].pid != 0) {
             (void)kill(soak.node[n].pid, SIGKILL);
             (void)waitpid(soak.node[n].pid, NULL, 0);
@@ -540,7 +671,10 @@
     uint64_t seconds = argc > 1 ? strtoull(argv[1], NULL, 10) : 0;
     unsigned seed = argc > 2 ? (unsigned)strtoul(argv[2], NULL, 10) : 1;
 
-    soak.nodes = argc > 3 ? CLAMP(atoi(argv[3]), DISKS, SOAK_NODES_MAX) : 7;
+    soak.nodes =
+        argc > 3 ? CLAMP(atoi(argv[3]), DISKS + SEEDS, SOAK_NODES_MAX - SPARES)
+                 : 7;
+    soak.total = soak.nodes + SPARES;
     if (seconds == 0) {
         (void)fprintf(stderr, "usage: soak SECONDS SEED [NODES]\n");
         return 2;
@@ -553,6 +687,7 @@
     run_until(loop_now() + SETTLE_MS, false);
     run_until(loop_now() + seconds * 1000, true);
     run_until(loop_now() + RECOVERY_MS, false);
+    run_outage();
     /* Without other faults: an upstream paused for a second or more, whose
      * callers retransmit, is taken for lost, and its flows are reset. */
     soak_host_set_burst(true);
