fleet: a leader that stalled forgets nobody before it has read their hellos

Cause: a leader that was frozen or not scheduled for 4 s removed all members at its next tick, if the timer ran before the socket was read; each of them had to be found again. Change: members expire again 4 s after a tick that came late. Measured: /rejoin/stalled-leader fails without the deadline (0 members instead of 1) and passes; a member that stays silent is removed 4 s later.

--- a/fleet.c
+++ b/fleet.c
@@ -428,13 +428,26 @@
     fleet->hello_at = now + hello_interval(fleet, now, no_leader);
 }
 
+/* LEADER: after a stall the hellos of all members are still unread. */
+static void
+expire_members(struct fleet *fleet, uint64_t now)
+{
+    if (fleet->expire_members_at != 0 &&
+        now > fleet->expire_members_at + FLEET_HELLO_INTERVAL_MS) {
+        fleet->expire_after = now + FLEET_MEMBER_TIMEOUT_MS;
+    }
+    fleet->expire_members_at = now + EXPIRE_INTERVAL_MS;
+    if (now >= fleet->expire_after) {
+        fleet_expire_members(fleet, now);
+    }
+}
+
 void
 fleet_tick(struct fleet *fleet, uint64_t now)
 {
     if (fleet->leads_since != 0) {
         if (now >= fleet->expire_members_at) {
-            fleet->expire_members_at = now + EXPIRE_INTERVAL_MS;
-            fleet_expire_members(fleet, now);
+            expire_members(fleet, now);
         }
         if (fleet->joined->len > 0 && now >= fleet->push_joined_at) {
             fleet->push_joined_at = now + FLEET_JOINED_INTERVAL_MS;
--- a/fleet.h
+++ b/fleet.h
@@ -258,36 +258,38 @@
     GArray *addresses;                 /**< uint32_t: of the members, sorted */
     GArray *hall_addresses;            /**< uint32_t: of the members in this
                                             node's data hall, sorted */
-    uint64_t hall_has_data_until;   /**< deadline: sync only from this hall */
-    uint64_t members_digest_sum;    /**< sum of the members' digests */
-    uint64_t term;                  /**< term of `leader` */
-    uint32_t leader;                /**< its address, 0: none known */
-    uint64_t leader_seen_at;        /**< last hello of it, or first report
-                                         of it by another node */
-    bool leader_confirmed;          /**< it or the local voter said that it
-                                         leads; a report of another node may
-                                         be out of date */
-    uint64_t search_since;          /**< time since when no leader is known,
-                                         0: one is */
-    uint64_t leads_since;           /**< time, 0: this node is no leader */
-    uint64_t hello_at;              /**< deadline: next hellos */
-    uint32_t founder;               /**< address chosen here, 0: none yet */
-    bool bootstrapped;              /**< a leader existed in any term */
-    bool settled;                   /**< has enough data to serve */
-    bool overloaded;                /**< this node is overloaded; set by its
-                                         owner, stated in hellos */
-    uint64_t first_hello_at;        /**< first hello of a peer, 0: none */
-    uint64_t sync_requested_at;     /**< last sync request, 0: none */
-    uint64_t sync_until;            /**< deadline: no further sync request
-                                         before */
-    GArray *contacts;               /**< struct fleet_contact, oldest first */
-    uint64_t contact_hellos;        /**< sent to contacts and to seeds that
-                                         are no members */
-    GArray *joined;                 /**< uint32_t: LEADER: new members to
-                                         announce */
-    wire_routes routes;             /**< newest table; packed is owned */
-    uint64_t push_at;               /**< deadline: push the table, 0: none */
-    uint64_t pushed_at;             /**< last push */
+    uint64_t hall_has_data_until; /**< deadline: sync only from this hall */
+    uint64_t members_digest_sum;  /**< sum of the members' digests */
+    uint64_t term;                /**< term of `leader` */
+    uint32_t leader;              /**< its address, 0: none known */
+    uint64_t leader_seen_at;      /**< last hello of it, or first report
+                                       of it by another node */
+    bool leader_confirmed;        /**< it or the local voter said that it
+                                       leads; a report of another node may
+                                       be out of date */
+    uint64_t search_since;        /**< time since when no leader is known,
+                                       0: one is */
+    uint64_t leads_since;         /**< time, 0: this node is no leader */
+    uint64_t hello_at;            /**< deadline: next hellos */
+    uint32_t founder;             /**< address chosen here, 0: none yet */
+    bool bootstrapped;            /**< a leader existed in any term */
+    bool settled;                 /**< has enough data to serve */
+    bool overloaded;              /**< this node is overloaded; set by its
+                                       owner, stated in hellos */
+    uint64_t first_hello_at;      /**< first hello of a peer, 0: none */
+    uint64_t sync_requested_at;   /**< last sync request, 0: none */
+    uint64_t sync_until;          /**< deadline: no further sync request
+                                       before */
+    GArray *contacts;             /**< struct fleet_contact, oldest first */
+    uint64_t contact_hellos;      /**< sent to contacts and to seeds that
+                                       are no members */
+    GArray *joined;               /**< uint32_t: LEADER: new members to
+                                       announce */
+    wire_routes routes;           /**< newest table; packed is owned */
+    uint64_t push_at;             /**< deadline: push the table, 0: none */
+    uint64_t pushed_at;           /**< last push */
+    uint64_t expire_after; /**< LEADER: deadline: members expire again after a
+                              stall of this node */
     uint64_t expire_members_at;     /**< LEADER: deadline: expire members */
     uint64_t push_joined_at;        /**< deadline: announce `joined` */
     GArray *lookups;                /**< struct fleet_lookup */
--- a/tests/test-rejoin.c
+++ b/tests/test-rejoin.c
@@ -335,6 +335,38 @@
     fleet_sim_free(sim);
 }
 
+/* A leader that was not scheduled for a while must not forget the members
+ * whose hellos it has not read yet; one that sends none afterwards is lost. */
+static void
+test_stalled_leader(void)
+{
+    struct fleet_options options = {.address = 9, .identity = 9, .seed = 1};
+    wire_msg hello = {.kind = WIRE_HELLO};
+    struct upstream_set upstreams;
+    struct fleet fleet;
+    uint64_t now = 1000;
+    uint64_t until;
+
+    upstream_open(&upstreams, options.address, FLEET_SIM_REGISTRATION_MS);
+    fleet_open(&fleet, now, &options, &upstreams);
+    fleet_set_leader(&fleet, now, 1, options.address);
+    hello.wire_msg_u.hello.self.address = 1;
+    fleet_receive(&fleet, now, &hello);
+    for (; now < 3000; now += 100) {
+        fleet_tick(&fleet, now);
+    }
+    now += DOWN_MS;
+    fleet_tick(&fleet, now);
+    g_assert_cmpuint(g_hash_table_size(fleet.members), ==, 1);
+    until = now + FLEET_MEMBER_TIMEOUT_MS + 500;
+    for (; now < until; now += 100) {
+        fleet_tick(&fleet, now);
+    }
+    g_assert_cmpuint(g_hash_table_size(fleet.members), ==, 0);
+    fleet_close(&fleet);
+    upstream_close(&upstreams);
+}
+
 /* Counts the messages to an address that are to be sent. */
 static int
 count_sends(struct fleet *fleet, uint32_t to)
@@ -391,6 +423,7 @@
     CASES_ADD("/rejoin/", scenarios, test_scenario)
     CASES_ADD("/rejoin/traffic/", traffics, test_traffic)
     g_test_add_func("/rejoin/stale-leader", test_stale_leader);
+    g_test_add_func("/rejoin/stalled-leader", test_stalled_leader);
     g_test_add_func("/rejoin/reload-keeps-voters", test_reload_keeps_voters);
     CASES_ADD("/rejoin/mutation/", mutations, mutation_test)
     return g_test_run();
