fleet: the two ways to search for a leader are two functions

Change: search_few() stands apart from search_leader(); comments of limits. The same messages as before.

--- a/fleet.c
+++ b/fleet.c
@@ -314,29 +314,40 @@
     return now < fleet->search_since + FLEET_SEARCH_ALL_MS;
 }
 
-/* After FLEET_SEARCH_ALL_MS a candidate is sent at most 2 * FLEET_SEARCH_FEW
- * hellos per interval by the whole fleet, on average. */
+/* Sends hellos to random candidates. On average the whole fleet sends at most
+ * 2 * FLEET_SEARCH_FEW of them to each candidate per interval. */
 static void
-search_leader(struct fleet *fleet, uint64_t now)
+search_few(struct fleet *fleet, const GArray *all)
 {
-    GArray *all = list_search_candidates(fleet);
     guint members = fleet->addresses->len + 1;
 
-    for (guint i = 0; i < all->len && searches_all(fleet, now); i++) {
-        fleet_send_hello(fleet, g_array_index(all, uint32_t, i), false);
-    }
-    for (guint i = 0; i < FLEET_SEARCH_FEW && !searches_all(fleet, now); i++) {
+    for (guint i = 0; i < FLEET_SEARCH_FEW; i++) {
         if (random_next(&fleet->random) % members < 2 * all->len) {
             guint pick = (guint)(random_next(&fleet->random) % all->len);
 
             fleet_send_hello(fleet, g_array_index(all, uint32_t, pick), false);
         }
     }
+}
+
+static void
+search_leader(struct fleet *fleet, uint64_t now)
+{
+    GArray *all = list_search_candidates(fleet);
+
+    if (searches_all(fleet, now)) {
+        for (guint i = 0; i < all->len; i++) {
+            fleet_send_hello(fleet, g_array_index(all, uint32_t, i), false);
+        }
+    }
+    else {
+        search_few(fleet, all);
+    }
     g_array_free(all, TRUE);
 }
 
 /* False once a leader has existed: a founder that lost its disk would
- * bootstrap a second quorum under its old identity. */
+ * bootstrap a second quorum under its former identity. */
 static bool
 may_choose_founder(const struct fleet *fleet)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -20,7 +20,7 @@
 #include "upstream.h"
 
 #define FLEET_SEEDS_MAX 16
-#define FLEET_VOTERS_MAX 16
+#define FLEET_VOTERS_MAX 16 /**< more than CONS_VOTERS_MAX */
 /* Without a leader, a settled node can wait longer than a starting one, and
  * all nodes search at once. */
 #define FLEET_HELLO_INTERVAL_MS 500U  /**< between hellos, leader known */
@@ -35,8 +35,7 @@
                 then at random, so that a candidate with a small link is not  \
                 overloaded by a large fleet */
 #define FLEET_SEARCH_FEW                                                      \
-    3U /**< candidates asked per interval after that, at                      \
-            most */
+    3U /**< candidates that a node then asks per interval, at most */
 #define FLEET_BOOTSTRAP_DELAY_MS                                              \
     1500U /**< from the first start to the choice of a founder */
 #define FLEET_SETTLE_MS                                                       \
@@ -73,7 +72,8 @@
 #define FLEET_CONTACT_RETAIN_MS                                               \
     7200000U /**< a lost node is forgotten after this long; regions may be    \
                   partitioned for an hour */
-#define FLEET_CONTACTS_MAX WIRE_MEMBERS_MAX
+#define FLEET_CONTACTS_MAX                                                    \
+    WIRE_MEMBERS_MAX /**< a larger fleet cannot have lost more members */
 
 /** Kind of a struct fleet_action. */
 enum fleet_action_kind {
