soak, tests: a disk that is not running is replaced too; names

Cause: replace_disk() sent a signal to process 0, its own group, if the node had just ended. Change: it signals a running process only; shorter comments, SEED_NODES.

--- a/tests/test-rejoin.c
+++ b/tests/test-rejoin.c
@@ -13,12 +13,10 @@
 #define SETTLE_MS 6000 /* from the first start to the first submission */
 #define OPERATOR_TIMEOUT_MS 8000 /* limit for an operator's request */
 #define DOWN_MS 7000             /* longer than FLEET_MEMBER_TIMEOUT_MS */
-#define REJOIN_MS                                                             \
-    4000                /* from the restart until a node is part of the fleet \
-                         */
+#define REJOIN_MS 4000  /* from a restart until the fleet has the node */
 #define REPLACE_MS 5000 /* between replacements of nodes with a disk */
 #define APPLY_MS 3000   /* until a table is in force at all nodes */
-#define PLATFORM_SEEDS 3
+#define SEED_NODES 3
 /* Until a node has noticed the loss of the leader, and another one that it
  * told of that leader just before has not heard from it either. */
 #define STALE_MS                                                              \
@@ -111,7 +109,7 @@
 is_down_seed(const struct scenario *c, int n)
 {
     return c->seeds_stay_down && n >= c->first_seed &&
-           n < c->first_seed + PLATFORM_SEEDS;
+           n < c->first_seed + SEED_NODES;
 }
 
 /* Partitions the group from the other nodes, or reunites them. */
@@ -294,7 +292,7 @@
 static const struct traffic_case traffics[] = {
     {"none-down", 0, 0},
     {"disks-down", 0, TRAFFIC_DISKS},
-    {"disks-and-seeds-down", 0, TRAFFIC_DISKS + PLATFORM_SEEDS},
+    {"disks-and-seeds-down", 0, TRAFFIC_DISKS + SEED_NODES},
     {"third-down", 200, 100},
     {"most-down", 0, 290},
 };
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -573,9 +573,11 @@
     struct node_process *node = &soak.node[n];
 
     log_event("node %d: removed, node %d replaces it", n, successor);
-    (void)kill(node->pid, SIGKILL);
-    (void)waitpid(node->pid, NULL, 0);
-    node->pid = 0;
+    if (node->pid != 0) {
+        (void)kill(node->pid, SIGKILL);
+        (void)waitpid(node->pid, NULL, 0);
+        node->pid = 0;
+    }
     node->start_at = 0;
     node->in_use = false;
     wipe_disk(n);
@@ -587,7 +589,7 @@
 static void run_until(uint64_t until, bool faults);
 
 /* Exchanges the seeds, takes them down together, and then replaces disks one
- * after the other. */
+ * after the other: the successors know only these seeds. */
 static void
 run_outage(void)
 {
