--- a/fleet.c
+++ b/fleet.c
@@ -136,14 +136,14 @@
     return count;
 }
 
-/* Adopts a leader of a higher term. `told_by` is the node that named it, 0:
- * the local voter. Reports of the leader itself and of the voter restart its
- * timeout. */
+/* Adopts a leader of a higher term. `reported_by` is the node that named it,
+ * 0: the local voter. Reports of the leader itself and of the voter restart
+ * its timeout. */
 static void
 update_leader(struct fleet *fleet, uint64_t now, uint64_t term,
-              uint32_t leader, uint32_t told_by)
+              uint32_t leader, uint32_t reported_by)
 {
-    bool first_hand = told_by == leader || told_by == 0;
+    bool first_hand = reported_by == leader || reported_by == 0;
     struct fleet_action *action;
 
     fleet->bootstrapped = fleet->bootstrapped || term != 0;
@@ -158,7 +158,7 @@
         fleet->leader_confirmed = false;
         action = fleet_add_action(fleet, FLEET_LEADER_FOUND);
         action->to = leader;
-        action->told_by = told_by;
+        action->reported_by = reported_by;
         fleet_send_hello(fleet, leader, false);
     }
     if (first_hand && leader == fleet->leader) {
--- a/fleet.h
+++ b/fleet.h
@@ -84,8 +84,8 @@
     FLEET_HALLS,     /**< the set of drained halls changed: log it */
     FLEET_UNRESPONSIVE, /**< no acknowledgement from the node `to`: log it */
     FLEET_LEADER_LOST, /**< no hello of the leader `to` for `age_ms`: log it */
-    FLEET_LEADER_FOUND, /**< adopted the leader `to`, which `told_by` named:
-                             log it */
+    FLEET_LEADER_FOUND, /**< adopted the leader `to`, which `reported_by`
+                           named: log it */
     FLEET_NODES_JOINED, /**< LEADER: `count` new members, the first is `to`:
                              log it */
     FLEET_NODES_LOST,   /**< removed `count` members, the first is `to` and
@@ -99,7 +99,7 @@
     enum fleet_action_kind kind; /**< selects the fields that are set */
     uint32_t to;                 /**< address, unless DISK_SEEN, BOOTSTRAP,
                                       TABLE or HALLS */
-    uint32_t told_by;            /**< LEADER_FOUND: address, 0: the voter */
+    uint32_t reported_by;        /**< LEADER_FOUND: address, 0: the voter */
     guint count;                 /**< NODES_JOINED, NODES_LOST */
     uint64_t age_ms;             /**< LEADER_LOST, NODES_LOST,
                                       CONTACT_FOUND */
--- a/node-http.c
+++ b/node-http.c
@@ -62,7 +62,7 @@
 
 /* True when this node may acknowledge that an upstream takes no new work. A
  * node without contact to the leader may be separated from the nodes that send
- * it flows; what it was told takes effect here all the same. */
+ * it flows; the registration takes effect here all the same. */
 static bool
 may_confirm_leaving(struct node *node, uint64_t upstream)
 {
--- a/node.c
+++ b/node.c
@@ -138,11 +138,12 @@
                   fleet->seed_count, known_seeds);
         break;
     case FLEET_LEADER_FOUND:
-        log_event(LOG_INFO, "leader-found",
-                  "leader=%08x term=%llu told_by=%08x members=%u seeds=%zu "
-                  "known_seeds=%u",
-                  action->to, (unsigned long long)fleet->term, action->told_by,
-                  members, fleet->seed_count, known_seeds);
+        log_event(
+            LOG_INFO, "leader-found",
+            "leader=%08x term=%llu reported_by=%08x members=%u seeds=%zu "
+            "known_seeds=%u",
+            action->to, (unsigned long long)fleet->term, action->reported_by,
+            members, fleet->seed_count, known_seeds);
         break;
     case FLEET_NODES_JOINED:
         counter_add(&node->counters, COUNTER_NODES_JOINED, action->count);
--- a/tests/test-rejoin.c
+++ b/tests/test-rejoin.c
@@ -17,8 +17,8 @@
 #define REPLACE_MS 5000 /* between replacements of nodes with a disk */
 #define APPLY_MS 3000   /* until a table is in force at all nodes */
 #define SEED_NODES 3
-/* Until a node has noticed the loss of the leader, and another one that it
- * told of that leader just before has not heard from it either. */
+/* Until a node has noticed the loss of the leader, and so has another one that
+ * adopted the leader from its last hello. */
 #define STALE_MS                                                              \
     (2 * (FLEET_LEADER_TIMEOUT_MS + FLEET_HELLO_INTERVAL_MS) + 100)
 #define TRAFFIC_DISKS 5
