--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -316,7 +316,7 @@
         config = cons_config(&node->replica.cons);
         for (u_int i = 0; i < config->voters.voters_len; i++) {
             fleet_add_voter(&node->fleet,
-                              config->voters.voters_val[i].replica);
+                            config->voters.voters_val[i].replica);
         }
     }
 }
