--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,57 +1,50 @@
 #!/usr/bin/env bash
-# Five machines have a disk. Again and again two of them are removed for good
-# and replaced by empty ones at other addresses: fewer than half, and only once
-# the successors before have had catch_up_s. The leader is never touched.
+# A desired state moves a route from one service to another. Clients behind one
+# address close long flows and open new ones, each from a port that is free.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
 # shellcheck source=review/common-2.sh
 . "$case_dir/../common-2.sh"
 
-rounds=${ROUNDS:-7}
-successor_after_s=6.2 # "Someone may then add another": no time is set
-catch_up_s=6 recovery_s=15
+[ -x "$stand_ins/flow-2" ] || finish 2 "run review/build-2.sh"
+config_apply_ms=3000
 
-disks="1 2 3 4 5"
-plain="6 7"
-for n in $disks; do settings "$n" "hall-$n" 1 1 1 2 3; done
-for n in $plain; do settings "$n" "hall-$n" 0 1 1 2 3; done
-for n in $disks $plain; do start "$n"; done
+# Version 1 leads to the service dossier, version 2 to dossier-next.
+desired_state() {
+    local service=dossier
+    [ "$1" = 2 ] && service=dossier-next
+    printf '{"version":%d,"routes":[{"name":"r-feed","hostname":"198.18.0.1","path_prefix":"/443/","kind":"safe","timeout_ms":1500,"target_latency_ms":250,"priority":1,"service":"%s","max_attempts":2}],"services":[{"name":"dossier","health_check_path":"/health","max_connections":2000,"protocol":"h1","tls":false},{"name":"dossier-next","health_check_path":"/health","max_connections":2000,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}' \
+        "$1" "$service"
+}
+
+machines="1 2 3 4 5 6"
+for n in $machines; do settings "$n" cesson $((n <= 3)) 1 1 2 3; done
+for n in $machines; do start "$n"; done
 submit 1 15 1 2 3 || finish 2 "the first desired state was not acknowledged"
-leader=${answered_by##*.}
-next=11
-for round in $(seq 1 "$rounds"); do
-    removed="" kept=""
-    for n in $disks; do
-        if [ "$n" != "$leader" ] && [ "$(wc -w <<<"$removed")" -lt 2 ]; then
-            removed="$removed $n"
-        else
-            kept="$kept $n"
-        fi
-    done
-    # shellcheck disable=SC2086
-    submit $((round + 1)) 5 $disks || finish 1 "Acks: version $((round + 1)) is not acknowledged with all machines up"
-    if [ "${answered_by##*.}" != "$leader" ]; then finish 2 "the leader has changed"; fi
-    if [ "$trouble" = 1 ]; then
-        for n in $removed; do power_off "$n"; done
-        note "round $round: machines$removed are removed for good"
-        sleep "$successor_after_s"
-        added="$next $((next + 1))"
-        for n in $added; do
-            # shellcheck disable=SC2086
-            settings "$n" "hall-$n" 1 0 $kept
-            start "$n"
-        done
-        note "round $round: machines $added with empty disks are added"
-        disks="$kept $added"
-        next=$((next + 2))
-    else
-        sleep "$successor_after_s"
-    fi
-    [ "$round" = "$rounds" ] || sleep "$catch_up_s"
-done
-sleep "$recovery_s"
-note "$recovery_s s have passed since the last machine was added"
-# shellcheck disable=SC2086
-read_back 10 $disks $plain || finish 1 "CONFIG: version $((rounds + 1)) was acknowledged, and no machine gives the desired state"
-[ "$read_version" = $((rounds + 1)) ] || finish 1 "CONFIG: version $((rounds + 1)) was acknowledged, version $read_version is read back"
-finish 0 "the acknowledged version is read back"
+
+list=$(for n in $machines; do machine "$n"; done | paste -sd,)
+PORTS=32768,${PORT_COUNT:-4096} CLOSE=16000,46000 BRIEF=150,16000,46000 \
+    OLD=dossier,$config_apply_ms \
+    "$stand_ins/flow-2" 50 120 198.18.0.1:443 "$(machine 200)" "$list" \
+    "$control" "$ready" "$packets" \
+    "i-7f3a91c2,dossier,$(machine 101):$((base + 40)),cesson,0" \
+    "i-1852f513ef,dossier,$(machine 102):$((base + 40)),cesson,0" \
+    "i-28f7e7ec74,dossier-next,$(machine 103):$((base + 40)),cesson,0" \
+    "i-be18436cae,dossier-next,$(machine 104):$((base + 40)),cesson,0" \
+    >"$work/flow.txt" 2>&1 &
+pid_of[flow]=$!
+sleep 12
+if [ "$trouble" = 1 ]; then
+    submit 2 5 1 2 3 || finish 2 "version 2 was not acknowledged"
+    signal USR1 flow
+fi
+wait "${pid_of[flow]}"
+code=$?
+unset 'pid_of[flow]'
+cat "$work/flow.txt" >>"$record"
+tail -5 "$work/flow.txt"
+case $code in
+0) finish 0 "no flow went to the old service" ;;
+1) finish 1 "CONFIG: flows opened later than config_apply_ms after the confirmation were served by the old service" ;;
+*) finish 2 "the stand-ins ended with $code" ;;
+esac
--- a/review/flow-2.c
+++ b/review/flow-2.c
@@ -10,8 +10,16 @@
  *   CONTROL, READY, PACKETS  the ports of the nodes
  *   HOST     id,service,address:port,zone,start in ms
  *
- * Writes one line per event to standard output; exits with 1 if rule FLOW was
- * broken, with 2 if the flows could not run.
+ * In the environment:
+ *   PORTS=FIRST,COUNT     ports of the client, drawn at random among the free
+ *                         ones; without it they rise from 40000
+ *   CLOSE=FROM,TO         ms after which long flows close, drawn at random
+ *   BRIEF=PER_S,FROM,TO   besides, flows with one request each, from and to ms
+ *   OLD=SERVICE,APPLY_MS  checks rule CONFIG: SIGUSR1 tells of the confirmation
+ *                         of a version that moves the route away from SERVICE
+ *
+ * Writes one line per event to standard output; exits with 1 if rule FLOW or
+ * CONFIG was broken, with 2 if the flows could not run.
  */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
@@ -19,6 +27,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdbool.h>
@@ -36,11 +45,12 @@
 #define DATA_MAX 1200
 #define SYN 64
 #define ACK 128
+#define FIN 16
 #define RST 32
 #define NODES_MAX 16
 #define HOSTS_MAX 16
-#define FLOWS_MAX 1024
-#define HOST_FLOWS_MAX 8192
+#define FLOWS_MAX 8192
+#define PORTS 65536
 #define HEARTBEAT_MS 770
 #define WORK_MS 40
 #define PAUSE_MS 250
@@ -56,7 +66,7 @@
 };
 
 struct host_flow {
-    bool used, open;
+    bool used, open, last, ended;
     uint32_t client, own_seq, next, answered_seq;
     uint16_t sport;
     uint64_t answer_at, sent_at;
@@ -71,20 +81,20 @@
     struct sockaddr_in address;
     uint32_t key;
     int fd;
-    struct host_flow *flows;
+    struct host_flow *flows; /* by the client's port */
     unsigned held, answered, refused;
 };
 
-enum state { WAITING, OPENING, OPEN, ENDED };
+enum state { WAITING, OPENING, OPEN, CLOSING, ENDED };
 
 struct flow {
     enum state state;
     uint16_t sport;
     int host; /* that holds it */
     uint32_t seq, host_seq, echo;
-    uint64_t start_at, opened_at, next_at, asked_at, send_at;
+    uint64_t start_at, opened_at, next_at, asked_at, send_at, close_at;
     unsigned tries, requests;
-    bool asking;
+    bool asking, brief, last;
     unsigned elsewhere; /* packets that other hosts got, none its own */
     uint64_t elsewhere_since;
 };
@@ -93,6 +103,8 @@
 static int host_count;
 static struct flow flows[FLOWS_MAX];
 static int flow_count;
+static struct flow *flow_at_port[PORTS];
+static uint32_t port_first, port_count, lowest_port = PORTS, highest_port;
 static struct sockaddr_in nodes[NODES_MAX]; /* packets */
 static char node_text[NODES_MAX][40];
 static int node_count, control_port, ready_port, packets_port;
@@ -102,7 +114,11 @@
 static uint16_t route_port, next_sport = 40000;
 static int client_fd;
 static uint64_t began;
-static unsigned opened, answered, timeouts, refused_opens, broken;
+static unsigned opened, answered, timeouts, refused_opens, broken, wrong;
+static char old_service[64];
+static uint64_t apply_ms;
+static volatile sig_atomic_t confirmed;
+static uint64_t confirmed_at; /* 0: not yet */
 static pthread_mutex_t print_lock = PTHREAD_MUTEX_INITIALIZER;
 static atomic_bool ends;
 
@@ -379,25 +395,13 @@
 static struct host_flow *
 host_flow_of(struct host *h, const struct packet *p, bool add)
 {
-    struct host_flow *empty = NULL;
-
-    for (int i = 0; i < HOST_FLOWS_MAX; i++) {
-        struct host_flow *f = &h->flows[i];
+    struct host_flow *f = &h->flows[p->sport];
 
-        if (f->used && f->client == p->src && f->sport == p->sport) {
-            return f;
-        }
-        if (!f->used) {
-            empty = f;
-            break;
-        }
-    }
-    if (!add || empty == NULL) {
-        return NULL;
-    }
-    *empty = (struct host_flow){.used = true, .client = p->src,
+    if (add && (!f->used || f->ended)) {
+        *f = (struct host_flow){.used = true, .client = p->src,
                                 .sport = p->sport};
-    return empty;
+    }
+    return f->used && f->client == p->src ? f : NULL;
 }
 
 static struct packet
@@ -416,7 +420,7 @@
 static void
 host_answer(struct host *h, struct host_flow *f, uint64_t now)
 {
-    struct packet p = host_reply(f, ACK);
+    struct packet p = host_reply(f, f->last ? ACK | FIN : ACK);
 
     p.length = (uint16_t)snprintf(
         (char *)p.data, DATA_MAX,
@@ -424,27 +428,15 @@
         "Content-Length: 400\r\n\r\n%400s", h->id_text, "");
     f->sent_at = now;
     f->awaits_ack = true;
-    f->answered_seq = f->own_seq + p.length;
+    f->answered_seq = f->own_seq + p.length + f->last;
     host_send(h, &p);
 }
 
-static int
-flow_index(const struct packet *p)
-{
-    for (int i = 0; i < flow_count; i++) {
-        if (flows[i].sport == p->sport && flows[i].state != WAITING) {
-            return i;
-        }
-    }
-    return -1;
-}
-
 /* Clause (b) of FLOW: packets of an open flow that reach other hosts. */
 static void
 watch_packet(int host, const struct packet *p)
 {
-    int at = flow_index(p);
-    struct flow *f = at >= 0 ? &flows[at] : NULL;
+    struct flow *f = flow_at_port[p->sport];
 
     if (f == NULL || f->state != OPEN || (p->flags & SYN) != 0) {
         return;
@@ -488,13 +480,15 @@
         f->echo = p.echo;
         reply = host_reply(f, SYN | ACK);
         host_send(h, &reply);
-        if (!f->open) {
-            return;
-        }
         return;
     }
     f = host_flow_of(h, &p, false);
-    if (f == NULL) {
+    if (f != NULL && f->ended && (p.flags & FIN) != 0) {
+        reply = host_reply(f, ACK);
+        host_send(h, &reply);
+        return;
+    }
+    if (f == NULL || f->ended) {
         reply = (struct packet){.src = route_address, .dst = p.src,
                                 .sport = route_port, .dport = p.sport,
                                 .flags = RST, .echo = p.echo, .seq = p.ack};
@@ -518,13 +512,20 @@
         f->next += p.length;
         f->answer_at = now + WORK_MS;
         f->answer_due = true;
+        f->last = memmem(p.data, p.length, "Connection: close", 17) != NULL;
+    }
+    if (f->open && (p.flags & FIN) != 0 && p.seq == f->next) {
+        f->next++;
+        f->ended = true;
+        reply = host_reply(f, ACK);
+        host_send(h, &reply);
     }
 }
 
 static void
 host_tick(struct host *h, uint64_t now)
 {
-    for (int i = 0; i < HOST_FLOWS_MAX && h->flows[i].used; i++) {
+    for (uint32_t i = lowest_port; i <= highest_port; i++) {
         struct host_flow *f = &h->flows[i];
 
         if (f->answer_due && now >= f->answer_at) {
@@ -571,24 +572,70 @@
     }
 }
 
+/* A port that no flow of the client uses. */
+static uint16_t
+free_port(void)
+{
+    uint16_t port;
+
+    do {
+        port = port_count != 0 ? (uint16_t)(port_first + (uint32_t)random() %
+                                                             port_count)
+                               : next_sport++;
+    } while (flow_at_port[port] != NULL);
+    return port;
+}
+
 static void
 client_open(struct flow *f, uint64_t now)
 {
-    *f = (struct flow){.state = OPENING, .sport = next_sport++, .host = -1,
-                       .seq = (uint32_t)mix(now ^ next_sport),
-                       .opened_at = now, .send_at = now + 200};
+    *f = (struct flow){.state = OPENING, .sport = free_port(), .host = -1,
+                       .seq = (uint32_t)mix(now ^ (uint64_t)random()),
+                       .opened_at = now, .start_at = now,
+                       .send_at = now + 200, .brief = f->brief,
+                       .close_at = f->close_at};
+    flow_at_port[f->sport] = f;
+    lowest_port = f->sport < lowest_port ? f->sport : lowest_port;
+    highest_port = f->sport > highest_port ? f->sport : highest_port;
     client_send(f, SYN, NULL);
 }
 
+/* The flow is over; a long one without a time to close starts again. */
+static void
+client_end(struct flow *f, uint64_t now, bool closed)
+{
+    flow_at_port[f->sport] = NULL;
+    f->state = f->brief || closed ? ENDED : WAITING;
+    f->start_at = now + PAUSE_MS;
+}
+
+/* Rule CONFIG: run by the old service, although sent later than
+ * `config_apply_ms` after the confirmation. */
+static void
+check_service(const struct flow *f, uint64_t syn_at)
+{
+    const struct host *h = &hosts[f->host];
+
+    if (confirmed_at != 0 && syn_at > confirmed_at + apply_ms &&
+        strcmp(h->service, old_service) == 0) {
+        wrong++;
+        say("CONFIG broken: port %u, opened %llu ms after the confirmation, is "
+            "served by %s of %s", f->sport,
+            (unsigned long long)(syn_at - confirmed_at), h->id_text,
+            h->service);
+    }
+}
+
 static const char *
 request_text(const struct flow *f)
 {
     static char text[200];
 
     (void)snprintf(text, sizeof(text),
-                   "GET /feed HTTP/1.1\r\nHost: x\r\n"
-                   "Ridgeridge-Request-Id: %u-%u\r\n\r\n",
-                   f->sport, f->requests);
+                   "GET /feed HTTP/1.1\r\nHost: x\r\n%s"
+                   "Ridgeridge-Request-Id: %u-%llu-%u\r\n\r\n",
+                   f->last ? "Connection: close\r\n" : "", f->sport,
+                   (unsigned long long)(f->start_at - began), f->requests);
     return text;
 }
 
@@ -609,8 +656,7 @@
 {
     if (f->state == OPENING) {
         refused_opens++;
-        f->state = WAITING;
-        f->start_at = now + PAUSE_MS;
+        client_end(f, now, false);
         return;
     }
     if (writer < 0 && (p->sum != 0 || p->length != 0 ||
@@ -628,27 +674,22 @@
     else {
         say("port %u is reset by its own host", f->sport);
     }
-    f->state = WAITING;
-    f->start_at = now + PAUSE_MS;
+    client_end(f, now, false);
 }
 
 static void
 client_receive(const uint8_t *bytes, size_t length, uint64_t now)
 {
     struct packet p;
-    struct flow *f = NULL;
+    struct flow *f;
     int writer;
 
     if (!decode(bytes, length, &p) || p.sport != route_port ||
         p.src != route_address) {
         return;
     }
-    for (int i = 0; i < flow_count; i++) {
-        if (flows[i].sport == p.dport && flows[i].state != WAITING) {
-            f = &flows[i];
-        }
-    }
-    if (f == NULL || f->state == ENDED) {
+    f = flow_at_port[p.dport];
+    if (f == NULL) {
         return;
     }
     writer = writer_of(&p);
@@ -671,10 +712,18 @@
         f->opened_at = now;
         f->next_at = now;
         opened++;
+        check_service(f, f->start_at);
         client_send(f, ACK, NULL);
         return;
     }
-    if (f->state != OPEN || writer != f->host) {
+    if (writer != f->host) {
+        return;
+    }
+    if (f->state == CLOSING && p.ack == f->seq + 1) {
+        client_end(f, now, true);
+        return;
+    }
+    if (f->state != OPEN) {
         return;
     }
     f->echo = p.echo;
@@ -684,9 +733,17 @@
             f->asking = false;
             f->seq += (uint32_t)strlen(request_text(f));
             f->requests++;
-            f->next_at = now + PAUSE_MS;
+            f->next_at = now + (f->close_at != 0 ? 4 * PAUSE_MS : PAUSE_MS);
             answered++;
         }
+        if ((p.flags & FIN) != 0) {
+            f->host_seq++;
+            f->state = CLOSING;
+            f->tries = 0;
+            f->send_at = now + 200;
+            client_send(f, ACK | FIN, NULL);
+            return;
+        }
     }
     if (p.length > 0) {
         client_send(f, ACK, NULL);
@@ -705,8 +762,7 @@
     if (f->state == OPENING) {
         if (now >= f->opened_at + 1400) {
             timeouts++;
-            f->state = WAITING;
-            f->start_at = now + PAUSE_MS;
+            client_end(f, now, false);
         }
         else if (now >= f->send_at && f->tries < 2) {
             f->tries++;
@@ -715,6 +771,14 @@
         }
         return;
     }
+    if (f->state == CLOSING && now >= f->send_at) {
+        if (f->tries++ == 4) {
+            client_end(f, now, true);
+            return;
+        }
+        f->send_at = now + (200U << f->tries);
+        client_send(f, ACK | FIN, NULL);
+    }
     if (f->state != OPEN) {
         return;
     }
@@ -726,6 +790,7 @@
     }
     if (!f->asking && now >= f->next_at) {
         f->asking = true;
+        f->last = f->brief || (f->close_at != 0 && now >= f->close_at);
         f->asked_at = now;
         f->tries = 0;
         f->send_at = now + 200;
@@ -735,8 +800,7 @@
         timeouts++;
         say("port %u at host %s: no answer within the time budget", f->sport,
             hosts[f->host].id_text);
-        f->state = WAITING;
-        f->start_at = now + PAUSE_MS;
+        client_end(f, now, false);
     }
     else if (f->asking && now >= f->send_at) {
         f->tries++;
@@ -793,7 +857,7 @@
     h->start_at = began + start;
     h->address = parse(h->address_text, 0);
     h->key = (uint32_t)mix(h->id) | 2;
-    h->flows = calloc(HOST_FLOWS_MAX, sizeof(*h->flows));
+    h->flows = calloc(PORTS, sizeof(*h->flows));
     h->fd = open_udp(&h->address);
 }
 
@@ -813,9 +877,32 @@
     }
 }
 
+static void
+on_confirmed(int number)
+{
+    (void)number;
+    confirmed = 1;
+}
+
+/* Starts a flow with one request. */
+static void
+add_brief(uint64_t now)
+{
+    for (int i = flow_count; i < FLOWS_MAX; i++) {
+        if (flows[i].state == ENDED || flows[i].sport == 0) {
+            flows[i] = (struct flow){.brief = true};
+            client_open(&flows[i], now);
+            return;
+        }
+    }
+}
+
 int
 main(int argc, char **argv)
 {
+    unsigned long long close_from = 0, close_to = 0, brief_from = 0,
+                       brief_to = 0, apply = 0, made = 0;
+    unsigned per_s = 0;
     struct pollfd fds[HOSTS_MAX + 1];
     pthread_t thread;
     struct sockaddr_in route;
@@ -843,6 +930,22 @@
     for (int i = 9; i < argc; i++) {
         add_host(argv[i]);
     }
+    if (getenv("PORTS") != NULL) {
+        (void)sscanf(getenv("PORTS"), "%u,%u", &port_first, &port_count);
+    }
+    if (getenv("CLOSE") != NULL) {
+        (void)sscanf(getenv("CLOSE"), "%llu,%llu", &close_from, &close_to);
+    }
+    if (getenv("BRIEF") != NULL) {
+        (void)sscanf(getenv("BRIEF"), "%u,%llu,%llu", &per_s, &brief_from,
+                     &brief_to);
+    }
+    if (getenv("OLD") != NULL) {
+        (void)sscanf(getenv("OLD"), "%63[^,],%llu", old_service, &apply);
+        apply_ms = apply;
+    }
+    srandom((unsigned)time(NULL) ^ (unsigned)getpid());
+    (void)signal(SIGUSR1, on_confirmed);
     client_fd = open_udp(&client_address);
     (void)pthread_create(&thread, NULL, run_readiness, NULL);
     for (int i = 0; i < host_count; i++) {
@@ -850,6 +953,10 @@
     }
     for (int i = 0; i < flow_count; i++) {
         flows[i].start_at = began + 4000 + (uint64_t)i * 50;
+        if (close_to > close_from) {
+            flows[i].close_at = began + close_from +
+                                (uint64_t)random() % (close_to - close_from);
+        }
     }
     fds[0] = (struct pollfd){.fd = client_fd, .events = POLLIN};
     for (int i = 0; i < host_count; i++) {
@@ -860,13 +967,26 @@
 
         (void)poll(fds, (nfds_t)host_count + 1, 5);
         now = now_ms();
+        if (confirmed && confirmed_at == 0) {
+            confirmed_at = now;
+            say("the version is confirmed that moves the route from %s",
+                old_service);
+        }
+        while (per_s != 0 && now >= began + brief_from &&
+               now < began + brief_to &&
+               made < (now - began - brief_from) * per_s / 1000) {
+            made++;
+            add_brief(now);
+        }
         for (int i = 0; i < host_count; i++) {
             read_socket(hosts[i].fd, &hosts[i], now);
             host_tick(&hosts[i], now);
         }
         read_socket(client_fd, NULL, now);
-        for (int i = 0; i < flow_count; i++) {
-            client_tick(&flows[i], now);
+        for (int i = 0; i < FLOWS_MAX; i++) {
+            if (i < flow_count || flows[i].sport != 0) {
+                client_tick(&flows[i], now);
+            }
         }
     }
     ends = true;
@@ -876,10 +996,10 @@
             hosts[i].answered, hosts[i].refused);
     }
     say("client: %u flows opened, %u answers, %u refused openings, %u without "
-        "an answer, %u flows broken", opened, answered, refused_opens,
-        timeouts, broken);
+        "an answer, %u flows broken, %u at the old service", opened, answered,
+        refused_opens, timeouts, broken, wrong);
     if (opened == 0 || answered == 0) {
         return 2;
     }
-    return broken > 0 ? 1 : 0;
+    return broken > 0 || wrong > 0 ? 1 : 0;
 }
