--- a/review/flow-2.c
+++ b/review/flow-2.c
@@ -15,8 +15,8 @@
  *                         ones; without it they rise from 40000
  *   CLOSE=FROM,TO         ms after which long flows close, drawn at random
  *   BRIEF=PER_S,FROM,TO   besides, flows with one request each, from and to ms
- *   OLD=SERVICE,APPLY_MS  checks rule CONFIG: SIGUSR1 tells of the confirmation
- *                         of a version that moves the route away from SERVICE
+ *   OLD=SERVICE,APPLY_MS  checks rule CONFIG: SIGUSR1 tells of the
+ * confirmation of a version that moves the route away from SERVICE
  *
  * Writes one line per event to standard output; exits with 1 if rule FLOW or
  * CONFIG was broken, with 2 if the flows could not run.
@@ -189,8 +189,8 @@
     uint64_t h = mix(key);
 
     h = mix(h ^ p->src ^ (uint64_t)p->dst << 32);
-    h = mix(h ^ p->sport ^ (uint64_t)p->dport << 16 ^ (uint64_t)p->flags << 32 ^
-            (uint64_t)p->length << 40);
+    h = mix(h ^ p->sport ^ (uint64_t)p->dport << 16 ^
+            (uint64_t)p->flags << 32 ^ (uint64_t)p->length << 40);
     h = mix(h ^ p->seq ^ (uint64_t)p->ack << 32);
     for (unsigned i = 0; i < p->length; i++) {
         h = mix(h ^ p->data[i]);
@@ -286,23 +286,25 @@
     say("host %s of %s starts at %s", h->id_text, h->service, h->address_text);
     while (!ends) {
         char body[512], request[1024], response[4096];
-        const char *to = target[0] != '\0' ? target
-                                           : node_text[pick % node_count];
+        const char *to =
+            target[0] != '\0' ? target : node_text[pick % node_count];
         uint64_t at = now_ms();
         int status;
         char *found;
 
-        (void)snprintf(body, sizeof(body),
-                       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-                       "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
-                       "\"warmup_remaining_ms\":0,\"sequence\":%llu}",
-                       h->service, h->address_text, h->zone,
-                       (unsigned long long)++sequence);
-        (void)snprintf(request, sizeof(request),
-                       "PUT /-/instances/%s HTTP/1.1\r\nHost: x\r\n"
-                       "Connection: close\r\nContent-Type: application/json\r\n"
-                       "Content-Length: %zu\r\n\r\n%s",
-                       h->id_text, strlen(body), body);
+        (void)snprintf(
+            body, sizeof(body),
+            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+            "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
+            "\"warmup_remaining_ms\":0,\"sequence\":%llu}",
+            h->service, h->address_text, h->zone,
+            (unsigned long long)++sequence);
+        (void)snprintf(
+            request, sizeof(request),
+            "PUT /-/instances/%s HTTP/1.1\r\nHost: x\r\n"
+            "Connection: close\r\nContent-Type: application/json\r\n"
+            "Content-Length: %zu\r\n\r\n%s",
+            h->id_text, strlen(body), body);
         status = http(to, control_port, request, response, sizeof(response));
         if (status / 100 == 2) {
             found = strstr(response, "\"heartbeat_address\":\"");
@@ -364,10 +366,9 @@
     int pick = -1;
 
     for (int i = 0; i < node_count; i++) {
-        uint64_t rank =
-            mix(mix(p->src ^ (uint64_t)p->dst << 32) ^ p->sport ^
-                (uint64_t)p->dport << 16 ^
-                (uint64_t)ntohl(nodes[i].sin_addr.s_addr) << 32);
+        uint64_t rank = mix(mix(p->src ^ (uint64_t)p->dst << 32) ^ p->sport ^
+                            (uint64_t)p->dport << 16 ^
+                            (uint64_t)ntohl(nodes[i].sin_addr.s_addr) << 32);
 
         if (node_in[i] && (pick < 0 || rank > best)) {
             best = rank;
@@ -398,8 +399,8 @@
     struct host_flow *f = &h->flows[p->sport];
 
     if (add && (!f->used || f->ended)) {
-        *f = (struct host_flow){.used = true, .client = p->src,
-                                .sport = p->sport};
+        *f = (struct host_flow){
+            .used = true, .client = p->src, .sport = p->sport};
     }
     return f->used && f->client == p->src ? f : NULL;
 }
@@ -425,7 +426,8 @@
     p.length = (uint16_t)snprintf(
         (char *)p.data, DATA_MAX,
         "HTTP/1.1 200 OK\r\nRidgeridge-Server-Signature: %s\r\n"
-        "Content-Length: 400\r\n\r\n%400s", h->id_text, "");
+        "Content-Length: 400\r\n\r\n%400s",
+        h->id_text, "");
     f->sent_at = now;
     f->awaits_ack = true;
     f->answered_seq = f->own_seq + p.length + f->last;
@@ -489,9 +491,13 @@
         return;
     }
     if (f == NULL || f->ended) {
-        reply = (struct packet){.src = route_address, .dst = p.src,
-                                .sport = route_port, .dport = p.sport,
-                                .flags = RST, .echo = p.echo, .seq = p.ack};
+        reply = (struct packet){.src = route_address,
+                                .dst = p.src,
+                                .sport = route_port,
+                                .dport = p.sport,
+                                .flags = RST,
+                                .echo = p.echo,
+                                .seq = p.ack};
         h->refused++;
         host_send(h, &reply);
         return;
@@ -534,8 +540,8 @@
             host_answer(h, f, now);
         }
         else if (f->awaits_ack && f->tries < 8 &&
-                 now >= f->sent_at +
-                            (f->tries < 3 ? 200U << f->tries : 1600U)) {
+                 now >=
+                     f->sent_at + (f->tries < 3 ? 200U << f->tries : 1600U)) {
             f->tries++;
             host_answer(h, f, now);
         }
@@ -579,9 +585,9 @@
     uint16_t port;
 
     do {
-        port = port_count != 0 ? (uint16_t)(port_first + (uint32_t)random() %
-                                                             port_count)
-                               : next_sport++;
+        port = port_count != 0
+                   ? (uint16_t)(port_first + (uint32_t)random() % port_count)
+                   : next_sport++;
     } while (flow_at_port[port] != NULL);
     return port;
 }
@@ -589,10 +595,14 @@
 static void
 client_open(struct flow *f, uint64_t now)
 {
-    *f = (struct flow){.state = OPENING, .sport = free_port(), .host = -1,
+    *f = (struct flow){.state = OPENING,
+                       .sport = free_port(),
+                       .host = -1,
                        .seq = (uint32_t)mix(now ^ (uint64_t)random()),
-                       .opened_at = now, .start_at = now,
-                       .send_at = now + 200, .brief = f->brief,
+                       .opened_at = now,
+                       .start_at = now,
+                       .send_at = now + 200,
+                       .brief = f->brief,
                        .close_at = f->close_at};
     flow_at_port[f->sport] = f;
     lowest_port = f->sport < lowest_port ? f->sport : lowest_port;
@@ -619,9 +629,10 @@
     if (confirmed_at != 0 && syn_at > confirmed_at + apply_ms &&
         strcmp(h->service, old_service) == 0) {
         wrong++;
-        say("CONFIG broken: port %u, opened %llu ms after the confirmation, is "
-            "served by %s of %s", f->sport,
-            (unsigned long long)(syn_at - confirmed_at), h->id_text,
+        say("CONFIG broken: port %u, opened %llu ms after the confirmation, "
+            "is "
+            "served by %s of %s",
+            f->sport, (unsigned long long)(syn_at - confirmed_at), h->id_text,
             h->service);
     }
 }
@@ -659,14 +670,16 @@
         client_end(f, now, false);
         return;
     }
-    if (writer < 0 && (p->sum != 0 || p->length != 0 ||
-                       p->seq - f->host_seq + RESET_WINDOW > 2 * RESET_WINDOW)) {
+    if (writer < 0 &&
+        (p->sum != 0 || p->length != 0 ||
+         p->seq - f->host_seq + RESET_WINDOW > 2 * RESET_WINDOW)) {
         return;
     }
     if (writer != f->host) {
         broken++;
         say("FLOW broken: port %u, open for %llu ms at host %s, gets a reset "
-            "of %s%s", f->sport, (unsigned long long)(now - f->opened_at),
+            "of %s%s",
+            f->sport, (unsigned long long)(now - f->opened_at),
             hosts[f->host].id_text,
             writer < 0 ? "the system" : hosts[writer].id_text,
             f->asking ? " while a request has no answer" : "");
@@ -784,8 +797,10 @@
     }
     if (f->elsewhere >= 3 && now >= f->elsewhere_since + REORDER_MS) {
         broken++;
-        say("FLOW broken: port %u, %u packets in %u ms reach other hosts, none "
-            "its own", f->sport, f->elsewhere, REORDER_MS);
+        say("FLOW broken: port %u, %u packets in %u ms reach other hosts, "
+            "none "
+            "its own",
+            f->sport, f->elsewhere, REORDER_MS);
         f->elsewhere = 0;
     }
     if (!f->asking && now >= f->next_at) {
@@ -991,13 +1006,15 @@
     }
     ends = true;
     for (int i = 0; i < host_count; i++) {
-        say("host %s: %u flows opened, %u answers, %u resets for flows that it "
-            "does not hold", hosts[i].id_text, hosts[i].held,
-            hosts[i].answered, hosts[i].refused);
+        say("host %s: %u flows opened, %u answers, %u resets for flows that "
+            "it "
+            "does not hold",
+            hosts[i].id_text, hosts[i].held, hosts[i].answered,
+            hosts[i].refused);
     }
     say("client: %u flows opened, %u answers, %u refused openings, %u without "
-        "an answer, %u flows broken, %u at the old service", opened, answered,
-        refused_opens, timeouts, broken, wrong);
+        "an answer, %u flows broken, %u at the old service",
+        opened, answered, refused_opens, timeouts, broken, wrong);
     if (opened == 0 || answered == 0) {
         return 2;
     }
