--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,6 +3,7 @@
 # address close long flows and open new ones, each from a port that is free.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 # shellcheck source=review/common-2.sh
 . "$case_dir/../common-2.sh"
 
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,6 +4,7 @@
 # acknowledged, and the machine that acknowledged it loses its disk.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 # shellcheck source=review/common-2.sh
 . "$case_dir/../common-2.sh"
 
--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -1,12 +1,11 @@
 # shellcheck shell=bash disable=SC2034
 # Functions of the cases 4 to 8: nodes of a small deployment as real processes,
 # an operator, and the record of a run. Sourced by review/N/run.sh, which sets
-# $case_dir first.
+# $case_dir and $trouble (0: without the disruption) first.
 
 root=$(cd "$case_dir/../.." && pwd)
 program=$root/target/ridgeridge
 stand_ins=$root/target/review-2
-trouble=${TROUBLE:-1}
 record=$case_dir/record.txt
 work=$(mktemp -d)
 declare -A pid_of
