--- a/review/draft/A/run.sh
+++ b/review/draft/A/run.sh
@@ -3,7 +3,7 @@
 # operator does it: the new one first, then the old one goes.
 . "$(dirname "$0")/../common-3.sh"
 : >"$record"
-ROUNDS=${ROUNDS:-13}
+ROUNDS=${ROUNDS:-14}
 
 table() { # table VERSION
     cat >"$run/table-$1.json" <<END
--- a/review/draft/peer-3.c
+++ b/review/draft/peer-3.c
@@ -17,6 +17,10 @@
  *   peer-3 http METHOD ADDRESS PORT PATH [BODY-FILE]
  *       one call of an operator, which follows 307 twice and waits a second
  *       for an answer: prints the status (0: none) and then the body.
+ *   peer-3 orders ADDRESS PORT BODY-FILE FIRST COUNT AT-ONCE
+ *       an operator that sends COUNT changes, at most 8 at once, each with
+ *       the next version from FIRST on in the place of "version":0 of the
+ *       body: prints the highest version that was acknowledged.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -246,6 +250,81 @@
     return status;
 }
 
+/* A call that follows 307 twice. */
+static int
+operator_call(uint32_t to, uint16_t port, const char *method,
+              const char *path, const char *body, size_t length, char *text)
+{
+    int status = 0;
+
+    for (int hop = 0; hop < 3; hop++) {
+        unsigned a, b, c, d;
+        const char *at;
+
+        status = operator_try(to, port, method, path, body, length, text);
+        at = strstr(text, "Location: http://");
+        if (status != 307 || at == NULL ||
+            sscanf(at + 17, "%u.%u.%u.%u:", &a, &b, &c, &d) != 4) {
+            break;
+        }
+        to = a << 24 | b << 16 | c << 8 | d;
+    }
+    return status;
+}
+
+/* One of the operator's calls at once: every `step`th change. */
+static void
+send_orders(char **argv, char *body, uint64_t first, uint64_t end,
+            unsigned step, int report)
+{
+    char *text = malloc(ANSWER_MAX);
+    char *own = malloc(strlen(body) + 32);
+    uint64_t highest = 0;
+
+    for (uint64_t version = first; version < end; version += step) {
+        int n = sprintf(own, "{\"version\":%llu%s",
+                        (unsigned long long)version,
+                        body + strlen("{\"version\":0"));
+
+        if (operator_call(address_of(argv[2]), (uint16_t)atoi(argv[3]), "PUT",
+                          "/-/configuration", own, (size_t)n, text) == 200) {
+            highest = version;
+        }
+    }
+    (void)!write(report, &highest, sizeof(highest));
+    _exit(0);
+}
+
+static int
+run_orders(char **argv)
+{
+    uint64_t first = strtoull(argv[5], NULL, 10);
+    uint64_t count = strtoull(argv[6], NULL, 10);
+    unsigned at_once = (unsigned)atoi(argv[7]);
+    char *body = calloc(1, 1 << 20);
+    FILE *file = fopen(argv[4], "r");
+    uint64_t highest = 0;
+    uint64_t one;
+    int pipes[2];
+
+    if (file == NULL || at_once < 1 || at_once > 8 ||
+        fread(body, 1, (1 << 20) - 64, file) == 0 || pipe(pipes) != 0) {
+        return 2;
+    }
+    for (unsigned i = 0; i < at_once; i++) {
+        if (fork() == 0) {
+            send_orders(argv, body, first + i, first + count, at_once,
+                        pipes[1]);
+        }
+    }
+    (void)close(pipes[1]);
+    while (read(pipes[0], &one, sizeof(one)) == sizeof(one)) {
+        highest = one > highest ? one : highest;
+    }
+    printf("%llu\n", (unsigned long long)highest);
+    return 0;
+}
+
 static int
 run_http(char **argv, int argc)
 {
@@ -268,18 +347,8 @@
         length = fread(body, 1, ANSWER_MAX - 1, file);
         (void)fclose(file);
     }
-    for (int hop = 0; hop < 3; hop++) {
-        unsigned a, b, c, d;
-
-        status = operator_try(to, (uint16_t)atoi(argv[4]), argv[2], argv[5],
-                              body, length, text);
-        at = strstr(text, "Location: http://");
-        if (status != 307 || at == NULL ||
-            sscanf(at + 17, "%u.%u.%u.%u:", &a, &b, &c, &d) != 4) {
-            break;
-        }
-        to = a << 24 | b << 16 | c << 8 | d;
-    }
+    status = operator_call(to, (uint16_t)atoi(argv[4]), argv[2], argv[5], body,
+                           length, text);
     at = strstr(text, "\r\n\r\n");
     printf("%d %s\n", status, at != NULL ? at + 4 : "");
     return 0;
@@ -738,6 +807,9 @@
     if ((argc == 6 || argc == 7) && strcmp(argv[1], "http") == 0) {
         return run_http(argv, argc);
     }
+    if (argc == 8 && strcmp(argv[1], "orders") == 0) {
+        return run_orders(argv);
+    }
     (void)fprintf(stderr, "usage: see the first lines of peer-3.c\n");
     return 2;
 }
