--- a/review/draft/E/run.sh
+++ b/review/draft/E/run.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
-# The whole system starts for the first time, and one process is killed while
-# it starts. The platform starts it again after a short delay.
+# The whole system starts for the first time. One machine of the core is
+# removed for good a second later, and another with an empty disk takes its
+# place. The core must bear the loss of one machine.
 . "$(dirname "$0")/../common-3.sh"
 : >"$record"
 
@@ -10,16 +11,19 @@
 zones=(cesson saint-gregoire chantepie)
 set_seeds 1 2 3
 for n in 1 2 3; do node "$n" "${zones[n - 1]}" 1 1; done
-sleep "${AFTER:-1}"
+first=1
+sleep 1
 if [ "$TROUBLE" = 1 ]; then
+    first=4
     end node-1
-    say "node 1 is killed, ${AFTER:-1} s after its start"
-    sleep 0.5
-    node 1 cesson 1 0
-    say "node 1 starts again, with bootstrap false, as the system has started before"
+    say "node 1 is gone for good, 1 s after the start"
+    sleep 1
+    set_seeds 4 2 3
+    node 4 cesson 1 0
+    say "node 4 joins in its place, with an empty disk"
 fi
-status=$(put "$run/table.json" 120 1 2 3)
+status=$(put "$run/table.json" 90 "$first" 2 3)
 say "version 1 is answered with $status"
 [ "$status" = 200 ] || finish 1 "no desired state is ever acknowledged, with all machines up"
-say "version read back: $(read_version 10 1 2 3)"
+say "version read back: $(read_version 10 "$first" 2 3)"
 finish 0 "the desired state is acknowledged"
--- a/review/draft/common-3.sh
+++ b/review/draft/common-3.sh
@@ -38,7 +38,9 @@
     exit "$1"
 }
 
-address() { echo "127.$net.1.$1"; }
+# Where a node takes calls and other nodes' messages; with LINKS=5 these pass
+# through "peer-3 links".
+address() { echo "127.$net.${LINKS:-1}.$1"; }
 
 # Starts a background process: start NAME COMMAND...
 start() {
@@ -52,14 +54,14 @@
 # node N ZONE DISK(0|1) BOOTSTRAP(0|1): the template of deploy/settings.json,
 # filled in, and the command of deploy/system.toml.
 node() {
-    local n=$1 zone=$2 disk=$3 bootstrap=$4 data="" own
-    own=$(address "$n")
+    local n=$1 zone=$2 disk=$3 bootstrap=$4 data="" own=127.$net.1.$1 at
+    at=$(address "$n")
     [ "$disk" = 1 ] && data=$run/data-$n && mkdir -p "$data"
     cat >"$run/node-$n.json" <<END
 {
     "name": "node-$n", "hall": "$zone", "data": "$data",
     "packets": "$own:$packets", "ready": "$own:$readiness",
-    "control": "$own:$control", "peer_port": $peers,
+    "control": "$at:$control", "advertise": "$at", "peer_port": $peers,
     "metrics_port": $metrics, "first_start": $bootstrap,
     "registration_interval_ms": 770, "grace_s": 6, "flow_max_s": 60,
     "link_mbps": 1000.0, "cold_overshoot": 1, "cold_slack": 0,
@@ -128,7 +130,7 @@
     local until=$((SECONDS + $1)) n
     shift
     for n in "$@"; do
-        until [ "$("$peer" http GET "$(address "$n")" "$readiness" \
+        until [ "$("$peer" http GET "127.$net.1.$n" "$readiness" \
             /-/readiness | cut -d' ' -f1)" = 200 ]; do
             [ "$SECONDS" -lt "$until" ] || return 1
             sleep 0.2
--- a/review/draft/peer-3.c
+++ b/review/draft/peer-3.c
@@ -14,6 +14,10 @@
  *         ask P NODE ID      sends the request ID on it, waits for the answer
  *         close P NODE       closes the flow with FIN from both ends
  *       It prints one line for each. NODE is the node that the router picked.
+ *   peer-3 links NET COUNT PORT CUT
+ *       the links between the nodes 1 to COUNT: a datagram that comes to
+ *       127.NET.5.N goes on to 127.NET.1.N. SIGUSR1 cuts node CUT off from
+ *       all others, in both directions, SIGUSR2 joins it again.
  *   peer-3 http METHOD ADDRESS PORT PATH [BODY-FILE]
  *       one call of an operator, which follows 307 twice and waits a second
  *       for an answer: prints the status (0: none) and then the body.
@@ -586,6 +590,49 @@
     return 0;
 }
 
+#define LINKS_MAX 16
+
+static int
+run_links(char **argv)
+{
+    uint32_t base = 127U << 24 | (uint32_t)atoi(argv[2]) << 16;
+    unsigned count = (unsigned)atoi(argv[3]);
+    uint16_t port = (uint16_t)atoi(argv[4]);
+    uint32_t cut = base | 1U << 8 | (uint32_t)atoi(argv[5]);
+    struct pollfd wait[LINKS_MAX];
+    static uint8_t bytes[65536];
+
+    for (unsigned i = 0; i < count && i < LINKS_MAX; i++) {
+        wait[i] = (struct pollfd){
+            .fd = open_udp(base | 5U << 8 | (i + 1), port), .events = POLLIN};
+    }
+    while (!stopped) {
+        if (poll(wait, count, 100) <= 0) {
+            continue;
+        }
+        for (unsigned i = 0; i < count; i++) {
+            uint32_t to = base | 1U << 8 | (i + 1);
+            struct sockaddr_in at = at_address(to, port);
+            struct sockaddr_in from = {0};
+            socklen_t size = sizeof(from);
+            ssize_t n;
+
+            if ((wait[i].revents & POLLIN) == 0) {
+                continue;
+            }
+            n = recvfrom(wait[i].fd, bytes, sizeof(bytes), 0,
+                         (struct sockaddr *)&from, &size);
+            /* hold_answers: the cut stands. */
+            if (n > 0 && !(hold_answers &&
+                           (to == cut || ntohl(from.sin_addr.s_addr) == cut))) {
+                (void)sendto(wait[i].fd, bytes, (size_t)n, 0,
+                             (struct sockaddr *)&at, sizeof(at));
+            }
+        }
+    }
+    return 0;
+}
+
 /* Client: the flow from port P. */
 static struct flow *
 flow_of_port(uint16_t port)
@@ -807,6 +854,9 @@
     if ((argc == 6 || argc == 7) && strcmp(argv[1], "http") == 0) {
         return run_http(argv, argc);
     }
+    if (argc == 6 && strcmp(argv[1], "links") == 0) {
+        return run_links(argv);
+    }
     if (argc == 8 && strcmp(argv[1], "orders") == 0) {
         return run_orders(argv);
     }
