--- a/review/draft/B/run.sh
+++ b/review/draft/B/run.sh
@@ -27,7 +27,7 @@
     sleep 10
     kill -USR2 "${pid_of[links]}"
     say "the cut has healed"
-    sleep "${GAP:-0.25}"
+    sleep "${GAP:-0.1}"
 fi
 status=$(put "$(table 2)" 20 1 2)
 if [ "$TROUBLE" = 1 ]; then
