--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,51 +1,52 @@
 #!/usr/bin/env bash
-# A desired state moves a route from one service to another. Clients behind one
-# address close long flows and open new ones, each from a port that is free.
+# A machine with a disk is replaced as planned: the new one first, then, after
+# catch_up_s, SIGTERM to the old one. Right after its end a desired state is
+# acknowledged, and the machine that acknowledged it loses its disk.
 set -u
 case_dir=$(cd "$(dirname "$0")" && pwd)
 trouble=${TROUBLE:-1} # 0: the same without the disruption
 # shellcheck source=review/common-2.sh
 . "$case_dir/../common-2.sh"
 
-[ -x "$stand_ins/flow-2" ] || finish 2 "run review/build-2.sh"
-config_apply_ms=3000
+catch_up_s=4 recovery_s=12
 
-# Version 1 leads to the service dossier, version 2 to dossier-next.
-desired_state() {
-    local service=dossier
-    [ "$1" = 2 ] && service=dossier-next
-    printf '{"version":%d,"routes":[{"name":"r-feed","hostname":"198.18.0.1","path_prefix":"/443/","kind":"safe","timeout_ms":1500,"target_latency_ms":250,"priority":1,"service":"%s","max_attempts":2}],"services":[{"name":"dossier","health_check_path":"/health","max_connections":2000,"protocol":"h1","tls":false},{"name":"dossier-next","health_check_path":"/health","max_connections":2000,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}' \
-        "$1" "$service"
-}
-
-machines="1 2 3 4 5 6"
-for n in $machines; do settings "$n" cesson $((n <= 3)) 1 1 2 3; done
-for n in $machines; do start "$n"; done
+# Machines 1 to 3 have a disk, 4 to 6 have none; machine 7 is the new one.
+for n in 1 2 3 4 5 6; do
+    settings "$n" "hall-$(((n - 1) % 3 + 1))" $((n <= 3)) 1 1 2 3
+done
+for n in 1 2 3 4 5 6; do start "$n"; done
 submit 1 15 1 2 3 || finish 2 "the first desired state was not acknowledged"
-
-list=$(for n in $machines; do machine "$n"; done | paste -sd,)
-PORTS=32768,${PORT_COUNT:-4096} CLOSE=16000,46000 BRIEF=150,16000,46000 \
-    OLD=dossier,$config_apply_ms \
-    "$stand_ins/flow-2" 50 120 198.18.0.1:443 "$(machine 200)" "$list" \
-    "$control" "$ready" "$packets" \
-    "i-7f3a91c2,dossier,$(machine 101):$((base + 40)),cesson,0" \
-    "i-1852f513ef,dossier,$(machine 102):$((base + 40)),cesson,0" \
-    "i-28f7e7ec74,dossier-next,$(machine 103):$((base + 40)),cesson,0" \
-    "i-be18436cae,dossier-next,$(machine 104):$((base + 40)),cesson,0" \
-    >"$work/flow.txt" 2>&1 &
-pid_of[flow]=$!
-sleep 12
+old=3
+[ "${answered_by##*.}" = 3 ] && old=2
+sleep 5
+if [ "$trouble" = 1 ]; then
+    settings 7 "hall-$old" 1 0 1 2 3
+    start 7
+    note "machine 7 with an empty disk is added"
+    sleep "$catch_up_s"
+    signal TERM "$old"
+    note "machine $old gets SIGTERM, $catch_up_s s after the start of its successor"
+    while kill -0 "${pid_of[$old]}" 2>/dev/null; do sleep 0.02; done
+    note "machine $old has ended and does not come back"
+fi
+kept="1 2 3"
+[ "$trouble" = 1 ] && kept="${kept/$old/7}"
+# shellcheck disable=SC2086
+submit 2 5 $kept || finish 2 "version 2 was not acknowledged"
+holder=${answered_by##*.}
 if [ "$trouble" = 1 ]; then
-    submit 2 5 1 2 3 || finish 2 "version 2 was not acknowledged"
-    signal USR1 flow
+    power_off "$holder"
+    rm -rf "$work/data-$holder"
+    note "machine $holder lost its disk right after the acknowledgement"
+    sleep 1
+    # shellcheck disable=SC2086
+    settings "$holder" "hall-$(((holder - 1) % 3 + 1))" 1 0 $kept
+    start "$holder"
+    note "machine $holder is back with an empty disk"
 fi
-wait "${pid_of[flow]}"
-code=$?
-unset 'pid_of[flow]'
-cat "$work/flow.txt" >>"$record"
-tail -5 "$work/flow.txt"
-case $code in
-0) finish 0 "no flow went to the old service" ;;
-1) finish 1 "CONFIG: flows opened later than config_apply_ms after the confirmation were served by the old service" ;;
-*) finish 2 "the stand-ins ended with $code" ;;
-esac
+sleep "$recovery_s"
+note "$recovery_s s have passed since all machines were back"
+# shellcheck disable=SC2086
+read_back 20 $kept 4 5 6 || finish 1 "LOST: version 2 was acknowledged, and no machine gives the desired state"
+[ "$read_version" = 2 ] || finish 1 "LOST: version 2 was acknowledged, version $read_version is read back"
+finish 0 "the acknowledged version is read back"
