store: a damaged log is repaired from a good copy, and nothing is deleted

A disk that may be the last one with an entry was emptied for one unreadable record, or for a record that releases before this one wrote twice; and its new identity has no vote, so with one more node down the quorum was gone for good.

Ways weighed: (1) set the folder aside and rejoin with a new identity: deletes nothing, but one more node down loses the quorum; (2) keep identity and vote and cut the log at the damage: without more this forgets an acknowledged entry and may elect a leader without it; (3) as (2), with the position of the last intact record kept as a bound (as in Alagappan et al., FAST 2018): chosen for the log.

Change: a log that is damaged before records that were synced later is cut there, the file kept as log.damaged, and the last position stored in `missing`. Until the log reaches it again the replica refuses candidates that lack it, does not lead, does not found, and answers appends without its identity, so that the leader forgets what it had acknowledged. A record that repeats a loaded one byte for byte is skipped and the log rewritten, under either policy: disks written by earlier releases stay good.

--- a/cons-internal.h
+++ b/cons-internal.h
@@ -31,6 +31,9 @@
                      size_t length);
 void cons_log_truncate(struct cons *cons, uint64_t index);
 void cons_log_reset(struct cons *cons, const wire_snapshot *snapshot);
+struct cons_position cons_last_position(const struct cons *cons);
+/* Clears `missing` once the log reaches it. */
+void cons_update_missing(struct cons *cons);
 
 /* cons-action.c */
 /* Queue an action with a copy of what it needs. */
--- a/cons-log.c
+++ b/cons-log.c
@@ -31,6 +31,29 @@
     return index == cons->snapshot.index ? cons->snapshot.term : 0;
 }
 
+bool
+cons_is_before(struct cons_position a, struct cons_position b)
+{
+    return a.term != b.term ? a.term < b.term : a.index < b.index;
+}
+
+struct cons_position
+cons_last_position(const struct cons *cons)
+{
+    uint64_t last = cons_last_index(cons);
+
+    return (struct cons_position){.index = last,
+                                  .term = cons_term_at(cons, last)};
+}
+
+void
+cons_update_missing(struct cons *cons)
+{
+    if (!cons_is_before(cons_last_position(cons), cons->missing)) {
+        cons->missing = (struct cons_position){0};
+    }
+}
+
 void
 cons_log_append(struct cons *cons, uint64_t term, const void *bytes,
                 size_t length)
@@ -40,6 +63,7 @@
 
     g_array_append_val(cons->log, entry);
     cons_voters_update(cons);
+    cons_update_missing(cons);
 }
 
 /* Removes the entries from an index on. */
@@ -70,6 +94,7 @@
         g_bytes_new(snapshot->state.state_val, snapshot->state.state_len);
     cons->commit_index = snapshot->last_index;
     cons_voters_rescan(cons);
+    cons_update_missing(cons);
 }
 
 void
--- a/cons-replicate.c
+++ b/cons-replicate.c
@@ -156,6 +156,8 @@
     }
 }
 
+/* A replica that lacks entries replies without its identity, so that the
+ * leader forgets what it acknowledged before the damage. */
 static void
 reply_append(struct cons *cons, uint32_t to, uint64_t round, bool ok,
              uint64_t match)
@@ -165,7 +167,7 @@
 
     out->term = cons->term;
     out->replica = cons->self;
-    out->identity = cons->identity;
+    out->identity = cons->missing.index == 0 ? cons->identity : 0;
     out->round = round;
     out->ok = ok;
     out->match = match;
--- a/cons-voters.c
+++ b/cons-voters.c
@@ -269,6 +269,9 @@
     wire_config old_config = {0};
     bool ok = has_voter(&cons->config, cons->self, cons->identity);
 
+    if (cons->missing.index != 0 && !fault_is(FAULT_FORGET_MISSING)) {
+        return false;
+    }
     if (!ok && cons_config_pending(cons)) {
         copy_config_at(cons, last_config_index(cons, cons->config_index - 1),
                        &old_config);
--- a/cons.c
+++ b/cons.c
@@ -50,6 +50,10 @@
     if (cons->log == NULL) {
         cons->log = g_array_new(FALSE, FALSE, sizeof(struct cons_entry));
     }
+    if (stored != NULL) {
+        cons->missing = stored->missing;
+        cons_update_missing(cons);
+    }
     cons_voters_rescan(cons);
     reset_election_timer(cons, now);
 }
@@ -172,20 +176,20 @@
     count_votes(cons, now);
 }
 
-/* Compares last term, then last index (Raft, section 5.4.1). */
+/* An entry that was damaged here may be committed: a candidate needs it (as in
+ * Alagappan et al., FAST 2018). */
 static bool
 candidate_is_up_to_date(const struct cons *cons, const wire_vote_ask *ask)
 {
-    uint64_t last = cons_last_index(cons);
-    uint64_t last_term = cons_term_at(cons, last);
+    struct cons_position candidate = {.index = ask->last_index,
+                                      .term = ask->last_term};
+    struct cons_position last = cons_last_position(cons);
 
-    if (fault_is(FAULT_VOTE_STALE_LOG)) {
-        return true;
-    }
-    if (ask->last_term != last_term) {
-        return ask->last_term > last_term;
+    if (cons_is_before(last, cons->missing) &&
+        !fault_is(FAULT_FORGET_MISSING)) {
+        last = cons->missing;
     }
-    return ask->last_index >= last;
+    return !cons_is_before(candidate, last) || fault_is(FAULT_VOTE_STALE_LOG);
 }
 
 /* A pre-vote is refused while a leader is alive. */
--- a/cons.h
+++ b/cons.h
@@ -46,6 +46,12 @@
     GBytes *state; /**< an encoded wire_control_state */
 };
 
+/** Position of an entry in the log. */
+struct cons_position {
+    uint64_t index; /**< 0: none */
+    uint64_t term;
+};
+
 /** A term and the vote in it. */
 struct cons_vote {
     uint64_t term;
@@ -103,8 +109,13 @@
     size_t replica_count;
     uint64_t random; /**< state of the generator */
     enum cons_role role;
-    bool pre_vote;         /**< CANDIDATE: in the pre-vote phase */
-    bool failed;           /**< a write failed; the replica is passive */
+    bool pre_vote; /**< CANDIDATE: in the pre-vote phase */
+    bool failed;   /**< a write failed; the replica is passive */
+    /** Last entry that the disk held before a part of its log was damaged,
+     * while the log does not reach it again; index 0: nothing is missing. Such
+     * a replica does not lead, grants votes as if it still held that entry,
+     * and does not count as a holder of entries. */
+    struct cons_position missing;
     uint64_t term;         /**< stored on disk */
     uint32_t voted_for;    /**< stored on disk; 0: none in this term */
     uint32_t leader;       /**< of this term, 0: unknown */
@@ -131,6 +142,7 @@
     struct cons_snapshot snapshot; /**< index 0: none */
     GArray *log;                   /**< struct cons_entry */
     uint64_t commit_index;         /**< known to be committed, 0: none */
+    struct cons_position missing;  /**< see struct cons */
 };
 
 /**
@@ -198,6 +210,9 @@
 
 uint64_t cons_last_index(const struct cons *cons);
 
+/** Compares by term, then by index (Raft, section 5.4.1). */
+bool cons_is_before(struct cons_position a, struct cons_position b);
+
 /** Returns NULL when the index is in the snapshot or past the end. */
 const struct cons_entry *cons_entry_at(const struct cons *cons,
                                        uint64_t index);
--- a/node-voter-thread.c
+++ b/node-voter-thread.c
@@ -28,6 +28,7 @@
     uint64_t notified_term;       /* of the last update about the leader */
     uint32_t notified_leader;     /* IPv4 address in that update */
     uint64_t logged_config_index; /* of the last voters logged */
+    uint64_t logged_missing;      /* index in the last log line about it */
     bool stop;                    /* VOTER_JOB_STOP was received */
 } voter;
 
@@ -201,6 +202,29 @@
     g_string_free(text, TRUE);
 }
 
+/* Logs that entries are missing on this disk, or are complete again. */
+static void
+log_missing(void)
+{
+    const struct cons *cons = &voter.replica.cons;
+
+    if (cons->missing.index == voter.logged_missing) {
+        return;
+    }
+    voter.logged_missing = cons->missing.index;
+    if (cons->missing.index == 0) {
+        log_event(LOG_INFO, "storage-repaired", "last_index=%" PRIu64,
+                  cons_last_index(cons));
+        return;
+    }
+    counter_add(&voter.node->counters, COUNTER_STORE_ERRORS, 1);
+    log_event(LOG_ERROR, "storage-damaged",
+              "file=log last_index=%" PRIu64 " missing_index=%" PRIu64
+              " missing_term=%" PRIu64 " kept=log.damaged next=\"copies the "
+              "missing entries from the leader\"",
+              cons_last_index(cons), cons->missing.index, cons->missing.term);
+}
+
 /* Executes all actions in order. A storage error cancels the remaining ones,
  * so nothing that was not synced is acknowledged. */
 static void
@@ -242,6 +266,7 @@
     replica_clear(&voter.replica);
     notify_leader();
     log_voters();
+    log_missing();
 }
 
 /* Reads the saved inventory; NULL when there is none or it is damaged. */
@@ -311,21 +336,22 @@
     loop_post(voter_on_update, update);
 }
 
-/* Deletes the state of a damaged data folder. */
+/* Renames the files of a data folder that cannot be repaired. */
 static void
-wipe_storage(const char *path)
+set_storage_aside(const char *path)
 {
     struct status st = {STATUS_OK, ""};
-    enum status_kind kind = store_wipe(path, &st);
+    enum status_kind kind = store_set_aside(path, &st);
 
     log_event(LOG_ERROR, "storage-given-up",
-              "result=%s message=\"%s\" next=\"rejoins with a new identity\"",
+              "result=%s message=\"%s\" kept=\"*.damaged\" next=\"rejoins "
+              "with a new identity\"",
               status_name(kind), st.message);
 }
 
-/* Opens the data folder and starts consensus. A damaged folder is wiped; the
- * replica then rejoins with a new identity and has no vote until it holds the
- * log. */
+/* Opens the data folder and starts consensus. A folder that cannot be repaired
+ * is set aside; the replica then rejoins with a new identity and has no vote
+ * until it holds the log. */
 static void
 open_storage(void)
 {
@@ -341,7 +367,7 @@
                   st.message);
         store_close(&voter.store);
         if (st.kind == STATUS_DAMAGED) {
-            wipe_storage(s->data);
+            set_storage_aside(s->data);
         }
         voter.reopen_at = loop_now() + REOPEN_INTERVAL_MS;
         return;
@@ -368,6 +394,7 @@
     uint32_t self = node_settings_address(&voter.node->settings);
 
     if (!voter.open || cons_last_index(&voter.replica.cons) > 0 ||
+        voter.replica.cons.missing.index != 0 ||
         voter.replica.cons.leader != 0) {
         return;
     }
--- a/replica.c
+++ b/replica.c
@@ -272,7 +272,8 @@
               stored);
     replica->cons.election_at = now + REPLICA_FIRST_ELECTION_MS +
                                 seed % REPLICA_FIRST_ELECTION_JITTER_MS;
-    if (founder && cons_last_index(&replica->cons) == 0) {
+    if (founder && cons_last_index(&replica->cons) == 0 &&
+        replica->cons.missing.index == 0) {
         replica->bootstrapped_at = now;
         replica->cons.election_at = now;
     }
--- a/store-load.c
+++ b/store-load.c
@@ -116,9 +116,9 @@
     return offset == bytes->len;
 }
 
-/* Returns the length of a record, 0 for a torn tail, -1 for damage. */
-static ssize_t
-parse_record(const GByteArray *bytes, size_t at, struct record_header *out)
+ssize_t
+store_parse_record(const GByteArray *bytes, size_t at,
+                   struct record_header *out)
 {
     size_t left = bytes->len - at;
 
@@ -141,29 +141,55 @@
     return (ssize_t)(sizeof(*out) + out->length);
 }
 
-/* A record that the snapshot includes is only indexed, not loaded. */
+/* Whether a record repeats a loaded one, as earlier releases could store an
+ * entry twice after a snapshot. */
+static bool
+is_repeated(const struct record_header *header, const guint8 *command,
+            const struct cons_stored *stored)
+{
+    uint64_t first = stored->snapshot.index + 1;
+    const struct cons_entry *entry;
+    gsize length = 0;
+    const void *bytes;
+
+    if (header->index < first || header->index >= first + stored->log->len) {
+        return false;
+    }
+    entry =
+        &g_array_index(stored->log, struct cons_entry, header->index - first);
+    bytes = g_bytes_get_data(entry->command, &length);
+    return entry->term == header->term && length == header->length &&
+           memcmp(bytes, command, length) == 0;
+}
+
+/* A record that the snapshot includes is only indexed, not loaded. False when
+ * the record does not continue the log. */
 static bool
 add_record(struct store *store, const struct record_header *header,
            const guint8 *command, off_t at, struct cons_stored *stored)
 {
-    uint64_t next = store->first_index + store->offsets->len;
-    struct cons_entry entry;
+    uint64_t next = store->offsets->len > 0
+                        ? store->first_index + store->offsets->len
+                        : MIN(header->index, stored->snapshot.index + 1);
+    struct cons_entry entry = {.term = header->term};
 
-    if (store->offsets->len == 0) {
-        store->first_index = header->index;
+    if (is_repeated(header, command, stored)) {
+        store->repeated++;
+        return true;
     }
-    else if (header->index != next) {
+    if (header->index != next) {
         return false;
     }
+    if (store->offsets->len == 0) {
+        store->first_index = header->index;
+    }
     g_array_append_val(store->offsets, at);
-    if (header->index <= stored->snapshot.index) {
-        return true;
+    if (header->index > stored->snapshot.index) {
+        stored->commit_index = MAX(stored->commit_index, header->commit_index);
+        entry.command = g_bytes_new(command, header->length);
+        g_array_append_val(stored->log, entry);
     }
-    stored->commit_index = MAX(stored->commit_index, header->commit_index);
-    entry.term = header->term;
-    entry.command = g_bytes_new(command, header->length);
-    g_array_append_val(stored->log, entry);
-    return header->index == stored->snapshot.index + stored->log->len;
+    return true;
 }
 
 /* Looks for the first record of a batch after a bad offset; if there is one,
@@ -174,7 +200,7 @@
     struct record_header header;
 
     for (size_t at = offset + 1; at + sizeof(header) <= bytes->len; at++) {
-        if (parse_record(bytes, at, &header) > 0 &&
+        if (store_parse_record(bytes, at, &header) > 0 &&
             header.magic == RECORD_FIRST_MAGIC) {
             return true;
         }
@@ -191,7 +217,7 @@
 
     while (at < bytes->len) {
         struct record_header header;
-        ssize_t length = parse_record(bytes, at, &header);
+        ssize_t length = store_parse_record(bytes, at, &header);
 
         if (length <= 0 && store->tail_policy == STORE_TAIL_TOLERANT) {
             length = has_later_sync(bytes, at) ? -1 : 0;
@@ -200,7 +226,9 @@
             (length > 0 &&
              !add_record(store, &header, bytes->data + at + sizeof(header),
                          (off_t)at, stored))) {
-            return store_damaged(st, "log", at);
+            return store->tail_policy == STORE_TAIL_TOLERANT
+                       ? store_repair_log(store, bytes, at, stored, st)
+                       : store_damaged(st, "log", at);
         }
         if (length == 0) {
             store->torn_bytes = bytes->len - at;
--- a/store.c
+++ b/store.c
@@ -55,6 +55,35 @@
     return STATUS_OK;
 }
 
+/* Position of the last entry of a snapshot and the entries after it. */
+static struct cons_position
+last_position(const struct cons_snapshot *snapshot, const GArray *entries)
+{
+    struct cons_position last = {.index = snapshot->index + entries->len,
+                                 .term = snapshot->term};
+
+    if (entries->len > 0) {
+        last.term =
+            g_array_index(entries, struct cons_entry, entries->len - 1).term;
+    }
+    return last;
+}
+
+/* Removes records that the log holds twice, and the record of entries that are
+ * no longer missing. */
+static enum status_kind
+tidy(struct store *store, struct cons_stored *stored, struct status *st)
+{
+    struct cons_batch batch = {.first = stored->snapshot.index + 1,
+                               .entries = stored->log,
+                               .commit_index = stored->commit_index};
+
+    store_update_missing(store, last_position(&stored->snapshot, stored->log));
+    stored->missing = store->missing;
+    return store->repeated > 0 ? store_rewrite_log(store, &batch, st)
+                               : STATUS_OK;
+}
+
 enum status_kind
 store_open(struct store *store, const char *path, enum store_tail_policy tail,
            struct cons_stored *stored, struct status *st)
@@ -70,8 +99,10 @@
     if (open_folder(store, path, st) != STATUS_OK ||
         store_load_identity(store, st) != STATUS_OK ||
         store_load_vote(store, stored, st) != STATUS_OK ||
+        store_load_missing(store, st) != STATUS_OK ||
         store_load_snapshot(store, stored, st) != STATUS_OK ||
-        store_load_log(store, stored, st) != STATUS_OK) {
+        store_load_log(store, stored, st) != STATUS_OK ||
+        tidy(store, stored, st) != STATUS_OK) {
         return st->kind;
     }
     return drop_stale_log(store, stored, st);
@@ -90,27 +121,6 @@
     return st->kind;
 }
 
-enum status_kind
-store_wipe(const char *path, struct status *st)
-{
-    static const char *const names[] = {"identity", "vote", "snapshot", "log"};
-    int folder = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-
-    if (folder < 0) {
-        return store_io_error(st, "open", path);
-    }
-    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-        if (unlinkat(folder, names[i], 0) != 0 && errno != ENOENT) {
-            (void)store_io_error(st, "remove", names[i]);
-        }
-    }
-    if (fsync(folder) != 0) {
-        (void)store_io_error(st, "sync", path);
-    }
-    (void)close(folder);
-    return st->kind;
-}
-
 enum status_kind
 store_init(const char *path, uint32_t replica, struct status *st)
 {
@@ -217,6 +227,7 @@
 {
     off_t end = g_array_index(store->offsets, off_t, store->offsets->len - 1);
     uint64_t next_index = store->first_index + store->offsets->len - 1;
+    struct cons_position last;
     GByteArray *out;
     bool ok;
 
@@ -239,7 +250,15 @@
          store_write_all(store->log_fd, out->data, out->len) &&
          fdatasync(store->log_fd) == 0;
     g_byte_array_unref(out);
-    return ok ? STATUS_OK : store_io_error(st, "append to", "log");
+    if (!ok) {
+        return store_io_error(st, "append to", "log");
+    }
+    last.index = batch->first + batch->entries->len - 1;
+    last.term = g_array_index(batch->entries, struct cons_entry,
+                              batch->entries->len - 1)
+                    .term;
+    store_update_missing(store, last);
+    return STATUS_OK;
 }
 
 static GByteArray *
@@ -270,10 +289,9 @@
     return out;
 }
 
-/* Replaces the log by a new one. */
-static enum status_kind
-rewrite_log(struct store *store, const struct cons_batch *batch,
-            struct status *st)
+enum status_kind
+store_rewrite_log(struct store *store, const struct cons_batch *batch,
+                  struct status *st)
 {
     uint64_t magic = LOG_MAGIC;
     GByteArray *out = g_byte_array_new();
@@ -311,5 +329,9 @@
     if (st->kind != STATUS_OK) {
         return st->kind;
     }
-    return rewrite_log(store, &image->batch, st);
+    if (store_rewrite_log(store, &image->batch, st) == STATUS_OK) {
+        store_update_missing(
+            store, last_position(&image->snapshot, image->batch.entries));
+    }
+    return st->kind;
 }
--- a/store.h
+++ b/store.h
@@ -14,12 +14,13 @@
 #include "cons.h"
 #include "status.h"
 
-/** Handling of invalid bytes at the end of the log. An incomplete last record
- * is truncated under either policy. */
+/** Handling of invalid bytes in the log. An incomplete last record is
+ * truncated under either policy. */
 enum store_tail_policy {
     STORE_TAIL_STRICT,  /**< STATUS_DAMAGED; an operator checks the disk */
-    STORE_TAIL_TOLERANT /**< truncated, unless a later batch shows that it was
-                            synced */
+    STORE_TAIL_TOLERANT /**< truncated at the end of the log; before records
+                            that were synced later, the log is cut there and
+                            `missing` names the last of them */
 };
 
 /** An open data folder. */
@@ -34,6 +35,8 @@
     bool founder;         /**< bootstrap voter: the identity is its number */
     enum store_tail_policy tail_policy;
     uint64_t torn_bytes; /**< truncated from the end of the log at open */
+    uint64_t repeated;   /**< records that the log held twice at open */
+    struct cons_position missing; /**< see struct cons */
 };
 
 /**
@@ -50,8 +53,9 @@
 enum status_kind store_bootstrap(struct store *store, uint32_t replica,
                                  struct status *st);
 
-/** Deletes the state of a damaged folder; the next open draws an identity. */
-enum status_kind store_wipe(const char *path, struct status *st);
+/** Renames the files of a damaged folder to NAME.damaged; the next open draws
+ * an identity. */
+enum status_kind store_set_aside(const char *path, struct status *st);
 
 /** Creates the folder of a bootstrap voter: its identity is its number. */
 enum status_kind store_init(const char *path, uint32_t replica,
--- a/tests/fleet-sim-internal.h
+++ b/tests/fleet-sim-internal.h
@@ -12,8 +12,6 @@
 void fleet_sim_deliver(struct fleet_sim *sim, int to, const GByteArray *bytes);
 
 /* fleet-sim-net.c */
-/* Index of the node at an address, -1: none. */
-int fleet_sim_node_at(const struct fleet_sim *sim, uint32_t address);
 /* Rate of a node's link in KB/s; 0: no limit. */
 unsigned fleet_sim_link_rate(const struct fleet_sim *sim, int n);
 /* Sends a message, fragmented when it exceeds a datagram. */
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -113,6 +113,7 @@
     struct fleet_sim_node *node = &sim->nodes[n];
 
     if (cons_last_index(&node->replica.cons) > 0 ||
+        node->replica.cons.missing.index != 0 ||
         node->replica.cons.leader != 0) {
         return;
     }
@@ -369,6 +370,16 @@
     sim->nodes[n].disk.identity = fleet_sim_random(sim, 0) | IDENTITY_BIT;
 }
 
+void
+fleet_sim_damage(struct fleet_sim *sim, int n, unsigned entries)
+{
+    struct sim_disk *disk = &sim->nodes[n].disk;
+    guint kept = disk->log->len - MIN(entries, disk->log->len);
+
+    fleet_sim_kill(sim, n);
+    sim_disk_damage(disk, disk->snapshot.index + kept + 1);
+}
+
 void
 fleet_sim_freeze(struct fleet_sim *sim, int n, uint64_t until)
 {
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -114,6 +114,9 @@
 void fleet_sim_start(struct fleet_sim *sim, int node);
 /* Kills a node and erases its disk. */
 void fleet_sim_wipe(struct fleet_sim *sim, int node);
+/* Kills a node and damages the last `entries` entries of its log; they can't
+ * be read at its next start. */
+void fleet_sim_damage(struct fleet_sim *sim, int node, unsigned entries);
 /* Freezes a node until a time; messages to it wait. */
 void fleet_sim_freeze(struct fleet_sim *sim, int node, uint64_t until);
 /* Drops all messages between two nodes, or delivers them again. */
@@ -145,6 +148,8 @@
 bool fleet_sim_get(struct fleet_sim *sim, uint64_t limit_ms);
 /* True when a node is up and not frozen. */
 bool fleet_sim_is_running(const struct fleet_sim *sim, int node);
+/* Index of the node at an address, -1: none. */
+int fleet_sim_node_at(const struct fleet_sim *sim, uint32_t address);
 /* Data hall of a node, 0 to `halls` - 1. */
 int fleet_sim_hall(const struct fleet_sim *sim, int node);
 /* The ready leader of the highest term, -1: none. */
--- a/tests/sim-disk.c
+++ b/tests/sim-disk.c
@@ -14,6 +14,39 @@
     g_array_set_size(disk->log, MIN(kept_count, disk->log->len));
 }
 
+static struct cons_position
+last_position(const struct sim_disk *disk)
+{
+    guint count = disk->log->len;
+
+    return (struct cons_position){
+        .index = disk->snapshot.index + count,
+        .term =
+            count > 0
+                ? g_array_index(disk->log, struct cons_entry, count - 1).term
+                : disk->snapshot.term};
+}
+
+static void
+update_missing(struct sim_disk *disk)
+{
+    if (!cons_is_before(last_position(disk), disk->missing)) {
+        disk->missing = (struct cons_position){0};
+    }
+}
+
+void
+sim_disk_damage(struct sim_disk *disk, uint64_t index)
+{
+    struct cons_position last = last_position(disk);
+
+    if (cons_is_before(disk->missing, last)) {
+        disk->missing = last;
+    }
+    sim_disk_truncate(disk, index);
+    update_missing(disk);
+}
+
 bool
 sim_disk_append(struct sim_disk *disk, const struct cons_batch *batch)
 {
@@ -28,6 +61,7 @@
         entry.command = g_bytes_ref(entry.command);
         g_array_append_val(disk->log, entry);
     }
+    update_missing(disk);
     return true;
 }
 
@@ -96,7 +130,8 @@
 {
     *out = (struct cons_stored){.term = disk->term,
                                 .voted_for = disk->vote,
-                                .commit_index = disk->commit};
+                                .commit_index = disk->commit,
+                                .missing = disk->missing};
     out->log = g_array_new(FALSE, FALSE, sizeof(struct cons_entry));
     for (guint i = 0; i < disk->log->len; i++) {
         struct cons_entry entry =
@@ -118,4 +153,5 @@
     disk->term = 0;
     disk->vote = 0;
     disk->commit = 0;
+    disk->missing = (struct cons_position){0};
 }
--- a/tests/sim-disk.h
+++ b/tests/sim-disk.h
@@ -16,8 +16,12 @@
     struct cons_snapshot snapshot;
     GArray *log; /* struct cons_entry */
     uint64_t commit;
+    struct cons_position missing; /* damaged entries; see struct cons */
 };
 
+/* Damages the entries from `index` on; they read as missing. */
+void sim_disk_damage(struct sim_disk *disk, uint64_t index);
+
 /* Removes the entries from `index` on. */
 void sim_disk_truncate(struct sim_disk *disk, uint64_t index);
 
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -20,6 +20,7 @@
 #define HALL "west"              /* drained by events e and E */
 #define RECOVERY_MS 8000
 #define FREEZE_MS 3000 /* how long a leader is frozen */
+#define DAMAGED_ENTRIES 2
 #define KNOWN_UPSTREAMS 18
 #define FIRST_DOWN 9   /* nodes from this index on stay down */
 #define RESTART_MS 300 /* until nodes without seeds are settled */
@@ -44,6 +45,10 @@
  * k kill the leader               s start all nodes that are down
  * f freeze the leader             w wipe and restart the leader
  * v wipe and restart a follower   r replace the leader by an empty node
+ * o kill a follower               i isolate a follower
+ * d damage the end of the log of another follower, and restart it
+ * D damage the end of the log of the leader, and restart it
+ * q as d, and kill the leader
  * c isolate the leader            h end all partitions
  * e drain a hall                  b undrain it
  * a kill and restart all nodes    . wait
@@ -71,6 +76,12 @@
     {"kill-all-wipe-one", 11, 3, 5, 3, "px...gp..x...gp"},
     {"kill-all-wipe-two", 12, 5, 5, 5, "px...gp..x...gp"},
     {"kill-all-wipe-two-of-six", 12, 6, 5, 5, "px...gp..x...gp"},
+    {"damaged-follower", 11, 3, 5, 3, "pd...pgd...pg"},
+    {"damaged-leader", 11, 3, 5, 3, "pD...pgD...pg"},
+    {"damaged-follower-and-one-down", 11, 3, 0, 3, "opd..pgs....pg"},
+    {"damaged-leader-and-one-down", 11, 3, 0, 3, "opD..pgs....pg"},
+    {"damaged-follower-and-leader-down", 11, 3, 0, 3, "pippqh....s...g"},
+    {"damaged-follower-two-down", 12, 5, 0, 5, "opod..pgs....pg"},
     {"two-wiped", 12, 5, 5, 5, "pwv......pgwv......pg"},
     {"two-wiped-of-six", 12, 6, 5, 5, "pwv......pgwv......pg"},
     {"halls/drained", 11, 3, 5, 3, "pe."},
@@ -109,24 +120,39 @@
     }
 }
 
-/* Wipes and restarts a voter that does not lead. */
-static void
-wipe_follower(struct fleet_sim *sim, int leader)
+/* The first or last voter of the configuration that runs and does not lead. */
+static int
+find_follower(const struct fleet_sim *sim, int leader, bool last)
 {
     const wire_config *config = cons_config(&sim->nodes[leader].replica.cons);
+    int found = -1;
 
     for (u_int i = 0; i < config->voters.voters_len; i++) {
-        uint32_t replica = config->voters.voters_val[i].replica;
+        int n = fleet_sim_node_at(sim, config->voters.voters_val[i].replica);
 
-        for (int n = 0; n < sim->count; n++) {
-            if (n != leader && sim->nodes[n].up &&
-                sim->nodes[n].address == replica) {
-                fleet_sim_wipe(sim, n);
-                fleet_sim_start(sim, n);
-                return;
-            }
+        if (n >= 0 && n != leader && sim->nodes[n].up && (found < 0 || last)) {
+            found = n;
         }
     }
+    g_assert_cmpint(found, >=, 0);
+    return found;
+}
+
+/* Wipes and restarts a voter that does not lead. */
+static void
+wipe_follower(struct fleet_sim *sim, int leader)
+{
+    int n = find_follower(sim, leader, false);
+
+    fleet_sim_wipe(sim, n);
+    fleet_sim_start(sim, n);
+}
+
+static void
+damage(struct fleet_sim *sim, int n)
+{
+    fleet_sim_damage(sim, n, DAMAGED_ENTRIES);
+    fleet_sim_start(sim, n);
 }
 
 /* Restarts all nodes; wipes the first voters, as many as the quorum
@@ -188,6 +214,22 @@
     case 'v':
         wipe_follower(sim, leader);
         return;
+    case 'o':
+        fleet_sim_kill(sim, find_follower(sim, leader, false));
+        return;
+    case 'i':
+        fleet_sim_isolate(sim, find_follower(sim, leader, false), true);
+        return;
+    case 'd':
+        damage(sim, find_follower(sim, leader, true));
+        return;
+    case 'D':
+        damage(sim, leader);
+        return;
+    case 'q':
+        damage(sim, find_follower(sim, leader, true));
+        fleet_sim_kill(sim, leader);
+        return;
     case 'r':
         (void)fleet_sim_replace(sim, leader);
         return;
@@ -308,6 +350,29 @@
     }
 }
 
+/* Every disk lost its last entries: no replica knows what was committed, so
+ * none may lead. */
+static void
+test_damaged_everywhere(void)
+{
+    struct fleet_sim_options options = {
+        .nodes = 5, .disks = 3, .upstreams = 0, .seed = 3};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    g_assert_true(fleet_sim_put(sim, 1, OPERATOR_TIMEOUT_MS));
+    g_assert_true(fleet_sim_put(sim, 2, OPERATOR_TIMEOUT_MS));
+    for (int n = 0; n < options.disks; n++) {
+        fleet_sim_damage(sim, n, DAMAGED_ENTRIES);
+    }
+    for (int n = 0; n < options.disks; n++) {
+        fleet_sim_start(sim, n);
+    }
+    g_assert_false(fleet_sim_get(sim, 2 * OPERATOR_TIMEOUT_MS));
+    g_assert_cmpstr(sim->violation, ==, "");
+    fleet_sim_free(sim);
+}
+
 /* The leader's node is replaced three times, 5 s apart: each successor must be
  * a voter before the next leader is lost, however long the election took. */
 static void
@@ -335,6 +400,9 @@
     {"vote-for-a-shorter-log",
      FAULT_VOTE_STALE_LOG,
      {"", 11, 3, 5, 3, "pc...pkh...gs....c...pkh...gs....c...pkh...g"}},
+    {"lead-without-damaged-entries",
+     FAULT_FORGET_MISSING,
+     {"", 11, 3, 0, 3, "pippqh....s...g"}},
     {"halls-in-memory-only",
      FAULT_HALLS_UNLOGGED,
      {"", 11, 3, 5, 3, "pea...g"}},
@@ -621,6 +689,7 @@
                        mutations[i].name);
         g_test_add_data_func(path, &mutations[i], test_mutation);
     }
+    g_test_add_func("/fleet/damaged-everywhere", test_damaged_everywhere);
     g_test_add_func("/fleet/replace-leaders", test_replace_leaders);
     g_test_add_func("/fleet/load-other-kind", test_load_other_kind);
     g_test_add_func("/fleet/load-previous-release",
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -13,6 +13,7 @@
 #include "store.h"
 
 #define ENTRIES 500
+#define RECORD_BYTES 64 /* of an entry of append() */
 
 /* A data folder, its store and the consensus state loaded from it. */
 struct fixture {
@@ -113,7 +114,14 @@
 static void
 remove_data_folder(struct fixture *f)
 {
-    static const char *const names[] = {"identity", "vote", "log", "snapshot",
+    static const char *const names[] = {"identity",
+                                        "vote",
+                                        "log",
+                                        "snapshot",
+                                        "identity.damaged",
+                                        "vote.damaged",
+                                        "log.damaged",
+                                        "missing",
                                         "lock"};
 
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
@@ -136,33 +144,42 @@
     enum status_kind expected;
     unsigned entries; /* of 10, after loading */
     enum store_tail_policy tail;
+    unsigned missing; /* last entry that is reported as missing, 0: none */
 };
 
 static const struct corruption corruptions[] = {
-    {"untouched", 0, 0, 0, 0, STATUS_OK, 10, STORE_TAIL_STRICT},
-    {"torn-in-a-command", 0, 3, 0, 0, STATUS_OK, 9, STORE_TAIL_STRICT},
-    {"torn-in-a-header", 0, 75, 0, 0, STATUS_OK, 8, STORE_TAIL_STRICT},
-    {"zeros-at-the-end", 0, 0, 500, 0, STATUS_OK, 10, STORE_TAIL_STRICT},
-    {"few-bytes-at-the-end", 0, 0, 0, 7, STATUS_OK, 10, STORE_TAIL_STRICT},
-    {"junk-at-the-end", 0, 0, 0, 200, STATUS_DAMAGED, 0, STORE_TAIL_STRICT},
+    {"untouched", 0, 0, 0, 0, STATUS_OK, 10, STORE_TAIL_STRICT, 0},
+    {"torn-in-a-command", 0, 3, 0, 0, STATUS_OK, 9, STORE_TAIL_STRICT, 0},
+    {"torn-in-a-header", 0, 75, 0, 0, STATUS_OK, 8, STORE_TAIL_STRICT, 0},
+    {"zeros-at-the-end", 0, 0, 500, 0, STATUS_OK, 10, STORE_TAIL_STRICT, 0},
+    {"few-bytes-at-the-end", 0, 0, 0, 7, STATUS_OK, 10, STORE_TAIL_STRICT, 0},
+    {"junk-at-the-end", 0, 0, 0, 200, STATUS_DAMAGED, 0, STORE_TAIL_STRICT, 0},
     {"flip-in-the-first-record", 30, 0, 0, 0, STATUS_DAMAGED, 0,
-     STORE_TAIL_STRICT},
+     STORE_TAIL_STRICT, 0},
     {"flip-in-the-last-record", -2, 0, 0, 0, STATUS_DAMAGED, 0,
-     STORE_TAIL_STRICT},
-    {"flip-in-the-magic", 2, 0, 0, 0, STATUS_DAMAGED, 0, STORE_TAIL_STRICT},
-    {"empty", 0, 1000000, 0, 0, STATUS_OK, 0, STORE_TAIL_STRICT},
+     STORE_TAIL_STRICT, 0},
+    {"flip-in-the-magic", 2, 0, 0, 0, STATUS_DAMAGED, 0, STORE_TAIL_STRICT, 0},
+    {"empty", 0, 1000000, 0, 0, STATUS_OK, 0, STORE_TAIL_STRICT, 0},
     /* With power loss the unsynced end of the log may be torn. */
-    {"torn/untouched", 0, 0, 0, 0, STATUS_OK, 10, STORE_TAIL_TOLERANT},
-    {"torn/cut-in-a-command", 0, 3, 0, 0, STATUS_OK, 9, STORE_TAIL_TOLERANT},
+    {"torn/untouched", 0, 0, 0, 0, STATUS_OK, 10, STORE_TAIL_TOLERANT, 0},
+    {"torn/cut-in-a-command", 0, 3, 0, 0, STATUS_OK, 9, STORE_TAIL_TOLERANT,
+     0},
     {"torn/flip-in-the-last-record", -2, 0, 0, 0, STATUS_OK, 9,
-     STORE_TAIL_TOLERANT},
-    {"torn/junk-at-the-end", 0, 0, 0, 200, STATUS_OK, 10, STORE_TAIL_TOLERANT},
-    {"torn/zeros-at-the-end", 0, 0, 500, 0, STATUS_OK, 10,
-     STORE_TAIL_TOLERANT},
-    {"torn/flip-before-a-later-sync", 30, 0, 0, 0, STATUS_DAMAGED, 0,
-     STORE_TAIL_TOLERANT},
+     STORE_TAIL_TOLERANT, 0},
+    {"torn/junk-at-the-end", 0, 0, 0, 200, STATUS_OK, 10, STORE_TAIL_TOLERANT,
+     0},
+    {"torn/zeros-at-the-end", 0, 0, 500, 0, STATUS_OK, 10, STORE_TAIL_TOLERANT,
+     0},
+    {"torn/flip-before-a-later-sync", 30, 0, 0, 0, STATUS_OK, 0,
+     STORE_TAIL_TOLERANT, 10},
+    {"torn/flip-in-the-middle", 8 + 4 * RECORD_BYTES + 30, 0, 0, 0, STATUS_OK,
+     4, STORE_TAIL_TOLERANT, 10},
+    {"torn/flip-and-cut-in-a-command", 8 + 4 * RECORD_BYTES + 30, 3, 0, 0,
+     STATUS_OK, 4, STORE_TAIL_TOLERANT, 9},
+    {"flip-in-the-middle", 8 + 4 * RECORD_BYTES + 30, 0, 0, 0, STATUS_DAMAGED,
+     0, STORE_TAIL_STRICT, 0},
     {"torn/flip-in-the-magic", 2, 0, 0, 0, STATUS_DAMAGED, 0,
-     STORE_TAIL_TOLERANT},
+     STORE_TAIL_TOLERANT, 0},
 };
 
 static void
@@ -196,7 +213,20 @@
     g_free(name);
 }
 
-/* A torn end is truncated, other corruption is refused. */
+/* A replica whose disk lost entries must not lead, even as the only voter. */
+static void
+check_missing(struct fixture *f, unsigned missing)
+{
+    g_assert_cmpuint(f->cons.missing.index, ==, missing);
+    cons_tick(&f->cons, 1000000);
+    cons_tick(&f->cons, 2000000);
+    g_assert_cmpint(f->cons.role, ==,
+                    missing == 0 ? CONS_LEADER : CONS_FOLLOWER);
+    cons_clear_actions(&f->cons);
+}
+
+/* A torn end is truncated. Before records that were synced later, the log is
+ * cut and the replica knows what it lacks, or the folder is refused. */
 static void
 test_corruption(gconstpointer data)
 {
@@ -211,11 +241,13 @@
     g_assert_cmpint(st.kind, ==, c->expected);
     if (opened) {
         g_assert_cmpuint(cons_last_index(&f.cons), ==, c->entries);
+        g_assert_cmpuint(f.cons.missing.index, ==, c->missing);
         /* Entries appended after the truncation survive a restart. */
         append(&f, 2);
         close_replica(&f, true);
         g_assert_cmpint(open_store(&f, &st), ==, STATUS_OK);
         g_assert_cmpuint(cons_last_index(&f.cons), ==, c->entries + 2);
+        check_missing(&f, c->missing);
     }
     else {
         g_assert_nonnull(strstr(st.message, "move the data folder aside"));
@@ -224,6 +256,141 @@
     remove_data_folder(&f);
 }
 
+/* Closes the store, writes the log as given and opens it again. */
+static enum status_kind
+reopen_with_log(struct fixture *f, const GString *log, struct status *st)
+{
+    char *name = g_build_filename(f->path, "log", NULL);
+
+    g_assert_true(g_file_set_contents(name, log->str, (gssize)log->len, NULL));
+    g_free(name);
+    return open_store(f, st);
+}
+
+static GString *
+read_log(const struct fixture *f)
+{
+    char *name = g_build_filename(f->path, "log", NULL);
+    char *bytes = NULL;
+    gsize length = 0;
+    GString *log;
+
+    g_assert_true(g_file_get_contents(name, &bytes, &length, NULL));
+    log = g_string_new_len(bytes, (gssize)length);
+    g_free(bytes);
+    g_free(name);
+    return log;
+}
+
+/* Earlier releases stored an entry twice when the log was compacted in the
+ * same batch: such a log is complete. Guards against giving up the disk. */
+static void
+test_repeated_record(void)
+{
+    static const enum store_tail_policy policies[] = {STORE_TAIL_STRICT,
+                                                      STORE_TAIL_TOLERANT};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
+        struct fixture f = {.tail = policies[i]};
+        struct status st;
+        GString *log;
+        char *last;
+
+        make_data_folder(&f, 10);
+        log = read_log(&f);
+        last = g_memdup2(log->str + log->len - RECORD_BYTES, RECORD_BYTES);
+        g_string_append_len(log, last, RECORD_BYTES);
+        g_assert_cmpint(reopen_with_log(&f, log, &st), ==, STATUS_OK);
+        g_assert_cmpuint(cons_last_index(&f.cons), ==, 10);
+        append(&f, 1);
+        g_assert_cmpint(store_truncate(&f.store, 11, &st), ==, STATUS_OK);
+        close_replica(&f, true);
+        g_assert_cmpint(open_store(&f, &st), ==, STATUS_OK);
+        g_assert_cmpuint(cons_last_index(&f.cons), ==, 10);
+        check_missing(&f, 0);
+        close_replica(&f, true);
+        g_string_free(log, TRUE);
+        g_free(last);
+        remove_data_folder(&f);
+    }
+}
+
+/* Missing entries are remembered over restarts, until the log reaches the last
+ * one again; the damaged log is kept. */
+static void
+test_missing_until_reached(void)
+{
+    static const struct corruption flip = {.flip_at =
+                                               8 + 4 * RECORD_BYTES + 30};
+    struct fixture f = {.tail = STORE_TAIL_TOLERANT};
+    struct status st;
+    GString *damaged;
+    char *name;
+    char *kept = NULL;
+    gsize length = 0;
+
+    make_data_folder(&f, 10);
+    corrupt_log(&f, &flip);
+    damaged = read_log(&f);
+    g_assert_cmpint(open_store(&f, &st), ==, STATUS_OK);
+    name = g_build_filename(f.path, "log.damaged", NULL);
+    g_assert_true(g_file_get_contents(name, &kept, &length, NULL));
+    g_assert_cmpmem(kept, length, damaged->str, damaged->len);
+    for (unsigned last = 4; last < 10; last++) {
+        close_replica(&f, true);
+        g_assert_cmpint(open_store(&f, &st), ==, STATUS_OK);
+        check_missing(&f, 10);
+        f.cons.term = 0;
+        append(&f, 1);
+    }
+    g_assert_cmpuint(f.cons.missing.index, ==, 0);
+    close_replica(&f, true);
+    g_assert_cmpint(open_store(&f, &st), ==, STATUS_OK);
+    check_missing(&f, 0);
+    close_replica(&f, true);
+    g_string_free(damaged, TRUE);
+    g_free(kept);
+    g_free(name);
+    remove_data_folder(&f);
+}
+
+/* A folder that cannot be repaired is renamed, not deleted. */
+static void
+test_set_aside(void)
+{
+    static const char *const names[] = {"identity", "vote", "log"};
+    struct fixture f = {.tail = STORE_TAIL_TOLERANT};
+    struct status st = {STATUS_OK, ""};
+    GString *log;
+    char *name;
+
+    make_data_folder(&f, 10);
+    log = read_log(&f);
+    name = g_build_filename(f.path, "vote", NULL);
+    g_assert_true(g_file_set_contents(name, "short", 5, NULL));
+    g_free(name);
+    g_assert_cmpint(open_store(&f, &st), ==, STATUS_DAMAGED);
+    close_replica(&f, false);
+    st.kind = STATUS_OK;
+    g_assert_cmpint(store_set_aside(f.path, &st), ==, STATUS_OK);
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        char *bytes = NULL;
+        gsize length = 0;
+        char *file = g_strdup_printf("%s/%s.damaged", f.path, names[i]);
+
+        g_assert_true(g_file_get_contents(file, &bytes, &length, NULL));
+        g_assert_true(i != 2 || length == log->len);
+        g_free(bytes);
+        g_free(file);
+    }
+    g_assert_cmpint(open_store(&f, &st), ==, STATUS_OK);
+    g_assert_cmpuint(f.store.identity, !=, 1);
+    g_assert_cmpuint(cons_last_index(&f.cons), ==, 0);
+    close_replica(&f, true);
+    g_string_free(log, TRUE);
+    remove_data_folder(&f);
+}
+
 /* A file that exists but cannot be read must be an I/O error: treated as a new
  * disk or as corrupted, it would lose acknowledged entries. */
 static void
@@ -376,8 +543,8 @@
 {
     struct fixture f = {0};
     struct status st = {STATUS_OK, ""};
-    struct cons_batch batch;
     static const uint64_t starts[] = {1, 3, 5, 6, 4, 4};
+    struct cons_batch batch;
     const struct cons_action *action;
     size_t count;
 
@@ -470,6 +637,10 @@
                          test_unreadable);
     g_test_add_data_func("/store/unreadable/log", "log", test_unreadable);
     g_test_add_func("/store/vote", test_vote);
+    g_test_add_func("/store/repeated-record", test_repeated_record);
+    g_test_add_func("/store/missing-until-reached",
+                    test_missing_until_reached);
+    g_test_add_func("/store/set-aside", test_set_aside);
     g_test_add_func("/store/lock", test_lock);
     g_test_add_func("/store/new-disk", test_new_disk);
     g_test_add_func("/store/snapshot", test_snapshot);
