replica: a voter that stops as planned is replaced before it ends

Cause: the leader replaced a voter only after 3 s of silence (REPLICA_REPLACE_MS), although the successor held the log for 4 s and the hellos of the old one said `stopping` for 1.8 s. Until then two of three voters were left, and each acknowledgement needed both.

The class: a leader that waits for silence where the other side has said what it does. Related paths: the leader's own stop (it stepped down at once and its successor counted its silence); several that stop together (one change at a time, 3 s each); a successor that has not caught up yet at the stop; a spare that itself stops or is silent (taken as a replacement, counted as wanted); more leavers than spares in a set that grew by the successors (majority of disks that are gone).

Ways weighed: (1) replace it once its process has ended: a window remains between the end and the commit; (2) replace it when it reports the stop, and let its process wait for that: chosen, bounded by grace_s less the margin; (3) shorten the 3 s: still a guess, and each stall of a VM would cost a voter. A stopping node with a disk sends its hellos to all disks, at most 16, each 0.5 s.

A stopping leader leads until its replacement is committed and logged as committed (cons_has_left), for 1 s at most if no spare catches up. The process exits when the quorum no longer needs its disk. Logs: voter-replaced with its reason, stop-ends with in_quorum; counter voters_replaced_total.

--- a/cons-voters.c
+++ b/cons-voters.c
@@ -281,6 +281,13 @@
     return ok;
 }
 
+bool
+cons_has_left(const struct cons *cons)
+{
+    return !has_voter(&cons->config, cons->self, cons->identity) &&
+           !cons_config_pending(cons) && cons_config_commit_logged(cons);
+}
+
 bool
 cons_is_voter(const struct cons *cons, uint32_t replica, uint64_t identity)
 {
--- a/cons.c
+++ b/cons.c
@@ -281,13 +281,16 @@
     }
 }
 
-/* Sends heartbeats; steps down without a quorum of replies (CheckQuorum). */
+/* Sends heartbeats; steps down without a quorum of replies (CheckQuorum). A
+ * leader that is no voter any more first tells the voters that the change was
+ * committed: its own disk may be gone soon. */
 static void
 tick_leader(struct cons *cons, uint64_t now)
 {
     uint64_t since = now > CHECK_QUORUM_MS ? now - CHECK_QUORUM_MS : 0;
 
-    if (!cons_may_lead(cons)) {
+    if (cons_has_left(cons)) {
+        cons_broadcast_append(cons, now);
         cons->role = CONS_FOLLOWER;
         cons->leader = 0;
         return;
--- a/cons.h
+++ b/cons.h
@@ -223,6 +223,10 @@
 /** Latest configuration in the log, committed or not. */
 const wire_config *cons_config(const struct cons *cons);
 
+/** Whether this replica is no voter, by a configuration that the log records
+ * as committed: the others no longer need its disk. */
+bool cons_has_left(const struct cons *cons);
+
 /** Tests replica number and disk identity against the latest configuration. */
 bool cons_is_voter(const struct cons *cons, uint32_t replica,
                    uint64_t identity);
--- a/counter.h
+++ b/counter.h
@@ -94,6 +94,8 @@
     X(ELECTIONS, "elections_total", "elections started")                      \
     X(COMMITS, "commits_total", "log entries committed")                      \
     X(STORE_ERRORS, "store_errors_total", "failed writes to the store")       \
+    X(VOTERS_REPLACED, "voters_replaced_total",                               \
+      "replacements of a voter that this node proposed as the leader")        \
     X(FLOWS_REFUSED, "flows_refused_total", "flows reset towards the caller") \
     X(FLOWS_REROUTED, "flows_moved_off_total",                                \
       "flows rerouted to a second upstream: the first did not answer")        \
--- a/fault.h
+++ b/fault.h
@@ -16,8 +16,9 @@
     FAULT_NO_TERM_CHECK,      /**< commit entries of older terms; untested */
     FAULT_VOTE_TWICE,         /**< forget the vote of a term */
     FAULT_VOTE_STALE_LOG,     /**< vote for a log that lacks entries */
-    FAULT_FORGET_MISSING,     /**< lead and vote as if no entry was damaged */
-    FAULT_LEASE_NO_QUORUM,    /**< confirm heartbeat rounds without a quorum */
+    FAULT_IGNORE_STOPPING, /**< replace a stopping voter when it is silent */
+    FAULT_FORGET_MISSING,  /**< lead and vote as if no entry was damaged */
+    FAULT_LEASE_NO_QUORUM, /**< confirm heartbeat rounds without a quorum */
     FAULT_ACK_UNSYNCED,  /**< acknowledge before fsync(); in the simulation */
     FAULT_EVICT_EARLY,   /**< remove an entry before its lease ends */
     FAULT_NO_BARRIER,    /**< advance a rollout without waiting for entries */
--- a/fleet.c
+++ b/fleet.c
@@ -271,15 +271,43 @@
     fleet->hello_at = now;
 }
 
+static bool
+contains_address(const uint32_t *all, size_t count, uint32_t address)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (all[i] == address) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+fleet_has_spare_disk(const struct fleet *fleet, const uint32_t *voters,
+                     size_t count)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wire_node *node = &((struct fleet_member *)value)->node;
+
+        if (node->identity != 0 && !node->stopping &&
+            !contains_address(voters, count, node->address)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 add_candidate(GArray *all, uint32_t address)
 {
-    for (guint i = 0; i < all->len; i++) {
-        if (g_array_index(all, uint32_t, i) == address) {
-            return;
-        }
+    if (!contains_address((const uint32_t *)(const void *)all->data, all->len,
+                          address)) {
+        g_array_append_val(all, address);
     }
-    g_array_append_val(all, address);
 }
 
 /* Lists the nodes that may know the leader: the seeds, the stored voters and
@@ -416,6 +444,22 @@
     return no_leader ? FLEET_HELLO_NO_LEADER_MS : FLEET_HELLO_INTERVAL_MS;
 }
 
+static void
+send_hello_to_disks(struct fleet *fleet)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, fleet->members);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wire_node *node = &((struct fleet_member *)value)->node;
+
+        if (node->identity != 0 && node->address != fleet->leader) {
+            fleet_send_hello(fleet, node->address, false);
+        }
+    }
+}
+
 static void
 send_hellos(struct fleet *fleet, uint64_t now)
 {
@@ -434,6 +478,9 @@
     else {
         fleet_send_hello(fleet, fleet->leader, false);
     }
+    if (fleet->self.stopping && fleet->self.identity != 0) {
+        send_hello_to_disks(fleet);
+    }
     fleet_send_hello(fleet, fleet_random_peer(fleet), false);
     fleet_contact_send(fleet, now);
     fleet->hello_at = now + hello_interval(fleet, now, no_leader);
--- a/fleet.h
+++ b/fleet.h
@@ -358,9 +358,15 @@
  * which receives hellos from all nodes. */
 guint fleet_count_halls_in_force(const struct fleet *fleet);
 
-/** Marks this node as stopping and sends hellos at the next tick. */
+/** Marks this node as stopping and sends hellos at the next tick; with a disk,
+ * to all nodes that have one, since any of them may lead. */
 void fleet_stop(struct fleet *fleet, uint64_t now);
 
+/** Whether another node has a disk that is no voter, and is not stopping: it
+ * may replace a voter. */
+bool fleet_has_spare_disk(const struct fleet *fleet, const uint32_t *voters,
+                          size_t count);
+
 /** Runs all timers that are due. */
 void fleet_tick(struct fleet *fleet, uint64_t now);
 
--- a/node-voter-thread.c
+++ b/node-voter-thread.c
@@ -24,12 +24,14 @@
     bool open; /* `replica` and `store` are open */
     struct replica replica;
     struct store store;
-    uint64_t reopen_at;           /* deadline */
-    uint64_t notified_term;       /* of the last update about the leader */
-    uint32_t notified_leader;     /* IPv4 address in that update */
-    uint64_t logged_config_index; /* of the last voters logged */
-    uint64_t logged_missing;      /* index in the last log line about it */
-    bool stop;                    /* VOTER_JOB_STOP was received */
+    uint64_t reopen_at;             /* deadline */
+    uint64_t notified_term;         /* of the last update about the leader */
+    uint32_t notified_leader;       /* IPv4 address in that update */
+    uint64_t notified_config_index; /* of the last update about the voters */
+    bool notified_in_quorum;        /* in that update */
+    uint64_t logged_config_index;   /* of the last voters logged */
+    uint64_t logged_missing;        /* index in the last log line about it */
+    bool stop;                      /* VOTER_JOB_STOP was received */
 } voter;
 
 static struct voter_update *
@@ -179,6 +181,65 @@
     loop_post(voter_on_update, update);
 }
 
+static void
+set_voters(struct voter_update *update)
+{
+    const struct cons *cons = &voter.replica.cons;
+    const wire_config *config = cons_config(cons);
+
+    update->has_voters = true;
+    update->in_quorum = !cons_has_left(cons);
+    for (u_int i = 0; i < config->voters.voters_len && i < FLEET_VOTERS_MAX;
+         i++) {
+        update->voters[update->voter_count++] =
+            config->voters.voters_val[i].replica;
+    }
+}
+
+/* Notifies the loop of a change of the voters, or of its commit. */
+static void
+notify_voters(void)
+{
+    const struct cons *cons = &voter.replica.cons;
+    bool in_quorum = !cons_has_left(cons);
+    struct voter_update *update;
+
+    if (cons->config_index == voter.notified_config_index &&
+        in_quorum == voter.notified_in_quorum) {
+        return;
+    }
+    voter.notified_config_index = cons->config_index;
+    voter.notified_in_quorum = in_quorum;
+    update = new_update();
+    set_voters(update);
+    loop_post(voter_on_update, update);
+}
+
+static const char *
+replace_reason_name(enum replica_replace_reason reason)
+{
+    switch (reason) {
+    case REPLICA_DISK_CHANGED:
+        return "new-disk";
+    case REPLICA_VOTER_STOPPING:
+        return "stopping";
+    case REPLICA_VOTER_SILENT:
+        return "silent";
+    }
+    return "";
+}
+
+static void
+log_replacement(const struct replica_replacement *replacement)
+{
+    counter_add(&voter.node->counters, COUNTER_VOTERS_REPLACED, 1);
+    log_event(LOG_INFO, "voter-replaced",
+              "voter=%08x by=%08x reason=%s silent_ms=%" PRIu64,
+              replacement->from, replacement->to,
+              replace_reason_name(replacement->reason),
+              replacement->silent_ms);
+}
+
 /* Logs a change of the cluster's voters. */
 static void
 log_voters(void)
@@ -261,10 +322,14 @@
             copy_table(update, action->state.routes);
             loop_post(voter_on_update, update);
             break;
+        case REPLICA_REPLACE:
+            log_replacement(&action->replacement);
+            break;
         }
     }
     replica_clear(&voter.replica);
     notify_leader();
+    notify_voters();
     log_voters();
     log_missing();
 }
@@ -323,16 +388,12 @@
 static void
 notify_opened(void)
 {
-    const wire_config *config = cons_config(&voter.replica.cons);
     struct voter_update *update = new_update();
 
     update->opened = true;
     update->identity = voter.store.identity;
     update->inventory = read_inventory();
-    for (u_int i = 0; i < config->voters.voters_len; i++) {
-        update->voters[update->voter_count++] =
-            config->voters.voters_val[i].replica;
-    }
+    set_voters(update);
     loop_post(voter_on_update, update);
 }
 
@@ -453,8 +514,7 @@
         break;
     case VOTER_JOB_DISK:
         if (voter.open) {
-            replica_update_disk(&voter.replica, now, job->disk.address,
-                                job->disk.identity);
+            replica_update_disk(&voter.replica, now, &job->disk);
         }
         break;
     case VOTER_JOB_BOOTSTRAP:
@@ -470,9 +530,9 @@
             write_inventory(job->bytes);
         }
         break;
-    case VOTER_JOB_STEP_DOWN:
+    case VOTER_JOB_LEAVE:
         if (voter.open) {
-            replica_step_down(&voter.replica, now);
+            replica_stop(&voter.replica, now);
         }
         break;
     case VOTER_JOB_STOP:
--- a/node-voter.c
+++ b/node-voter.c
@@ -2,6 +2,8 @@
  * The loop's side of the voter: queues jobs for its thread and handles the
  * updates that the thread posts.
  */
+#include <string.h>
+
 #include "codec.h"
 #include "log.h"
 #include "loop.h"
@@ -33,10 +35,15 @@
         node->voter.identity = update->identity;
         node->fleet.self.identity = update->identity;
         node->fleet.hello_at = now;
-        for (u_int i = 0; i < update->voter_count; i++) {
+        for (size_t i = 0; i < update->voter_count; i++) {
             fleet_add_voter(&node->fleet, update->voters[i]);
         }
     }
+    if (update->has_voters) {
+        node->voter.in_quorum = update->in_quorum;
+        memcpy(node->voter.voters, update->voters, sizeof(update->voters));
+        node->voter.voter_count = update->voter_count;
+    }
     if (update->inventory != NULL) {
         load_inventory(node, update->inventory, now);
         g_byte_array_unref(update->inventory);
@@ -155,9 +162,9 @@
 }
 
 void
-node_voter_step_down(struct node *node)
+node_voter_leave(struct node *node)
 {
-    queue_job(node, new_job(VOTER_JOB_STEP_DOWN));
+    queue_job(node, new_job(VOTER_JOB_LEAVE));
 }
 
 void
--- a/node-voter.h
+++ b/node-voter.h
@@ -18,7 +18,7 @@
     VOTER_JOB_SUBMIT_HALL,    /* propose an order about a data hall */
     VOTER_JOB_READ_TABLE,     /* read the committed table */
     VOTER_JOB_SAVE_INVENTORY, /* save the inventory */
-    VOTER_JOB_STEP_DOWN,      /* give up leadership */
+    VOTER_JOB_LEAVE,          /* the node stops as planned */
     VOTER_JOB_STOP            /* end the thread */
 };
 
@@ -35,13 +35,14 @@
 /** An update from the voter to the loop; each flag selects fields. */
 struct voter_update {
     struct node *node;
-    bool opened;                      /* `identity` up to `inventory` are
-                                         set */
-    uint64_t identity;                /* of the disk */
-    uint32_t voters[CONS_VOTERS_MAX]; /* IPv4 addresses */
-    u_int voter_count;
+    bool opened;           /* `identity` and `inventory` are set */
+    uint64_t identity;     /* of the disk */
     GByteArray *inventory; /* as saved, or NULL */
-    bool has_leader;       /* `term` and `leader` are set */
+    bool has_voters;       /* `in_quorum` up to `voter_count` are set */
+    bool in_quorum;        /* the quorum may need this disk */
+    uint32_t voters[FLEET_VOTERS_MAX]; /* IPv4 addresses */
+    size_t voter_count;
+    bool has_leader; /* `term` and `leader` are set */
     uint64_t term;
     uint32_t leader;       /* IPv4 address, 0: none is known */
     bool has_reply;        /* `token` up to `with_table` are set */
--- a/node.c
+++ b/node.c
@@ -15,6 +15,8 @@
 /* The fabric's health check runs every 500 ms and removes a node after two
  * failures; packets that still arrive in the meantime are handled. */
 #define FABRIC_REMOVAL_MS 1800U
+/* Between checks whether another disk has replaced that of a stopping node. */
+#define EXIT_RETRY_MS 50U
 /* Remainder of `grace_s` at the exit, as a margin for a slow VM. */
 #define EXIT_MARGIN_MS 1500U
 #define SETTINGS_CHECK_INTERVAL_MS 2000U
@@ -448,13 +450,43 @@
     exit_delay = exit_delay > EXIT_MARGIN_MS ? exit_delay - EXIT_MARGIN_MS : 0;
     node->stopping_since = now;
     node->exit_at = now + MIN(FABRIC_REMOVAL_MS, exit_delay);
-    log_event(LOG_INFO, "stop-begins", "ends_in_ms=%llu",
-              (unsigned long long)(node->exit_at - now));
-    node_voter_step_down(node);
+    node->exit_by = now + exit_delay;
+    log_event(LOG_INFO, "stop-begins", "ends_in_ms=%llu at_most_ms=%llu",
+              (unsigned long long)(node->exit_at - now),
+              (unsigned long long)(node->exit_by - now));
+    node_voter_leave(node);
     fleet_stop(&node->fleet, now);
     node_run_actions(node);
 }
 
+/* Whether another disk is about to replace that of this stopping node: with
+ * one voter less, the quorum would tolerate one failure less meanwhile. */
+static bool
+awaits_replacement(const struct node *node, uint64_t now)
+{
+    return now < node->exit_by && node->voter.in_quorum &&
+           fleet_has_spare_disk(&node->fleet, node->voter.voters,
+                                node->voter.voter_count);
+}
+
+/* Ends the loop of a stopping node, unless the quorum still needs its disk. */
+static bool
+exit_when_due(struct node *node, uint64_t now)
+{
+    if (node->exit_at == 0 || now < node->exit_at) {
+        return false;
+    }
+    if (awaits_replacement(node, now)) {
+        node->exit_at = MIN(now + EXIT_RETRY_MS, node->exit_by);
+        return false;
+    }
+    log_event(LOG_INFO, "stop-ends", "after_ms=%llu in_quorum=%d voters=%zu",
+              (unsigned long long)(now - node->stopping_since),
+              node->voter.in_quorum, node->voter.voter_count);
+    loop_stop();
+    return true;
+}
+
 static void
 open_http_when_due(struct node *node, uint64_t now)
 {
@@ -517,8 +549,7 @@
     allow_for_missed_packets(node, now);
     node->last_tick_at = now;
     counter_add(&node->counters, COUNTER_WAKEUPS, 1);
-    if (node->exit_at != 0 && now >= node->exit_at) {
-        loop_stop();
+    if (exit_when_due(node, now)) {
         return;
     }
     if (now >= node->settings_check_at) {
--- a/node.h
+++ b/node.h
@@ -32,6 +32,9 @@
     uint64_t identity; /**< of the disk, 0 until its folder is opened */
     uint32_t leader;   /**< IPv4 address, 0: none is known */
     uint64_t term;     /**< of `leader` */
+    bool in_quorum;    /**< the quorum may need this disk */
+    uint32_t voters[FLEET_VOTERS_MAX]; /**< IPv4 addresses */
+    size_t voter_count;                /**< entries in `voters` */
 };
 
 /** HTTP listeners, each with its own port. */
@@ -86,6 +89,8 @@
     uint64_t tick_at;        /**< deadline of the next tick */
     uint64_t stopping_since; /**< start of the planned stop, 0: running */
     uint64_t exit_at;        /**< deadline of the planned stop */
+    uint64_t exit_by;        /**< deadline: no later, even if the quorum needs
+                                  this disk */
 };
 
 /** Runs a node until its planned stop is done or it fails. */
@@ -204,8 +209,9 @@
 void node_voter_report_disk(struct node *node, const wire_node *disk);
 /** Starts a new cluster with the disk of this node as its only voter. */
 void node_voter_bootstrap(struct node *node);
-/** Gives up leadership, so that another voter takes over at once. */
-void node_voter_step_down(struct node *node);
+/** Starts a planned stop: lets another disk replace the one of this node, and
+ * gives up leadership. */
+void node_voter_leave(struct node *node);
 /** Proposes a table; takes ownership of `routes`. node_complete_request()
  * follows. */
 void node_voter_submit_table(struct node *node, uint64_t token,
--- a/replica-internal.h
+++ b/replica-internal.h
@@ -12,5 +12,11 @@
 void replica_update_peers(struct replica *replica, uint64_t now);
 /** LEADER: proposes the next change of the set of voters, if one is due. */
 void replica_update_voters(struct replica *replica, uint64_t now);
+/** LEADER: whether a node with a disk that is no voter may replace one. */
+bool replica_has_successor(const struct replica *replica, uint64_t now);
+
+/* replica.c */
+struct replica_action *replica_add_action(struct replica *replica,
+                                          enum replica_action_kind kind);
 
 #endif
--- a/replica.c
+++ b/replica.c
@@ -9,8 +9,8 @@
 /* After stepping down, a replica starts no election before other voters do. */
 #define STEP_DOWN_MS (4 * CONS_ELECTION_TIMEOUT_MS)
 
-static struct replica_action *
-add_action(struct replica *replica, enum replica_action_kind kind)
+struct replica_action *
+replica_add_action(struct replica *replica, enum replica_action_kind kind)
 {
     struct replica_action action = {.kind = kind};
 
@@ -22,7 +22,7 @@
 static void
 add_cons_action(void *data, const struct cons_action *action)
 {
-    add_action(data, REPLICA_CONS)->cons = *action;
+    replica_add_action(data, REPLICA_CONS)->cons = *action;
 }
 
 static GBytes *
@@ -35,7 +35,8 @@
 reply(struct replica *replica, uint64_t token, enum status_kind kind,
       const char *message, bool with_table)
 {
-    struct replica_reply *out = &add_action(replica, REPLICA_REPLY)->reply;
+    struct replica_reply *out =
+        &replica_add_action(replica, REPLICA_REPLY)->reply;
 
     out->token = token;
     out->with_table = with_table;
@@ -46,7 +47,7 @@
 static void
 add_apply(struct replica *replica)
 {
-    add_action(replica, REPLICA_APPLY)->state = (struct replica_state){
+    replica_add_action(replica, REPLICA_APPLY)->state = (struct replica_state){
         .routes = ref_routes(replica),
         .halls = g_memdup2(&replica->halls, sizeof(replica->halls))};
 }
@@ -312,15 +313,40 @@
     }
 }
 
+/* A stopping leader leads until a disk has replaced its own, so that the other
+ * voters need not find out that it is gone. */
+static void
+step_down_if_stopping(struct replica *replica, uint64_t now)
+{
+    struct cons *cons = &replica->cons;
+
+    if (!replica->stopping ||
+        !cons_is_voter(cons, cons->self, cons->identity) ||
+        (now < replica->lead_until && replica_has_successor(replica, now) &&
+         !fault_is(FAULT_IGNORE_STOPPING))) {
+        return;
+    }
+    cons->role = CONS_FOLLOWER;
+    cons->leader = 0;
+    cons->election_at = now + STEP_DOWN_MS;
+}
+
+static void
+run_leader(struct replica *replica, uint64_t now)
+{
+    start_leading(replica, now);
+    replica_update_peers(replica, now);
+    replica_update_voters(replica, now);
+    step_down_if_stopping(replica, now);
+}
+
 void
 replica_tick(struct replica *replica, uint64_t now)
 {
     compact(replica);
     cons_tick(&replica->cons, now);
     if (replica->cons.role == CONS_LEADER) {
-        start_leading(replica, now);
-        replica_update_peers(replica, now);
-        replica_update_voters(replica, now);
+        run_leader(replica, now);
     }
     finish_event(replica, now);
 }
@@ -448,12 +474,12 @@
 }
 
 void
-replica_step_down(struct replica *replica, uint64_t now)
+replica_stop(struct replica *replica, uint64_t now)
 {
+    replica->stopping = true;
+    replica->lead_until = now + REPLICA_STOP_LEADING_MS;
     if (replica->cons.role == CONS_LEADER) {
-        replica->cons.role = CONS_FOLLOWER;
-        replica->cons.leader = 0;
-        replica->cons.election_at = now + STEP_DOWN_MS;
+        run_leader(replica, now);
         finish_event(replica, now);
     }
 }
@@ -504,6 +530,8 @@
             g_clear_pointer(&action->state.routes, g_bytes_unref);
             g_free(action->state.halls);
             break;
+        case REPLICA_REPLACE:
+            break;
         }
     }
     g_array_set_size(replica->actions, 0);
--- a/replica.h
+++ b/replica.h
@@ -33,6 +33,8 @@
               until it is removed */
 #define REPLICA_DISK_TIMEOUT_MS                                               \
     6000U /**< without a report from a learner, until it is removed */
+#define REPLICA_STOP_LEADING_MS                                               \
+    1000U /**< a stopping leader waits this long for a disk to replace it */
 #define REPLICA_JOIN_MS                                                       \
     2000U /**< after bootstrap, for disks to join before operators' requests  \
              are accepted */
@@ -42,9 +44,25 @@
 
 /** Kind of a struct replica_action. */
 enum replica_action_kind {
-    REPLICA_CONS,  /**< carry out `cons` */
-    REPLICA_REPLY, /**< send `reply` to an operator */
-    REPLICA_APPLY  /**< `state` was committed */
+    REPLICA_CONS,   /**< carry out `cons` */
+    REPLICA_REPLY,  /**< send `reply` to an operator */
+    REPLICA_APPLY,  /**< `state` was committed */
+    REPLICA_REPLACE /**< log that a voter is being replaced */
+};
+
+/** Why the leader replaces a voter. */
+enum replica_replace_reason {
+    REPLICA_DISK_CHANGED,   /**< its node has a new disk */
+    REPLICA_VOTER_STOPPING, /**< its node reports a planned stop */
+    REPLICA_VOTER_SILENT    /**< no message for REPLICA_REPLACE_MS */
+};
+
+/** Replacement of a voter that the leader proposes. */
+struct replica_replacement {
+    uint32_t from; /**< address of the voter */
+    uint32_t to;   /**< address of the disk that replaces it, 0: removed */
+    enum replica_replace_reason reason;
+    uint64_t silent_ms; /**< since the last message of the voter */
 };
 
 /** Answer to an operator's request. */
@@ -66,9 +84,10 @@
 struct replica_action {
     enum replica_action_kind kind; /**< selects the field below */
     union {
-        struct cons_action cons;    /**< CONS */
-        struct replica_reply reply; /**< REPLY */
-        struct replica_state state; /**< APPLY */
+        struct cons_action cons;                /**< CONS */
+        struct replica_reply reply;             /**< REPLY */
+        struct replica_state state;             /**< APPLY */
+        struct replica_replacement replacement; /**< REPLACE */
     };
 };
 
@@ -77,6 +96,7 @@
     uint32_t address;  /**< IPv4, host order */
     uint64_t identity; /**< of the disk; a replaced disk has another one */
     uint64_t last_seen_at;
+    bool stopping; /**< the node reports a planned stop */
 };
 
 /** A request of an operator that is not answered yet. */
@@ -104,6 +124,8 @@
     uint64_t ready_at;         /**< time: operators' requests are accepted from
                                     then on */
     uint64_t led_term;         /**< last term in which this replica led */
+    bool stopping;             /**< a planned stop of this node has begun */
+    uint64_t lead_until;       /**< deadline: a stopping leader steps down */
     GArray *pending;           /**< of struct replica_pending */
     GArray *actions;           /**< of struct replica_action */
     struct counters *counters; /**< of the process, not owned */
@@ -121,7 +143,7 @@
 
 /** Records a report of a node with a disk. */
 void replica_update_disk(struct replica *replica, uint64_t now,
-                         uint32_t address, uint64_t identity);
+                         const wire_node *node);
 
 /** Runs the timers that are due; see replica_deadline(). */
 void replica_tick(struct replica *replica, uint64_t now);
@@ -151,8 +173,9 @@
  */
 void replica_read(struct replica *replica, uint64_t now, uint64_t token);
 
-/** Steps down as leader and delays the next candidacy of this replica. */
-void replica_step_down(struct replica *replica, uint64_t now);
+/** Starts a planned stop of this node. As the leader it lets a disk replace
+ * its own, and steps down. */
+void replica_stop(struct replica *replica, uint64_t now);
 
 /** Actions since the last replica_clear(), in order. */
 const struct replica_action *replica_actions(struct replica *replica,
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -12,6 +12,8 @@
 #define RETRY_MS 100           /* between retries of an operator's request */
 #define REGISTER_RETRY_MS 1000 /* before an upstream tries another node */
 #define OVERDUE_TICKS_MAX 2    /* consecutive */
+#define STOP_MS 1800           /* duration of a planned stop */
+#define STOP_MAX_MS 4500       /* while another disk replaces the node's */
 #define SEEDS_PER_NODE 3
 #define FLOW_MAX_MS 60000
 #define FIRST_ADDRESS 0x0a010010U   /* 10.1.0.16 */
@@ -178,6 +180,9 @@
         case REPLICA_APPLY:
             apply_committed(sim, n, &action->state);
             break;
+        case REPLICA_REPLACE:
+            counter_add(&node->counters, COUNTER_VOTERS_REPLACED, 1);
+            break;
         }
     }
     replica_clear(&node->replica);
@@ -200,8 +205,7 @@
             break;
         case FLEET_DISK_SEEN:
             if (node->has_disk) {
-                replica_update_disk(&node->replica, sim->now,
-                                    all[i].node.address, all[i].node.identity);
+                replica_update_disk(&node->replica, sim->now, &all[i].node);
             }
             break;
         case FLEET_BOOTSTRAP:
@@ -341,6 +345,7 @@
         return;
     }
     node->up = false;
+    node->stop_at = 0;
     node->frozen_until = 0;
     fragment_close(&node->fragments);
     if (node->has_disk) {
@@ -370,6 +375,43 @@
     sim->nodes[n].disk.identity = fleet_sim_random(sim, 0) | IDENTITY_BIT;
 }
 
+void
+fleet_sim_stop(struct fleet_sim *sim, int n)
+{
+    struct fleet_sim_node *node = &sim->nodes[n];
+
+    node->stop_at = sim->now + STOP_MS;
+    node->stop_by = sim->now + STOP_MAX_MS;
+    if (node->has_disk) {
+        replica_stop(&node->replica, sim->now);
+    }
+    fleet_stop(&node->fleet, sim->now);
+    run_actions(sim, n);
+}
+
+/* Whether another disk is about to replace that of a stopping node. */
+static bool
+awaits_replacement(const struct fleet_sim *sim,
+                   const struct fleet_sim_node *node)
+{
+    const wire_config *config = cons_config(&node->replica.cons);
+    uint32_t voters[CONS_VOTERS_MAX];
+    size_t count = 0;
+
+    for (u_int i = 0; i < config->voters.voters_len; i++) {
+        voters[count++] = config->voters.voters_val[i].replica;
+    }
+    return sim->now < node->stop_by && !cons_has_left(&node->replica.cons) &&
+           fleet_has_spare_disk(&node->fleet, voters, count);
+}
+
+static bool
+is_stop_done(const struct fleet_sim *sim, const struct fleet_sim_node *node)
+{
+    return node->stop_at != 0 && sim->now >= node->stop_at &&
+           (!node->has_disk || !awaits_replacement(sim, node));
+}
+
 void
 fleet_sim_damage(struct fleet_sim *sim, int n, unsigned entries)
 {
@@ -438,9 +480,9 @@
 }
 
 int
-fleet_sim_join(struct fleet_sim *sim)
+fleet_sim_join(struct fleet_sim *sim, bool has_disk)
 {
-    int n = add_node(sim, false);
+    int n = add_node(sim, has_disk);
 
     start_node(sim, n, false);
     return n;
@@ -743,6 +785,9 @@
     }
     check_busy_loop(sim, n);
     run_actions(sim, n);
+    if (is_stop_done(sim, node)) {
+        fleet_sim_kill(sim, n);
+    }
 }
 
 void
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -23,7 +23,9 @@
 struct fleet_sim_node {
     bool up;
     bool has_disk;
-    bool removed; /* replaced; never starts again */
+    bool removed;     /* replaced; never starts again */
+    uint64_t stop_at; /* deadline: a planned stop ends the process, 0: none */
+    uint64_t stop_by; /* deadline: no later */
     uint64_t frozen_until;
     uint32_t address;
     struct sim_disk disk;
@@ -114,6 +116,8 @@
 void fleet_sim_start(struct fleet_sim *sim, int node);
 /* Kills a node and erases its disk. */
 void fleet_sim_wipe(struct fleet_sim *sim, int node);
+/* Starts a planned stop; the node goes down when it is done. */
+void fleet_sim_stop(struct fleet_sim *sim, int node);
 /* Kills a node and damages the last `entries` entries of its log; they can't
  * be read at its next start. */
 void fleet_sim_damage(struct fleet_sim *sim, int node, unsigned entries);
@@ -126,8 +130,8 @@
 void fleet_sim_isolate(struct fleet_sim *sim, int node, bool partitioned);
 /* Replaces a node by an empty one at a new address; returns its index. */
 int fleet_sim_replace(struct fleet_sim *sim, int node);
-/* Adds a node without a disk, starts it and returns its index. */
-int fleet_sim_join(struct fleet_sim *sim);
+/* Adds a node, starts it and returns its index. */
+int fleet_sim_join(struct fleet_sim *sim, bool has_disk);
 /* Submits a table to the leader known by `node`; dropped when there is
  * none. */
 void fleet_sim_submit(struct fleet_sim *sim, int node, uint64_t version);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -21,6 +21,7 @@
 #define RECOVERY_MS 8000
 #define FREEZE_MS 3000 /* how long a leader is frozen */
 #define DAMAGED_ENTRIES 2
+#define CATCH_UP_MS 4000 /* from a successor's start to the stop */
 #define KNOWN_UPSTREAMS 18
 #define FIRST_DOWN 9   /* nodes from this index on stay down */
 #define RESTART_MS 300 /* until nodes without seeds are settled */
@@ -49,6 +50,7 @@
  * d damage the end of the log of another follower, and restart it
  * D damage the end of the log of the leader, and restart it
  * q as d, and kill the leader
+ * t add a disk, and 4 s later stop a follower for good
  * c isolate the leader            h end all partitions
  * e drain a hall                  b undrain it
  * a kill and restart all nodes    . wait
@@ -178,6 +180,32 @@
     start_all(sim);
 }
 
+static bool
+is_any_up(const struct fleet_sim *sim, const int *nodes, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (sim->nodes[nodes[i]].up) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Stops nodes for good and waits for their end. */
+static void
+stop_for_good(struct fleet_sim *sim, const int *nodes, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        fleet_sim_stop(sim, nodes[i]);
+    }
+    while (is_any_up(sim, nodes, count)) {
+        fleet_sim_run(sim, sim->now + 5);
+    }
+    for (size_t i = 0; i < count; i++) {
+        sim->nodes[nodes[i]].removed = true;
+    }
+}
+
 /* Runs an event on the leader; a violation when no leader appears in time. */
 static void
 run_leader_event(struct fleet_sim *sim, char event, uint64_t *version)
@@ -233,6 +261,12 @@
     case 'r':
         (void)fleet_sim_replace(sim, leader);
         return;
+    case 't':
+        (void)fleet_sim_join(sim, true);
+        fleet_sim_run(sim, sim->now + CATCH_UP_MS);
+        leader = find_follower(sim, fleet_sim_leader(sim), false);
+        stop_for_good(sim, &leader, 1);
+        return;
     case 'x':
         restart_wiping_spares(sim, leader);
         return;
@@ -350,6 +384,148 @@
     }
 }
 
+/* A planned replacement: the successors join, then voters stop for good, and
+ * right after their end an acknowledged table survives the loss of as many
+ * disks as the quorum tolerates. */
+struct departure {
+    const char *name;
+    int disks;
+    int successors;
+    unsigned lead_ms;    /* from the successors' start to the stop */
+    const char *leavers; /* L: the leader, F: a follower; all at once */
+    const char *wiped;   /* L: the leader that acknowledged, F: a follower */
+    unsigned loss;
+};
+
+static const struct departure departures[] = {
+    {"follower", 3, 1, 4000, "F", "L", 0},
+    {"follower-then-follower", 3, 1, 4000, "F", "F", 0},
+    {"leader", 3, 1, 4000, "L", "L", 0},
+    {"leader-then-follower", 3, 1, 4000, "L", "F", 0},
+    {"lossy", 3, 1, 4000, "F", "L", 20},
+    {"leader-lossy", 3, 1, 4000, "L", "L", 20},
+    {"successor-just-started", 3, 1, 200, "F", "L", 0},
+    {"all-of-three", 3, 3, 4000, "LFF", "L", 0},
+    {"two-of-five", 5, 2, 6000, "FF", "LF", 0},
+    {"leader-and-follower-of-five", 5, 2, 6000, "LF", "LF", 0},
+    {"two-of-five-lossy", 5, 2, 6000, "LF", "FF", 20},
+    {"one-of-six", 6, 0, 0, "F", "LF", 0},
+};
+
+/* The nodes that letters name: L the leader, F another voter that runs, a
+ * different one each time. */
+static void
+choose_nodes(const struct fleet_sim *sim, const char *letters, int *nodes)
+{
+    int leader = fleet_sim_leader(sim);
+    const wire_config *config;
+    u_int next = 0;
+
+    g_assert_cmpint(leader, >=, 0);
+    config = cons_config(&sim->nodes[leader].replica.cons);
+    for (size_t i = 0; letters[i] != '\0'; i++) {
+        nodes[i] = leader;
+        while (letters[i] == 'F' &&
+               (nodes[i] == leader || !sim->nodes[nodes[i]].up)) {
+            g_assert_cmpuint(next, <, config->voters.voters_len);
+            nodes[i] = fleet_sim_node_at(
+                sim, config->voters.voters_val[next++].replica);
+        }
+    }
+}
+
+static void
+run_departure(const struct departure *d, uint64_t seed)
+{
+    struct fleet_sim_options options = {.nodes = d->disks + 6,
+                                        .disks = d->disks,
+                                        .upstreams = 6,
+                                        .seed = seed,
+                                        .loss = d->loss};
+    struct fleet_sim *sim = fleet_sim_new(&options);
+    size_t leaving = strlen(d->leavers);
+    size_t wiped = strlen(d->wiped);
+    int nodes[CONS_VOTERS_MAX] = {0};
+
+    fleet_sim_run(sim, sim->now + SETTLE_MS);
+    g_assert_true(fleet_sim_put(sim, 1, OPERATOR_TIMEOUT_MS));
+    fleet_sim_run(sim, sim->now + EVENT_INTERVAL_MS);
+    for (int i = 0; i < d->successors; i++) {
+        (void)fleet_sim_join(sim, true);
+    }
+    fleet_sim_run(sim, sim->now + d->lead_ms);
+    choose_nodes(sim, d->leavers, nodes);
+    stop_for_good(sim, nodes, leaving);
+    g_assert_true(fleet_sim_put(sim, 2, OPERATOR_TIMEOUT_MS));
+    choose_nodes(sim, d->wiped, nodes);
+    for (size_t i = 0; i < wiped; i++) {
+        fleet_sim_wipe(sim, nodes[i]);
+    }
+    fleet_sim_run(sim, sim->now + EVENT_INTERVAL_MS);
+    start_all(sim);
+    fleet_sim_run(sim, sim->now + RECOVERY_MS);
+    g_test_message("%s seed %llu: %s", d->name, (unsigned long long)seed,
+                   sim->violation);
+    g_assert_true(fleet_sim_get(sim, OPERATOR_TIMEOUT_MS));
+    g_assert_cmpuint(sim->read_version, ==, 2);
+    g_assert_cmpstr(sim->violation, ==, "");
+    fleet_sim_free(sim);
+}
+
+static void
+test_departure(const void *data)
+{
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        run_departure(data, seed);
+    }
+}
+
+/* Number of voters that leaders replaced. */
+static uint64_t
+count_replaced(const struct fleet_sim *sim)
+{
+    uint64_t count = 0;
+
+    for (int n = 0; n < sim->count; n++) {
+        count += sim->nodes[n].counters.value[COUNTER_VOTERS_REPLACED];
+    }
+    return count;
+}
+
+/* All disks stop and start again in turn. Without a spare disk no voter is
+ * replaced; with one, at most one for each stop. */
+static void
+test_rolling_restart(void)
+{
+    for (int disks = 3; disks <= 6; disks++) {
+        struct fleet_sim_options options = {
+            .nodes = disks + 4, .disks = disks, .upstreams = 6, .seed = 5};
+        struct fleet_sim *sim = fleet_sim_new(&options);
+        uint64_t version = 0;
+        uint64_t before;
+
+        fleet_sim_run(sim, sim->now + SETTLE_MS);
+        before = count_replaced(sim);
+        for (int n = 0; n < disks; n++) {
+            stop_for_good(sim, &n, 1);
+            sim->nodes[n].removed = false;
+            fleet_sim_run(sim, sim->now + RESTART_MS);
+            fleet_sim_start(sim, n);
+            fleet_sim_run(sim, sim->now + EVENT_INTERVAL_MS);
+            g_assert_true(fleet_sim_put(sim, ++version, OPERATOR_TIMEOUT_MS));
+        }
+        fleet_sim_run(sim, sim->now + EVENT_INTERVAL_MS);
+        g_assert_true(fleet_sim_get(sim, OPERATOR_TIMEOUT_MS));
+        g_assert_cmpuint(sim->read_version, ==, version);
+        g_assert_cmpstr(sim->violation, ==, "");
+        g_test_message("%d disks: %llu voters replaced", disks,
+                       (unsigned long long)(count_replaced(sim) - before));
+        g_assert_cmpuint(count_replaced(sim) - before, <=,
+                         disks % 2 == 0 ? (uint64_t)disks : 0);
+        fleet_sim_free(sim);
+    }
+}
+
 /* Every disk lost its last entries: no replica knows what was committed, so
  * none may lead. */
 static void
@@ -403,6 +579,9 @@
     {"lead-without-damaged-entries",
      FAULT_FORGET_MISSING,
      {"", 11, 3, 0, 3, "pippqh....s...g"}},
+    {"wait-for-a-stopping-voter",
+     FAULT_IGNORE_STOPPING,
+     {"", 11, 3, 0, 3, "ptpw....g"}},
     {"halls-in-memory-only",
      FAULT_HALLS_UNLOGGED,
      {"", 11, 3, 5, 3, "pea...g"}},
@@ -464,7 +643,7 @@
         sim->nodes[i].bytes_sent = 0;
     }
     for (int i = 0; i < JOINERS; i++) {
-        (void)fleet_sim_join(sim);
+        (void)fleet_sim_join(sim, false);
     }
     fleet_sim_run(sim, sim->now + JOIN_MS);
     for (int i = 0; i < sim->count; i++) {
@@ -689,6 +868,12 @@
                        mutations[i].name);
         g_test_add_data_func(path, &mutations[i], test_mutation);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(departures); i++) {
+        (void)snprintf(path, sizeof(path), "/fleet/departure/%s",
+                       departures[i].name);
+        g_test_add_data_func(path, &departures[i], test_departure);
+    }
+    g_test_add_func("/fleet/rolling-restart", test_rolling_restart);
     g_test_add_func("/fleet/damaged-everywhere", test_damaged_everywhere);
     g_test_add_func("/fleet/replace-leaders", test_replace_leaders);
     g_test_add_func("/fleet/load-other-kind", test_load_other_kind);
--- a/tests/test-spread.c
+++ b/tests/test-spread.c
@@ -134,7 +134,7 @@
         return;
     case INJECT_JOINS:
         for (int i = 0; i < NODES / HALLS; i++) {
-            run->no_fault[fleet_sim_join(sim)] = false;
+            run->no_fault[fleet_sim_join(sim, false)] = false;
         }
         return;
     case INJECT_KILL_DISKS:
--- a/tests/test-table.c
+++ b/tests/test-table.c
@@ -183,7 +183,7 @@
     put_versions(sim, 1, 1);
     fleet_sim_run(sim, sim->now + PAUSE_MS);
     sim->first_seed = DISKS;
-    joined = fleet_sim_join(sim);
+    joined = fleet_sim_join(sim, false);
     until = sim->now + PAUSE_MS;
     while (sim->now < until) {
         fleet_receive(&sim->nodes[joined].fleet, sim->now, &change_msg);
