evidence: a first packet from a port used before opens a new flow

Cause: steer_first() took every first packet of four known addresses and ports for a retransmission. It went to the upstream of the record, which is kept 2 s after a FIN and an idle timeout without one, whatever the route said by then.

The class: what a record of a flow may decide once its flow ended or its route leads elsewhere. Also found: the fallback to the record's upstream when the new service has none ready; a copy of an unanswered first packet after the change; an upstream excluded, suspected or counted as rerouted because of another flow; data that an earlier flow left unanswered counted in the response time of the next one (/ports/response-time: 9 s); a late packet of the earlier flow that rebinds the record before a copy of the new first packet comes.

Ways weighed: (1) ignore records after a FIN: ports are used again without one, and late copies would reach a second upstream; (2) a bound on the age of a copy: packets that a node held or a link delayed, and ports used again at once, contradict any bound; (3) the sequence of the first packet, which all its copies share and a new flow draws anew, plus the route in force: chosen. 24 bytes a record.

Change: a record keeps sequence and upstream of its first packet, apart from the upstream of its token. A first packet with another sequence is a new flow. A copy stays at its upstream while the route leads there (weight above 0) or the flow is open there; else it is placed by the table in force. A rebound record starts with nothing observed.

--- a/evidence-internal.h
+++ b/evidence-internal.h
@@ -14,7 +14,12 @@
     uint64_t upstream;            /**< id of the upstream */
     uint64_t upstream_started_at; /**< start time of the upstream when the flow
                                        was bound to it */
-    uint64_t last_seen_at;        /**< last packet */
+    bool has_first;          /**< this node forwarded its first packet; the
+                                  next three fields are valid */
+    uint32_t first_sequence; /**< sequence of the first packet */
+    uint64_t first_upstream; /**< id of the upstream that received it */
+    uint64_t first_upstream_started_at; /**< start time of that upstream */
+    uint64_t last_seen_at;              /**< last packet */
     uint64_t expire_at;           /**< deadline of a closed flow; 0: open, idle
                                        timeout applies */
     uint64_t opened_at;           /**< first forwarded packet */
@@ -140,7 +145,7 @@
 bool evidence_is_overloaded(const struct evidence *ev, uint64_t now);
 /** Whether all packets of a flow were sent long enough ago for an answer. */
 bool evidence_answer_is_due(const struct evidence_flow *flow, uint64_t now);
-/** Upstream of a flow; NULL when it has no record or has restarted. */
+/** Upstream of a flow; NULL when it is unknown or has restarted. */
 struct upstream *evidence_upstream_of(const struct evidence *ev,
                                       const struct evidence_flow *flow);
 /** Removes a flow from its upstream's busy count. */
--- a/evidence.c
+++ b/evidence.c
@@ -149,17 +149,25 @@
     }
 }
 
-/* Binds a flow to an upstream and adds it to its counts. */
+/* Binds a flow to an upstream and adds it to its counts. Nothing that was
+ * observed at another upstream, or on an earlier flow from the same port,
+ * counts any more. */
 static void
 attach(struct evidence_flow *flow, struct upstream *upstream, uint64_t now)
 {
-    flow->upstream = upstream->id;
-    flow->upstream_started_at = upstream->started_at;
-    flow->opened_at = now;
-    flow->answered = false;
-    flow->has_next_sequence = false;
-    flow->gap = false;
-    flow->acknowledged = 0;
+    *flow = (struct evidence_flow){.key = flow->key,
+                                   .upstream = upstream->id,
+                                   .upstream_started_at = upstream->started_at,
+                                   .has_first = flow->has_first,
+                                   .first_sequence = flow->first_sequence,
+                                   .first_upstream = flow->first_upstream,
+                                   .first_upstream_started_at =
+                                       flow->first_upstream_started_at,
+                                   .last_seen_at = flow->last_seen_at,
+                                   .expire_at = flow->expire_at,
+                                   .opened_at = now,
+                                   .dequeued_at = flow->dequeued_at,
+                                   .queued = flow->queued};
     upstream->open++;
 }
 
@@ -208,8 +216,7 @@
                const struct evidence_flow *flow,
                const struct evidence_packet *packet, struct upstream *upstream)
 {
-    if (upstream == NULL || upstream->state != UPSTREAM_READY ||
-        upstream->drained) {
+    if (upstream->state != UPSTREAM_READY || upstream->drained) {
         return false;
     }
     if (packet->acknowledged == 0 || flow->answered ||
@@ -231,27 +238,74 @@
            now <= upstream->last_progress_at + ALIVE_TIMEOUT_MS;
 }
 
-/* Opens a flow at the chosen upstream; `flow` is NULL when it has no
- * record. */
-static void
-open_flow(struct evidence *ev, uint64_t now, struct evidence_flow *flow,
-          struct upstream *upstream, struct evidence_verdict *verdict)
+/* Whether a first packet is a copy of the one that opened a flow here. A
+ * packet with another sequence opens another flow, from a port that was used
+ * before. */
+static bool
+is_copy(const struct evidence_flow *flow, const struct evidence_packet *packet)
 {
-    bool rerouted = flow != NULL && evidence_upstream_of(ev, flow) != NULL;
+    return flow != NULL && flow->has_first &&
+           (flow->first_sequence == packet->sequence ||
+            fault_is(FAULT_IGNORE_SEQUENCE));
+}
 
-    if (flow == NULL) {
+/* Whether the upstream of the first packet answered it, so that the flow is
+ * open there whatever the route says now. */
+static bool
+is_open_there(const struct evidence_flow *flow)
+{
+    return flow->answered && flow->expire_at == 0 &&
+           flow->upstream == flow->first_upstream;
+}
+
+/* Upstream that received an earlier copy of a first packet; NULL when there is
+ * none, or when the route no longer leads to its service and the flow is not
+ * open. */
+static struct upstream *
+upstream_of_first(const struct evidence *ev, const struct evidence_flow *flow,
+                  const struct evidence_packet *packet,
+                  const struct route *route)
+{
+    struct upstream *upstream =
+        is_copy(flow, packet)
+            ? upstream_by_id(ev->upstreams, flow->first_upstream)
+            : NULL;
+
+    return upstream != NULL &&
+                   upstream->started_at == flow->first_upstream_started_at &&
+                   (route_leads_to(route, upstream->service) ||
+                    is_open_there(flow) || fault_is(FAULT_IGNORE_ROUTE_CHANGE))
+               ? upstream
+               : NULL;
+}
+
+/* Opens a flow at the chosen upstream. `flow` is the record of its addresses
+ * and ports, NULL: none; `previous` received an earlier copy, NULL: none. */
+static void
+open_flow(struct evidence *ev, uint64_t now,
+          const struct evidence_packet *packet, struct evidence_flow *flow,
+          const struct upstream *previous, struct upstream *upstream,
+          struct evidence_verdict *verdict)
+{
+    if (!is_copy(flow, packet)) {
         counter_add(ev->counters, COUNTER_FLOWS_NEW, 1);
+        evidence_load_note_end(ev, now, verdict->flow);
     }
-    if (rerouted) {
+    if (previous != NULL) {
         counter_add(ev->counters, COUNTER_FLOWS_REROUTED, 1);
     }
     flow = bind_flow(ev, now, verdict->flow, flow, upstream);
+    flow->has_first = true;
+    flow->first_sequence = packet->sequence;
+    flow->first_upstream = upstream->id;
+    flow->first_upstream_started_at = upstream->started_at;
     if (upstream_is_warming_up(upstream, now)) {
         upstream->warmup_next_at = now + WARMUP_FLOW_INTERVAL_MS;
     }
     flow->last_seen_at = now;
     flow->expire_at = 0;
-    set_forward(verdict, upstream, rerouted ? RULE_REROUTED : RULE_LEAST_WORK);
+    set_forward(verdict, upstream,
+                previous != NULL ? RULE_REROUTED : RULE_LEAST_WORK);
 }
 
 /* Rule to report when no upstream is eligible. */
@@ -304,13 +358,12 @@
 {
     struct evidence_flow *flow =
         g_hash_table_lookup(ev->flows, &verdict->flow);
-    struct upstream *previous =
-        flow != NULL ? evidence_upstream_of(ev, flow) : NULL;
+    struct upstream *previous = upstream_of_first(ev, flow, packet, route);
     const struct route_target *target = route_pick(route, verdict->flow);
     struct upstream *upstream;
 
     verdict->non_idempotent = route->kind == ROUTE_NON_IDEMPOTENT;
-    if (flow != NULL && keeps_upstream(ev, now, flow, packet, previous)) {
+    if (previous != NULL && keeps_upstream(ev, now, flow, packet, previous)) {
         flow->last_seen_at = now;
         set_forward(verdict, previous, RULE_RETRANSMISSION);
         return;
@@ -332,7 +385,7 @@
     if (!is_admitted(verdict)) {
         return;
     }
-    open_flow(ev, now, flow, upstream, verdict);
+    open_flow(ev, now, packet, flow, previous, upstream, verdict);
     evidence_load_note_open(ev, now, packet, verdict->flow, upstream);
 }
 
--- a/evidence.h
+++ b/evidence.h
@@ -32,7 +32,8 @@
     uint32_t acknowledged;     /**< bytes of the upstream that the caller
                                     acknowledged; in a first packet: number of
                                     earlier transmissions */
-    uint32_t sequence;         /**< of the first byte of data */
+    uint32_t sequence;         /**< of the first byte of data; the same in all
+                                    copies of a first packet */
     uint32_t length;           /**< bytes of data */
     bool first;                /**< opens the flow */
     bool closing;              /**< FIN or reset */
--- a/fault.h
+++ b/fault.h
@@ -17,7 +17,11 @@
     FAULT_VOTE_TWICE,         /**< forget the vote of a term */
     FAULT_VOTE_STALE_LOG,     /**< vote for a log that lacks entries */
     FAULT_IGNORE_STOPPING, /**< replace a stopping voter when it is silent */
-    FAULT_FORGET_MISSING,  /**< lead and vote as if no entry was damaged */
+    FAULT_IGNORE_SEQUENCE, /**< take each first packet from a port that was
+                                used before for a copy */
+    FAULT_IGNORE_ROUTE_CHANGE, /**< keep copies at an upstream to whose service
+                                    the route no longer leads */
+    FAULT_FORGET_MISSING,      /**< lead and vote as if no entry was damaged */
     FAULT_LEASE_NO_QUORUM, /**< confirm heartbeat rounds without a quorum */
     FAULT_ACK_UNSYNCED,  /**< acknowledge before fsync(); in the simulation */
     FAULT_EVICT_EARLY,   /**< remove an entry before its lease ends */
--- a/route.c
+++ b/route.c
@@ -79,6 +79,18 @@
     return route->priority * 2 + (route->kind != ROUTE_NON_IDEMPOTENT ? 1 : 0);
 }
 
+bool
+route_leads_to(const struct route *route, uint16_t service)
+{
+    for (size_t i = 0; i < route->target_count; i++) {
+        if (route->targets[i].handle == service &&
+            route->targets[i].weight > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const struct route_target *
 route_pick(const struct route *route, uint64_t hash)
 {
--- a/route.h
+++ b/route.h
@@ -85,6 +85,9 @@
  * lower is preferred. */
 uint32_t route_order(const struct route *route);
 
+/** Whether new flows of a route may go to a service, by its handle. */
+bool route_leads_to(const struct route *route, uint16_t service);
+
 /** Weighted choice by `hash`; NULL when all weights are 0. */
 const struct route_target *route_pick(const struct route *route,
                                       uint64_t hash);
