evidence: the first retransmission stays when its route changed meanwhile

When the first copy was on its way to a slow upstream as the route changed, its retransmission went to another one: both answer, and the flow's packets carry the token of the later answer. Weighed: (1) all copies stay: the second one is sent up to 0.6 s after the change took effect here, later than an old service may still be used; (2) none stays: two upstreams for one first packet; (3) the first retransmission, sent 0.2 s after the original, stays, the second one follows the route: chosen. By then its upstream has left two copies unanswered and the second one would be sent elsewhere anyway.

--- a/evidence.c
+++ b/evidence.c
@@ -259,8 +259,10 @@
 }
 
 /* Upstream that received an earlier copy of a first packet; NULL when there is
- * none, or when the route no longer leads to its service and the flow is not
- * open. */
+ * none, or when it may not receive more. If two upstreams accept a flow, its
+ * packets can reach the wrong one; so the first retransmission stays although
+ * the route leads elsewhere by now. The second one is sent too long after
+ * that, and its upstream has left two copies unanswered. */
 static struct upstream *
 upstream_of_first(const struct evidence *ev, const struct evidence_flow *flow,
                   const struct evidence_packet *packet,
@@ -274,7 +276,8 @@
     return upstream != NULL &&
                    upstream->started_at == flow->first_upstream_started_at &&
                    (route_leads_to(route, upstream->service) ||
-                    is_open_there(flow) || fault_is(FAULT_IGNORE_ROUTE_CHANGE))
+                    is_open_there(flow) || packet->acknowledged <= 1 ||
+                    fault_is(FAULT_IGNORE_ROUTE_CHANGE))
                ? upstream
                : NULL;
 }
