soak: ports used again while a route moves, planned replacements, damaged logs

Change: callers use 600 ports in turn and draw a sequence; a third route leads to two services in turn, and a first packet may reach only what a version that can be in force says (3 s after its acknowledgement); after the outage one or two disks are replaced as planned, and right after the end of the old one another disk is lost or its log damaged; the operator must read and write within 5 s of the recovery.

--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -24,8 +24,12 @@
 #define FLOWS_MAX 120       /* open at once */
 #define ROUTE_A 0xc6120001U /* 198.18.0.1 */
 #define ROUTE_B 0xc6120002U /* 198.18.0.2 */
+#define ROUTE_C 0xc6120003U /* 198.18.0.3: leads to "a" and "b" in turn */
+#define VERSIONS_PER_TURN 8 /* of the table, until ROUTE_C changes */
 #define ROUTE_PORT 443
 #define FIRST_CALLER_PORT 20000
+#define REUSED_PORTS 600 /* the first ones; each is used again after seconds  \
+                          */
 #define DATA_INTERVAL_MS 250 /* on an open flow */
 #define FLOW_LIFETIME_MS 20000
 #define SHORT_FLOW_LIFETIME_MS 800 /* every fourth flow */
@@ -89,6 +93,7 @@
     uint64_t host_id; /* its id at that time */
     unsigned host_start_count;
     uint32_t connection_id; /* assigned by the upstream */
+    uint32_t sequence;      /* of the first packet */
     unsigned retransmissions;
     uint64_t opened_at;
     uint64_t next_data_at; /* deadline */
@@ -103,7 +108,8 @@
     int caller_fd;
     uint32_t first_host, caller_address, first_node;
     uint16_t packet_port, control_port;
-    uint16_t next_port;
+    uint16_t next_port;        /* of a burst */
+    uint16_t next_reused_port; /* of other flows */
     uint64_t random;
     unsigned opened, timed_out, refused, resets, data, answers;
     unsigned burst_answers, burst_failures;
@@ -224,7 +230,8 @@
     traffic.packet_port = packet_port;
     traffic.control_port = control_port;
     traffic.random = seed;
-    traffic.next_port = FIRST_CALLER_PORT;
+    traffic.next_port = FIRST_CALLER_PORT + REUSED_PORTS;
+    traffic.next_reused_port = FIRST_CALLER_PORT;
     traffic.caller_fd = soak_socket(callers, packet_port);
     for (int i = 0; i < SOAK_HOSTS; i++) {
         struct host *host = &traffic.host[i];
@@ -312,15 +319,44 @@
     }
 }
 
-/* Checks a SYN: the service must match, and the host must neither have left
- * nor be in a drained hall. */
+/* Whether ROUTE_C leads to service "b" in a version of the table. */
+static bool
+leads_to_b(uint64_t version)
+{
+    return version / VERSIONS_PER_TURN % 2 == 1;
+}
+
+/* Whether a route leads to a host in one of the versions that may be in force
+ * now. */
+static bool
+may_receive(const struct host *host, uint32_t route, uint32_t node)
+{
+    uint64_t version = 0;
+    uint64_t last;
+
+    if (route != ROUTE_C) {
+        return (route == ROUTE_B) == host->service_b;
+    }
+    soak_http_versions_in_force(&version, &last);
+    while (version <= last) {
+        if (leads_to_b(version) == host->service_b) {
+            return true;
+        }
+        version++;
+    }
+    return !soak_is_stable(node);
+}
+
+/* Checks a SYN: the route must lead to the service, and the host must neither
+ * have left nor be in a drained hall. */
 static void
 check_syn(const struct host *host, const struct evidence_packet *p,
           uint32_t node)
 {
-    if ((p->destination == ROUTE_B) != host->service_b) {
-        soak_violation("flow of route %08x at an upstream of another service",
-                       p->destination);
+    if (!may_receive(host, p->destination, node)) {
+        soak_violation("flow of port %u, route %08x at an upstream of another "
+                       "service",
+                       p->source_port, p->destination);
     }
     if (host->leave_confirmed_at != 0 &&
         loop_now() > host->leave_confirmed_at + LEAVE_PROPAGATION_MS &&
@@ -583,23 +619,49 @@
                   traffic.packet_port, out, PLATFORM_HEADER_BYTES + length);
 }
 
-/* Opens a flow from a new source port. */
+static uint16_t
+next_burst_port(void)
+{
+    uint16_t port = traffic.next_port++;
+
+    if (traffic.next_port < FIRST_CALLER_PORT) {
+        traffic.next_port = FIRST_CALLER_PORT + REUSED_PORTS;
+    }
+    return port;
+}
+
+/* The port that was closed the longest ago. */
+static uint16_t
+next_reused_port(void)
+{
+    uint16_t port;
+
+    do {
+        port = traffic.next_reused_port++;
+        if (traffic.next_reused_port == FIRST_CALLER_PORT + REUSED_PORTS) {
+            traffic.next_reused_port = FIRST_CALLER_PORT;
+        }
+    } while (find_flow(port) != NULL);
+    return port;
+}
+
+/* Opens a flow. */
 static void
 open_flow(struct flow *flow, uint64_t now)
 {
+    static const uint32_t routes[] = {ROUTE_A, ROUTE_A, ROUTE_B, ROUTE_C};
+
     memset(flow, 0, sizeof(*flow));
     flow->state = FLOW_OPENING;
-    flow->port = traffic.next_port++;
-    if (traffic.next_port < FIRST_CALLER_PORT) {
-        traffic.next_port = FIRST_CALLER_PORT;
-    }
-    flow->route = random_below(4) == 0 ? ROUTE_B : ROUTE_A;
+    flow->port = is_of_burst(flow) ? next_burst_port() : next_reused_port();
+    flow->route = routes[random_below(G_N_ELEMENTS(routes))];
+    flow->sequence = random_below(UINT32_MAX);
     flow->opened_at = now;
     for (int i = 0; i < SOAK_HOSTS; i++) { /* port numbers are used again */
         (void)g_hash_table_remove(traffic.host[i].flows,
                                   GUINT_TO_POINTER(flow->port));
     }
-    send_flow(flow, FLAG_SYN, 0, 0, 0);
+    send_flow(flow, FLAG_SYN, 0, flow->sequence, 0);
 }
 
 /* Sends the request of a burst's flow until it is answered, then acknowledges
@@ -655,7 +717,8 @@
         else if (flow->retransmissions < G_N_ELEMENTS(retransmit_ms) &&
                  now >=
                      flow->opened_at + retransmit_ms[flow->retransmissions]) {
-            send_flow(flow, FLAG_SYN, ++flow->retransmissions, 0, 0);
+            send_flow(flow, FLAG_SYN, ++flow->retransmissions, flow->sequence,
+                      0);
         }
         return;
     case FLOW_OPEN:
@@ -746,6 +809,11 @@
          .port = ROUTE_PORT,
          .non_idempotent = true,
          .deadline_ms = DEADLINE_MS},
+        {.name = "r-c",
+         .service = leads_to_b(version) ? "b" : "a",
+         .address = ROUTE_C,
+         .port = ROUTE_PORT,
+         .deadline_ms = DEADLINE_MS},
     };
 
     return standin_table(version, routes, G_N_ELEMENTS(routes));
--- a/tools/soak/http.c
+++ b/tools/soak/http.c
@@ -22,6 +22,14 @@
 #define PROBE_FAILURES_MAX 2 /* consecutive ones until a node is not ready */
 #define HALL_ORDER_PERIOD 5  /* operator requests per hall order */
 #define REDIRECTS_MAX 3      /* followed by the operator */
+#define APPLY_MS 3000        /* an acknowledged table is in force */
+#define ACKS_MAX 64          /* acknowledgements kept, for APPLY_MS */
+
+/* An acknowledged version of the table. */
+struct ack {
+    uint64_t version;
+    uint64_t at;
+};
 
 /* Result of a node's readiness probes. */
 struct probed_node {
@@ -34,10 +42,12 @@
     int node_count;
     uint32_t first_node; /* address; the others follow */
     uint16_t ready_port, control_port;
-    uint64_t last_version; /* of the last PUT */
-    uint64_t acked;        /* highest acknowledged version */
-    uint64_t put_at;       /* last acknowledged PUT */
-    uint64_t read_at;      /* last answered GET */
+    uint64_t last_version;     /* of the last PUT */
+    uint64_t acked;            /* highest acknowledged version */
+    struct ack acks[ACKS_MAX]; /* ring */
+    size_t ack_count;          /* ever */
+    uint64_t put_at;           /* last acknowledged PUT */
+    uint64_t read_at;          /* last answered GET */
     unsigned puts, reads, hall_orders;
     int hall;             /* that the operator drains */
     bool drain_pending;   /* drain sent and not yet undone */
@@ -45,7 +55,8 @@
     bool keep_drained;    /* no undrain */
     uint64_t drained_at;  /* acknowledgement, 0: not drained */
     bool stopping;        /* ends the threads */
-    GMutex lock; /* of acked, puts, put_at, keep_drained, drained_at */
+    GMutex lock; /* of last_version, acked, acks, puts, put_at, keep_drained,
+                    drained_at */
 } client;
 
 static uint32_t
@@ -158,12 +169,16 @@
     acked = client.acked;
     g_mutex_unlock(&client.lock);
     if (g_random_int() % 2 == 0) {
-        body = soak_routing_table(client.last_version =
-                                      MAX(client.last_version, acked) + 1);
+        g_mutex_lock(&client.lock);
+        client.last_version = MAX(client.last_version, acked) + 1;
+        g_mutex_unlock(&client.lock);
+        body = soak_routing_table(client.last_version);
         if (send_operator_request("PUT", STANDIN_TABLE_PATH, body, answer) ==
             200) {
             g_mutex_lock(&client.lock);
             client.acked = MAX(client.acked, client.last_version);
+            client.acks[client.ack_count++ % ACKS_MAX] =
+                (struct ack){.version = client.last_version, .at = loop_now()};
             client.puts++;
             client.put_at = loop_now();
             g_mutex_unlock(&client.lock);
@@ -186,6 +201,20 @@
     g_string_free(answer, TRUE);
 }
 
+void
+soak_http_versions_in_force(uint64_t *oldest, uint64_t *newest)
+{
+    *oldest = 0;
+    g_mutex_lock(&client.lock);
+    for (size_t i = 0; i < MIN(client.ack_count, ACKS_MAX); i++) {
+        if (loop_now() > client.acks[i].at + APPLY_MS) {
+            *oldest = MAX(*oldest, client.acks[i].version);
+        }
+    }
+    *newest = client.last_version;
+    g_mutex_unlock(&client.lock);
+}
+
 static void
 set_drained_at(uint64_t at)
 {
@@ -311,19 +340,25 @@
     client.stopping = true;
 }
 
-/* The operator's thread runs until the end, so that a recent PUT and GET
- * must have succeeded. */
+/* The operator's thread runs until the end, so that a recent PUT and GET must
+ * have succeeded. */
 void
-soak_http_check(void)
+soak_http_check_operator(const char *when)
 {
     if (loop_now() > client.read_at + SOAK_STABLE_MS) {
-        soak_violation("at the end: no GET succeeded for %llu ms",
+        soak_violation("%s: no GET succeeded for %llu ms", when,
                        (unsigned long long)(loop_now() - client.read_at));
     }
     if (loop_now() > client.put_at + SOAK_STABLE_MS) {
-        soak_violation("at the end: no PUT was acknowledged for %llu ms",
+        soak_violation("%s: no PUT was acknowledged for %llu ms", when,
                        (unsigned long long)(loop_now() - client.put_at));
     }
+}
+
+void
+soak_http_check(void)
+{
+    soak_http_check_operator("at the end");
     if (client.keep_drained && client.drained_at == 0) {
         soak_violation("at the end: no drain of a hall was acknowledged");
     }
--- a/tools/soak/http.h
+++ b/tools/soak/http.h
@@ -32,6 +32,14 @@
 /* When the draining of a hall was acknowledged; 0: not drained. */
 uint64_t soak_http_drained_since(int hall);
 
+/* Versions of the table that may be in force at a node: from the newest one
+ * that was acknowledged so long ago that all nodes have it, to the newest one
+ * that was sent. */
+void soak_http_versions_in_force(uint64_t *oldest, uint64_t *newest);
+
+/* Reports a violation unless a read and a write succeeded recently. */
+void soak_http_check_operator(const char *when);
+
 /* Makes the operator drain a hall and leave it drained. */
 void soak_http_keep_hall_drained(void);
 
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -35,7 +35,9 @@
 
 #define DISKS 3
 #define SEEDS 3
-#define SPARES 3 /* nodes with a disk that replace others */
+#define OUTAGE_SPARES 3  /* nodes with a disk that replace lost ones */
+#define PLANNED_SPARES 2 /* the same for planned replacements */
+#define SPARES (OUTAGE_SPARES + PLANNED_SPARES)
 #define PACKET_PORT 17100
 #define READY_PORT 17101
 #define CONTROL_PORT 17102
@@ -51,7 +53,9 @@
 #define REPLACE_MS 1000      /* from the loss of a node to its successor */
 #define CATCH_UP_MS 4000     /* from a successor's start to the next loss */
 #define POLL_MS 2            /* poll(2) timeout */
-#define EXIT_EXEC_FAILED 3   /* execl(3) failed */
+#define DAMAGED_AT 40        /* byte of the log, in its first record */
+#define DAMAGED_LOG_BYTES 2000 /* least size of a log that is damaged */
+#define EXIT_EXEC_FAILED 3     /* execl(3) failed */
 
 /* Faults, selected at random. */
 enum fault {
@@ -72,6 +76,7 @@
     bool disk;                /* has a data folder */
     bool in_use;              /* has started, and is not replaced */
     bool stopping;            /* SIGTERM was sent */
+    bool leaving;             /* it does not start again */
     uint64_t start_at;        /* deadline: start, 0: none */
     uint64_t resume_at;       /* deadline: SIGCONT, 0: not paused */
     uint64_t restore_link_at; /* deadline: clear link faults, 0: none */
@@ -90,10 +95,11 @@
     struct node_process node[SOAK_NODES_MAX];
     GRand *rand; /* of inject_fault() */
     uint64_t started_at;
-    GRand *extra_rand;  /* of inject_restart_or_partition(); separate, so that
-                           neither changes the faults that a seed gives the
-                           other */
-    GRand *outage_rand; /* of run_outage() */
+    GRand *extra_rand;   /* of inject_restart_or_partition(); separate, so that
+                            neither changes the faults that a seed gives the
+                            other */
+    GRand *outage_rand;  /* of run_outage() */
+    GRand *planned_rand; /* of run_planned_replacements() */
     uint64_t next_fault_at; /* deadline */
     uint64_t next_extra_at; /* deadline */
     uint64_t faulty_until;  /* end of the latest fault of any node */
@@ -292,8 +298,8 @@
 static void
 wipe_disk(int n)
 {
-    static const char *const names[] = {"identity", "vote", "snapshot",
-                                        "log",      "lock", "upstreams"};
+    static const char *const names[] = {
+        "identity", "vote", "snapshot", "log", "lock", "upstreams", "missing"};
 
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         char *name =
@@ -488,6 +494,7 @@
             }
             node->start_at =
                 node->start_at ? node->start_at : now + RESTART_MS;
+            node->start_at = node->leaving ? 0 : node->start_at;
             node->pid = 0;
         }
         if (node->pid == 0 && node->start_at != 0 && now >= node->start_at) {
@@ -595,7 +602,7 @@
 {
     uint64_t duration_ms = (uint64_t)outage_random(3000, 9000);
     bool partitioned = outage_random(0, 2) == 0;
-    int replaced = outage_random(1, SPARES + 1);
+    int replaced = outage_random(1, OUTAGE_SPARES + 1);
     int first = outage_random(0, DISKS);
 
     soak.outage = true;
@@ -617,6 +624,103 @@
     soak.outage = false;
 }
 
+/* A random node with a disk that is in use. */
+static int
+pick_disk(int except)
+{
+    int n;
+
+    do {
+        n = g_rand_int_range(soak.planned_rand, 0, soak.total);
+    } while (!soak.node[n].disk || !soak.node[n].in_use || n == except);
+    return n;
+}
+
+/* Flips a bit in the first record of a node's log; false when the log is too
+ * short to have later ones. */
+static bool
+damage_log(int n)
+{
+    char *name = g_strdup_printf("%s/data-%d/log", soak.directory, n);
+    char *bytes = NULL;
+    gsize length = 0;
+    bool damaged = g_file_get_contents(name, &bytes, &length, NULL) &&
+                   length > DAMAGED_LOG_BYTES;
+
+    if (damaged) {
+        bytes[DAMAGED_AT] ^= 1;
+        damaged = g_file_set_contents(name, bytes, (gssize)length, NULL);
+    }
+    g_free(bytes);
+    g_free(name);
+    return damaged;
+}
+
+/* Kills a node whose disk is lost or damaged; it starts again. */
+static void
+lose_disk(int n)
+{
+    struct node_process *node = &soak.node[n];
+    uint64_t delay_ms =
+        (uint64_t)g_rand_int_range(soak.planned_rand, WIPE_RESTART_MS, 1500);
+    bool damaged = g_rand_int_range(soak.planned_rand, 0, 2) == 0;
+
+    if (node->pid != 0) {
+        (void)kill(node->pid, SIGKILL);
+        (void)waitpid(node->pid, NULL, 0);
+        node->pid = 0;
+    }
+    damaged = damaged && damage_log(n);
+    log_event("node %d: killed, %s", n,
+              damaged ? "log damaged" : "disk wiped");
+    if (!damaged) {
+        wipe_disk(n);
+    }
+    node->start_at = loop_now() + delay_ms;
+    record_fault(n, node->start_at + 1000);
+}
+
+/* A node with a disk is added, another one stops for good, and right after its
+ * end a third one loses its disk. */
+static void
+replace_as_planned(int successor)
+{
+    int old = pick_disk(successor);
+    uint64_t deadline;
+
+    start_node(successor, false);
+    record_fault(successor, loop_now());
+    run_until(loop_now() + CATCH_UP_MS, false);
+    log_event("node %d: stops for good, node %d replaces it", old, successor);
+    soak.node[old].leaving = true;
+    soak.node[old].stopping = true;
+    (void)kill(soak.node[old].pid, SIGTERM);
+    record_fault(old, loop_now());
+    deadline = loop_now() + STOP_TIMEOUT_MS;
+    while (soak.node[old].pid != 0 && loop_now() < deadline) {
+        run_until(loop_now() + POLL_MS, false);
+    }
+    if (soak.node[old].pid != 0) {
+        soak_violation("node %d did not end within %d ms", old,
+                       STOP_TIMEOUT_MS);
+    }
+    soak.node[old].in_use = false;
+    lose_disk(pick_disk(old));
+    run_until(loop_now() + CATCH_UP_MS + SOAK_STABLE_MS, false);
+    soak_http_check_operator("after a planned replacement");
+}
+
+static void
+run_planned_replacements(void)
+{
+    int count = g_rand_int_range(soak.planned_rand, 1, PLANNED_SPARES + 1);
+
+    for (int i = 0; i < count; i++) {
+        replace_as_planned(soak.nodes + OUTAGE_SPARES + i);
+    }
+    run_until(loop_now() + SOAK_STABLE_MS, false);
+}
+
 /* Starts nodes, proxy, hosts, callers and operator. */
 static void
 set_up(unsigned seed)
@@ -625,6 +729,7 @@
     soak.rand = g_rand_new_with_seed(seed);
     soak.extra_rand = g_rand_new_with_seed(seed + 1000000);
     soak.outage_rand = g_rand_new_with_seed(seed + 2000000);
+    soak.planned_rand = g_rand_new_with_seed(seed + 3000000);
     soak.started_at = loop_now();
     (void)snprintf(soak.directory, sizeof(soak.directory), "build/soak-%u",
                    seed);
@@ -690,6 +795,7 @@
     run_until(loop_now() + seconds * 1000, true);
     run_until(loop_now() + RECOVERY_MS, false);
     run_outage();
+    run_planned_replacements();
     /* Without other faults: an upstream paused for a second or more, whose
      * callers retransmit, is taken for lost, and its flows are reset. */
     soak_host_set_burst(true);
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -9,7 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define SOAK_NODES_MAX 24
+#define SOAK_NODES_MAX 26
 #define SOAK_STABLE_MS                                                        \
     5000 /* time bounds hold this long after the last fault */
 
