replica: successors stay spares, and a stop waits for the change in progress

Change: fleet_awaits_replacement() compares disks by address and identity, counts a disk that restarts, and waits while the last configuration leaves the node out and the commit is not known. 2. But where successors have joined the voters, shrinking is needed (/fleet/departure/all-of-three, two-of-five). Ways weighed: never shrink (fails departures), always (fails restarts), the number of voters from what is to be tolerated: chosen. 2n + 1 disks vote, others are spares, so a stop finds one, and no voter is ever removed for it. Change: settings tolerated_disks and tolerated_halls, filled by the platform's template; without them, or with halls, as before. No deployment in force has fewer voters by it in calm times (disks 3, 4, 5, 6 with 1, 1, 2, 2 to be tolerated: 3, 3, 5, 5 voters before and after). Tests: /fleet/departure/* run with and without a stated tolerance.

--- a/fleet.c
+++ b/fleet.c
@@ -282,19 +282,34 @@
     return false;
 }
 
+static bool
+contains_disk(const struct fleet_disk *all, size_t count,
+              const wire_node *node)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (all[i].address == node->address &&
+            all[i].identity == node->identity) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
-fleet_has_spare_disk(const struct fleet *fleet, const uint32_t *voters,
-                     size_t count)
+fleet_awaits_replacement(const struct fleet *fleet,
+                         const struct fleet_disk *voters, size_t count)
 {
     GHashTableIter iter;
     gpointer value;
 
+    if (!contains_disk(voters, count, &fleet->self)) {
+        return true;
+    }
     g_hash_table_iter_init(&iter, fleet->members);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wire_node *node = &((struct fleet_member *)value)->node;
 
-        if (node->identity != 0 && !node->stopping &&
-            !contains_address(voters, count, node->address)) {
+        if (node->identity != 0 && !contains_disk(voters, count, node)) {
             return true;
         }
     }
--- a/fleet.h
+++ b/fleet.h
@@ -219,6 +219,12 @@
     uint64_t bytes_sent;    /**< once per receiver */
 };
 
+/** A disk of a node. */
+struct fleet_disk {
+    uint32_t address;
+    uint64_t identity; /**< another one after the disk was exchanged */
+};
+
 /** Another node. */
 struct fleet_member {
     wire_node node;          /**< as reported by it or by the leader */
@@ -362,10 +368,11 @@
  * to all nodes that have one, since any of them may lead. */
 void fleet_stop(struct fleet *fleet, uint64_t now);
 
-/** Whether another node has a disk that is no voter, and is not stopping: it
- * may replace a voter. */
-bool fleet_has_spare_disk(const struct fleet *fleet, const uint32_t *voters,
-                          size_t count);
+/** Whether the quorum may need the disk of this node: it is a voter and a disk
+ * that is none may replace it, now or after a restart, or it is being
+ * replaced. */
+bool fleet_awaits_replacement(const struct fleet *fleet,
+                              const struct fleet_disk *voters, size_t count);
 
 /** Runs all timers that are due. */
 void fleet_tick(struct fleet *fleet, uint64_t now);
--- a/node-settings.c
+++ b/node-settings.c
@@ -134,6 +134,20 @@
      .unit = "flows/s",
      .help = "give the rate of new flows added to the limit of a warming "
              "upstream"},
+    {.key = "tolerated_disks",
+     .type = SCHEMA_UINT,
+     .max = 3,
+     .offset = AT(tolerated_disks),
+     .help =
+         "give the number of disks that may be lost at once: twice as many "
+         "and one become voters, others are spares; 0 if unknown"},
+    {.key = "tolerated_halls",
+     .type = SCHEMA_UINT,
+     .max = 16,
+     .offset = AT(tolerated_halls),
+     .help =
+         "give the number of data halls that may be lost at once; above 0, "
+         "as many disks as possible become voters"},
     {.key = "load_control",
      .type = SCHEMA_ENUM,
      .default_value = NODE_LOAD_OFF,
--- a/node-settings.h
+++ b/node-settings.h
@@ -49,6 +49,9 @@
                                                upstream in warmup, in 1/1000 */
     uint64_t warmup_slack_milli;          /**< added to that limit, in 1/1000
                                                flow/s */
+    uint64_t tolerated_disks;             /**< losses at once that the quorum
+                                               must outlast, 0: unknown */
+    uint64_t tolerated_halls;             /**< the same for whole data halls */
     int load_control;                     /**< enum node_load_control */
     char requirements[NODE_PATH_MAX + 1]; /**< of the deployment, as its
                                                platform lists them */
--- a/node-voter-thread.c
+++ b/node-voter-thread.c
@@ -191,8 +191,9 @@
     update->in_quorum = !cons_has_left(cons);
     for (u_int i = 0; i < config->voters.voters_len && i < FLEET_VOTERS_MAX;
          i++) {
-        update->voters[update->voter_count++] =
-            config->voters.voters_val[i].replica;
+        update->voters[update->voter_count++] = (struct fleet_disk){
+            .address = config->voters.voters_val[i].replica,
+            .identity = config->voters.voters_val[i].identity};
     }
 }
 
@@ -410,6 +411,15 @@
               status_name(kind), st.message);
 }
 
+/* Most voters that the tolerated losses require, 0: unknown. */
+static u_int
+voters_max(const struct node_settings *s)
+{
+    return s->tolerated_disks > 0 && s->tolerated_halls == 0
+               ? (u_int)(2 * s->tolerated_disks + 1)
+               : 0;
+}
+
 /* Opens the data folder and starts consensus. A folder that cannot be repaired
  * is set aside; the replica then rejoins with a new identity and has no vote
  * until it holds the log. */
@@ -437,6 +447,7 @@
     replica_open(&voter.replica, loop_now(), self, voter.store.identity,
                  voter.store.identity == self, seed, &stored,
                  &voter.node->counters);
+    voter.replica.voters_max = voters_max(s);
     voter.open = true;
     log_event(LOG_INFO, "storage-opened",
               "identity=%016" PRIx64 " last_index=%" PRIu64 " version=%" PRIu64
--- a/node-voter.c
+++ b/node-voter.c
@@ -36,7 +36,7 @@
         node->fleet.self.identity = update->identity;
         node->fleet.hello_at = now;
         for (size_t i = 0; i < update->voter_count; i++) {
-            fleet_add_voter(&node->fleet, update->voters[i]);
+            fleet_add_voter(&node->fleet, update->voters[i].address);
         }
     }
     if (update->has_voters) {
--- a/node-voter.h
+++ b/node-voter.h
@@ -40,7 +40,7 @@
     GByteArray *inventory; /* as saved, or NULL */
     bool has_voters;       /* `in_quorum` up to `voter_count` are set */
     bool in_quorum;        /* the quorum may need this disk */
-    uint32_t voters[FLEET_VOTERS_MAX]; /* IPv4 addresses */
+    struct fleet_disk voters[FLEET_VOTERS_MAX];
     size_t voter_count;
     bool has_leader; /* `term` and `leader` are set */
     uint64_t term;
--- a/node.c
+++ b/node.c
@@ -465,8 +465,8 @@
 awaits_replacement(const struct node *node, uint64_t now)
 {
     return now < node->exit_by && node->voter.in_quorum &&
-           fleet_has_spare_disk(&node->fleet, node->voter.voters,
-                                node->voter.voter_count);
+           fleet_awaits_replacement(&node->fleet, node->voter.voters,
+                                    node->voter.voter_count);
 }
 
 /* Ends the loop of a stopping node, unless the quorum still needs its disk. */
--- a/node.h
+++ b/node.h
@@ -33,8 +33,8 @@
     uint32_t leader;   /**< IPv4 address, 0: none is known */
     uint64_t term;     /**< of `leader` */
     bool in_quorum;    /**< the quorum may need this disk */
-    uint32_t voters[FLEET_VOTERS_MAX]; /**< IPv4 addresses */
-    size_t voter_count;                /**< entries in `voters` */
+    struct fleet_disk voters[FLEET_VOTERS_MAX];
+    size_t voter_count; /**< entries in `voters` */
 };
 
 /** HTTP listeners, each with its own port. */
--- a/replica-voters.c
+++ b/replica-voters.c
@@ -238,15 +238,17 @@
 }
 
 /* Removes voters that stop and that no disk can replace, two at a time to keep
- * the number odd: those that stay then tolerate one failure more. Keeps
- * VOTERS_MIN, since a node may start again. Returns true when the set
+ * the number odd: those that stay then tolerate one failure more. Only where
+ * disks that are to replace others may have become voters besides them; and
+ * VOTERS_MIN stay, since a node may start again. Returns true when the set
  * changed. */
 static bool
 remove_stopping_voters(struct replica *replica, wire_config *config)
 {
     bool changed = false;
 
-    while (config->voters.voters_len >= VOTERS_MIN + 2) {
+    while (replica->voters_max == 0 &&
+           config->voters.voters_len >= VOTERS_MIN + 2) {
         u_int one = find_stopping(replica, config, 0);
         u_int other = find_stopping(replica, config, one + 1);
 
@@ -264,9 +266,9 @@
     return changed;
 }
 
-/* Voters wanted: the number of available disks, this replica's included,
- * rounded down to an odd number: one voter more would tolerate no more
- * failures. */
+/* Voters wanted: the number of available disks, this replica's included, up to
+ * the limit, rounded down to an odd number: one voter more would tolerate no
+ * more failures. */
 static u_int
 wanted_voters(const struct replica *replica, uint64_t now)
 {
@@ -275,7 +277,8 @@
     for (size_t i = 0; i < replica->disk_count; i++) {
         disks += is_available(&replica->disks[i], now);
     }
-    disks = MIN(disks, CONS_VOTERS_MAX);
+    disks = MIN(disks, replica->voters_max > 0 ? replica->voters_max
+                                               : CONS_VOTERS_MAX);
     return disks % 2 == 0 ? disks - 1 : disks;
 }
 
--- a/replica.h
+++ b/replica.h
@@ -119,6 +119,8 @@
     uint64_t applied;      /**< index of the last applied entry */
     struct replica_disk disks[REPLICA_DISKS_MAX];
     size_t disk_count;
+    u_int voters_max; /**< set by the owner: further disks stay spares; 0: not
+                           limited, as the tolerated losses are unknown */
     uint64_t bootstrapped_at;  /**< time of the bootstrap by this replica, 0:
                                     another one did it */
     uint64_t ready_at;         /**< time: operators' requests are accepted from
--- a/tests/fleet-sim.c
+++ b/tests/fleet-sim.c
@@ -262,6 +262,9 @@
     replica_open(&node->replica, sim->now, node->address, node->disk.identity,
                  node->disk.identity == node->address,
                  fleet_sim_random(sim, 0), &stored, &node->counters);
+    node->replica.voters_max = sim->options.tolerated_disks > 0
+                                   ? 2 * sim->options.tolerated_disks + 1
+                                   : 0;
 }
 
 /* Passes the seeds of the settings to a node. */
@@ -395,14 +398,16 @@
                    const struct fleet_sim_node *node)
 {
     const wire_config *config = cons_config(&node->replica.cons);
-    uint32_t voters[CONS_VOTERS_MAX];
+    struct fleet_disk voters[CONS_VOTERS_MAX];
     size_t count = 0;
 
     for (u_int i = 0; i < config->voters.voters_len; i++) {
-        voters[count++] = config->voters.voters_val[i].replica;
+        voters[count++] = (struct fleet_disk){
+            .address = config->voters.voters_val[i].replica,
+            .identity = config->voters.voters_val[i].identity};
     }
     return sim->now < node->stop_by && !cons_has_left(&node->replica.cons) &&
-           fleet_has_spare_disk(&node->fleet, voters, count);
+           fleet_awaits_replacement(&node->fleet, voters, count);
 }
 
 static bool
--- a/tests/fleet-sim.h
+++ b/tests/fleet-sim.h
@@ -70,9 +70,10 @@
     unsigned table_bytes; /* size of a packed table; 0: a few bytes */
     unsigned apply_ms;    /* freeze of a node without a disk per new table */
     unsigned link_kb_s;   /* of nodes without a disk; 0: no limit */
-    unsigned disk_link_kb_s; /* of nodes with a disk; 0: no limit */
-    unsigned queue_ms;       /* longest wait at a link; 0: 1,000 */
-    int halls;               /* data halls, assigned round-robin; 0: 1 */
+    unsigned disk_link_kb_s;  /* of nodes with a disk; 0: no limit */
+    unsigned queue_ms;        /* longest wait at a link; 0: 1,000 */
+    int halls;                /* data halls, assigned round-robin; 0: 1 */
+    unsigned tolerated_disks; /* lost at once; 0: unknown */
 };
 
 /* A simulated fleet. */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -435,18 +435,20 @@
 }
 
 static void
-run_departure(const struct departure *d, uint64_t seed)
+run_departure(const struct departure *d, bool tolerance_known, uint64_t seed)
 {
     struct fleet_sim_options options = {.nodes = d->disks + 6,
                                         .disks = d->disks,
                                         .upstreams = 6,
                                         .seed = seed,
                                         .loss = d->loss};
-    struct fleet_sim *sim = fleet_sim_new(&options);
+    struct fleet_sim *sim;
     size_t leaving = strlen(d->leavers);
     size_t wiped = strlen(d->wiped);
     int nodes[CONS_VOTERS_MAX] = {0};
 
+    options.tolerated_disks = tolerance_known ? (unsigned)wiped : 0;
+    sim = fleet_sim_new(&options);
     fleet_sim_run(sim, sim->now + SETTLE_MS);
     g_assert_true(fleet_sim_put(sim, 1, OPERATOR_TIMEOUT_MS));
     fleet_sim_run(sim, sim->now + EVENT_INTERVAL_MS);
@@ -476,7 +478,8 @@
 test_departure(const void *data)
 {
     for (uint64_t seed = 1; seed <= SEEDS; seed++) {
-        run_departure(data, seed);
+        run_departure(data, false, seed);
+        run_departure(data, true, seed);
     }
 }
 
--- a/tools/soak/host.c
+++ b/tools/soak/host.c
@@ -28,8 +28,9 @@
 #define VERSIONS_PER_TURN 8 /* of the table, until ROUTE_C changes */
 #define ROUTE_PORT 443
 #define FIRST_CALLER_PORT 20000
-#define REUSED_PORTS 600 /* the first ones; each is used again after seconds  \
-                          */
+#define REUSED_PORTS                                                          \
+    600 /* the first ones; each is used again after seconds                   \
+         */
 #define DATA_INTERVAL_MS 250 /* on an open flow */
 #define FLOW_LIFETIME_MS 20000
 #define SHORT_FLOW_LIFETIME_MS 800 /* every fourth flow */
--- a/tools/soak/soak.c
+++ b/tools/soak/soak.c
@@ -201,7 +201,8 @@
         text, sizeof(text),
         "{\"name\": \"node-%d\", \"hall\": \"hall-%d\", \"data\": \"%s\","
         "\"packets\": \"%s\", \"ready\": \"%s\", \"control\": \"%s\","
-        "\"advertise\": \"127.%u.2.%d\", \"peer_port\": %d,"
+        "\"tolerated_disks\": 1,\"advertise\": \"127.%u.2.%d\", "
+        "\"peer_port\": %d,"
         "\"first_start\": %d, \"registration_interval_ms\": %d,"
         "\"grace_s\": 6, \"load_control\": \"full\", \"seeds\": [%s]}",
         n, n % 3, data, address_format(own, PACKET_PORT, a),
