--- a/cons-log.c
+++ b/cons-log.c
@@ -97,6 +97,8 @@
     cons_update_missing(cons);
 }
 
+/* Waits until the log records that the last configuration was committed: this
+ * replica's snapshot would record it for its own disk only. */
 void
 cons_compact(struct cons *cons, uint64_t index, GBytes *state)
 {
@@ -104,7 +106,7 @@
     guint dropped = (guint)(index - cons->snapshot.index);
 
     if (index <= cons->snapshot.index || index > cons->commit_index ||
-        cons->config_index > index) {
+        cons->config_index > index || !cons_config_commit_logged(cons)) {
         return;
     }
     for (guint i = 0; i < dropped; i++) {
--- a/cons-replicate.c
+++ b/cons-replicate.c
@@ -174,8 +174,9 @@
     cons_send(cons, to, &msg);
 }
 
-/* Skips entries already stored; truncates the log at the first conflict. */
-static void
+/* Skips entries already stored; truncates the log at the first conflict.
+ * Returns the index of the first new entry, 0: none. */
+static uint64_t
 append_entries(struct cons *cons, const wire_append *append)
 {
     uint64_t first_new = 0;
@@ -198,15 +199,14 @@
         cons_log_append(cons, entry->term, entry->command.command_val,
                         entry->command.command_len);
     }
-    if (first_new != 0) {
-        cons_save_entries(cons, first_new);
-    }
+    return first_new;
 }
 
 void
 cons_handle_append(struct cons *cons, uint64_t now, const wire_append *append)
 {
     uint64_t last_sent = append->prev_index + append->entries.entries_len;
+    uint64_t first_new;
 
     if (append->term < cons->term) {
         reply_append(cons, append->replica, append->round, false, 0);
@@ -222,11 +222,14 @@
                      MAX(next, cons->commit_index + 1));
         return;
     }
-    append_entries(cons, append);
+    first_new = append_entries(cons, append);
     if (append->commit > cons->commit_index) {
         cons->commit_index =
             MAX(cons->commit_index, MIN(append->commit, last_sent));
     }
+    if (first_new != 0) {
+        cons_save_entries(cons, first_new);
+    }
     reply_append(
         cons, append->replica, append->round, true,
         MAX(last_sent, MIN(cons->commit_index, cons_last_index(cons))));
--- a/cons.c
+++ b/cons.c
@@ -401,6 +401,7 @@
 cons_propose(struct cons *cons, uint64_t now, wire_command *command)
 {
     GByteArray *bytes;
+    guint save;
 
     if (cons->role != CONS_LEADER || cons->failed ||
         (command->kind == WIRE_CMD_CONFIG && cons_config_pending(cons))) {
@@ -409,8 +410,12 @@
     bytes = codec_encode_command(command);
     cons_log_append(cons, cons->term, bytes->data, bytes->len);
     g_byte_array_unref(bytes);
+    save = cons->actions->len;
     cons_save_entries(cons, cons_last_index(cons));
     cons_broadcast_append(cons, now);
+    /* A sole voter has committed the entry. */
+    g_array_index(cons->actions, struct cons_action, save).batch.commit_index =
+        cons->commit_index;
     return cons_last_index(cons);
 }
 
--- a/cons.h
+++ b/cons.h
@@ -217,7 +217,8 @@
 const struct cons_entry *cons_entry_at(const struct cons *cons,
                                        uint64_t index);
 
-/** Replaces committed entries up to `index` by a snapshot of the state. */
+/** Replaces committed entries up to `index` by a snapshot of the state, unless
+ * they are still needed; to be tried again later then. */
 void cons_compact(struct cons *cons, uint64_t index, GBytes *state);
 
 /** Latest configuration in the log, committed or not. */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -820,6 +820,66 @@
     g_array_free(disk.log, TRUE);
 }
 
+/* Acknowledges all entries of a leader on behalf of other disks. */
+static void
+acknowledge(struct replica *leader, uint64_t now, const wire_node *disks,
+            size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        wire_msg msg = {.kind = WIRE_APPEND_REPLY};
+        wire_append_reply *reply = &msg.wire_msg_u.append_reply;
+
+        replica_update_disk(leader, now, &disks[i]);
+        reply->term = leader->cons.term;
+        reply->replica = disks[i].address;
+        reply->identity = disks[i].identity;
+        reply->round = leader->cons.round;
+        reply->ok = true;
+        reply->match = cons_last_index(&leader->cons);
+        replica_receive(leader, now, &msg);
+    }
+}
+
+/* A change of the voters is committed in the entry that makes a snapshot due.
+ * Guards against a leader that compacts before the log of the other voters
+ * records the commit: without its disk they would need the former voters. */
+static void
+test_compact_after_config(void)
+{
+    static const wire_node disks[] = {{.address = 8, .identity = 80},
+                                      {.address = 9, .identity = 90}};
+    struct counters counters = {{0}};
+    struct replica leader;
+    uint64_t now = 1;
+    uint64_t first;
+
+    replica_open(&leader, now, 7, 7, true, 1, NULL, &counters);
+    replica_tick(&leader, now);
+    now += REPLICA_JOIN_MS;
+    for (uint64_t version = 1;
+         cons_last_index(&leader.cons) < REPLICA_COMPACT_ENTRIES - 1;
+         version++) {
+        wire_routes routes = {.bundle_version = version};
+
+        replica_submit(&leader, now, version, &routes);
+    }
+    replica_update_disk(&leader, now, &disks[0]);
+    replica_update_disk(&leader, now, &disks[1]);
+    replica_tick(&leader, now);
+    acknowledge(&leader, now, disks, G_N_ELEMENTS(disks));
+    replica_tick(&leader, now);
+    first = leader.cons.config_index;
+    g_assert_cmpuint(first, ==, REPLICA_COMPACT_ENTRIES);
+    g_assert_cmpuint(cons_config(&leader.cons)->voters.voters_len, ==, 3);
+    for (unsigned i = 0; i < 4; i++) {
+        acknowledge(&leader, now, disks, G_N_ELEMENTS(disks));
+        replica_tick(&leader, ++now);
+    }
+    g_assert_cmpuint(leader.cons.config_index, ==, first + 1);
+    g_assert_cmpuint(leader.cons.commit_index, >=, first + 1);
+    replica_close(&leader);
+}
+
 /* The voter thread stores entries after a tick, which may compact the log up
  * to an entry that waits to be stored. Guards against a use after free. */
 static void
@@ -887,5 +947,6 @@
     g_test_add_func("/fleet/unanswered", test_unanswered_requests);
     g_test_add_func("/fleet/compact-while-saving", test_compact_while_saving);
     g_test_add_func("/fleet/compact-then-append", test_compact_then_append);
+    g_test_add_func("/fleet/compact-after-config", test_compact_after_config);
     return g_test_run();
 }
