store: a second damage does not replace the fuller copy of a log

Cause: store_repair_log() wrote log.damaged at each repair; a second damage before the missing entries were copied replaced the file that still had them (found by reading). Change: it is written only when nothing is missing yet, before the position is stored, so that a crash between the two repeats both. Test: /store/missing-until-reached goes on after a torn end while entries are missing.

--- a/store-repair.c
+++ b/store-repair.c
@@ -90,12 +90,16 @@
                                 .entries = stored->log,
                                 .commit_index = stored->commit_index};
 
+    /* While entries are missing, an earlier damaged log is the fuller one. */
+    if (store->missing.index == 0 &&
+        store_write_file(store->folder_fd, "log" DAMAGED_SUFFIX, bytes->data,
+                         bytes->len, st) != STATUS_OK) {
+        return st->kind;
+    }
     if (cons_is_before(last, store->missing)) {
         last = store->missing;
     }
-    if (save_missing(store, last, st) != STATUS_OK ||
-        store_write_file(store->folder_fd, "log" DAMAGED_SUFFIX, bytes->data,
-                         bytes->len, st) != STATUS_OK) {
+    if (save_missing(store, last, st) != STATUS_OK) {
         return st->kind;
     }
     return store_rewrite_log(store, &intact, st);
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -337,7 +337,16 @@
     g_assert_true(g_file_get_contents(name, &kept, &length, NULL));
     g_assert_cmpmem(kept, length, damaged->str, damaged->len);
     for (unsigned last = 4; last < 10; last++) {
+        static const struct corruption flip_again = {.flip_at = -2};
+
         close_replica(&f, true);
+        if (last == 6) { /* no later record: a torn end */
+            corrupt_log(&f, &flip_again);
+            g_assert_cmpint(open_store(&f, &st), ==, STATUS_OK);
+            f.cons.term = 0;
+            append(&f, 1);
+            close_replica(&f, true);
+        }
         g_assert_cmpint(open_store(&f, &st), ==, STATUS_OK);
         check_missing(&f, 10);
         f.cons.term = 0;
