--- a/cmd.h
+++ b/cmd.h
@@ -20,6 +20,7 @@
     char *credentials; /**< --credentials FILE */
     char *submission;  /**< --submission ID */
     char *plot;        /**< --plot FILE */
+    char *tolerate;    /**< --tolerate DISKS,HALLS */
     int json;          /**< --json */
     int verify;        /**< --verify */
     int watch;         /**< --watch */
@@ -36,6 +37,7 @@
     CMD_WATCH = 32,
     CMD_PLOT = 64,
     CMD_REMOVE = 128,
+    CMD_TOLERATE = 256,
 };
 
 struct cmd {
--- a/node-settings.c
+++ b/node-settings.c
@@ -136,14 +136,14 @@
              "upstream"},
     {.key = "tolerated_disks",
      .type = SCHEMA_UINT,
-     .max = 3,
+     .max = NODE_TOLERATED_DISKS_MAX,
      .offset = AT(tolerated_disks),
      .help =
          "give the number of disks that may be lost at once: twice as many "
          "and one become voters, others are spares; 0 if unknown"},
     {.key = "tolerated_halls",
      .type = SCHEMA_UINT,
-     .max = 16,
+     .max = NODE_TOLERATED_HALLS_MAX,
      .offset = AT(tolerated_halls),
      .help =
          "give the number of data halls that may be lost at once; above 0, "
--- a/node-settings.h
+++ b/node-settings.h
@@ -11,6 +11,8 @@
 
 #define NODE_NAME_MAX 63
 #define NODE_PATH_MAX 200
+#define NODE_TOLERATED_DISKS_MAX 3U /**< of CONS_VOTERS_MAX voters */
+#define NODE_TOLERATED_HALLS_MAX 16U
 
 /** What load control decides about when capacity is short. */
 enum node_load_control {
--- a/ridgeridge.c
+++ b/ridgeridge.c
@@ -54,6 +54,10 @@
         {CMD_REMOVE,
          {"remove", 0, POPT_ARG_NONE, &o->remove, 0,
           "remove the voter instead of adding it", NULL}},
+        {CMD_TOLERATE,
+         {"tolerate", 0, POPT_ARG_STRING, &o->tolerate, 0,
+          "losses at once: tolerated_disks and tolerated_halls",
+          "DISKS,HALLS"}},
     };
     const struct poptOption end = POPT_TABLEEND;
     size_t count = 0;
@@ -178,6 +182,7 @@
     g_free(options.credentials);
     g_free(options.submission);
     g_free(options.plot);
+    g_free(options.tolerate);
 }
 
 enum status_kind
