--- a/cmd-node.c
+++ b/cmd-node.c
@@ -18,7 +18,7 @@
                                       NODE_TOLERATED_HALLS_MAX};
 
     st->kind = STATUS_OK;
-    for (size_t i = 0; numbers[i] != NULL; i++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(out) && numbers[i] != NULL; i++) {
         if (numbers[i][0] != '\0' &&
             !g_ascii_string_to_unsigned(numbers[i], 10, 0, limits[i], out[i],
                                         NULL)) {
--- a/tests/test-orders.c
+++ b/tests/test-orders.c
@@ -13,7 +13,7 @@
 #include "fleet-sim.h"
 #include "mutation.h"
 
-#define SEEDS 48
+#define SEEDS 400
 #define SEEDS_THOROUGH 4000
 #define STEPS 40
 #define SETTLE_MS 8000
@@ -362,6 +362,7 @@
 }
 
 static const struct mutation mutations[] = {
+    {"ignore-stopping", FAULT_IGNORE_STOPPING, "/orders/2"},
     {"forget-missing", FAULT_FORGET_MISSING, "/orders/2"},
 };
 
