--- a/cons.h
+++ b/cons.h
@@ -218,7 +218,7 @@
                                        uint64_t index);
 
 /** Replaces committed entries up to `index` by a snapshot of the state, unless
- * they are still needed; to be tried again later then. */
+ * they are still needed; the caller tries again later. */
 void cons_compact(struct cons *cons, uint64_t index, GBytes *state);
 
 /** Latest configuration in the log, committed or not. */
--- a/fleet.h
+++ b/fleet.h
@@ -368,9 +368,9 @@
  * to all nodes that have one, since any of them may lead. */
 void fleet_stop(struct fleet *fleet, uint64_t now);
 
-/** Whether the quorum may need the disk of this node: it is a voter and a disk
- * that is none may replace it, now or after a restart, or it is being
- * replaced. */
+/** Whether a stopping node should wait for another disk to take the place of
+ * its own: its disk is a voter and a disk that is no voter is known, even if
+ * it is restarting; or the last change of the voters leaves its disk out. */
 bool fleet_awaits_replacement(const struct fleet *fleet,
                               const struct fleet_disk *voters, size_t count);
 
--- a/tools/soak/http.h
+++ b/tools/soak/http.h
@@ -33,8 +33,8 @@
 uint64_t soak_http_drained_since(int hall);
 
 /* Versions of the table that may be in force at a node: from the newest one
- * that was acknowledged so long ago that all nodes have it, to the newest one
- * that was sent. */
+ * whose acknowledgement is older than the time in which all nodes apply it, to
+ * the newest one that was sent. */
 void soak_http_versions_in_force(uint64_t *oldest, uint64_t *newest);
 
 /* Reports a violation unless a read and a write succeeded recently. */
